--- /dev/null
+++ b/Makefile
@@ -0,0 +1,88 @@
+# One build file. `make` builds all; `make check` runs the tests; `make demo`
+# runs the main job.
+
+BUILD ?= build
+CC ?= gcc
+CXX ?= g++
+PKGS = libh2o libuv msgpack jansson libxxhash openssl tomlplusplus
+WARN = -Wall -Wextra -Werror
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude $(shell pkg-config --cflags $(PKGS))
+CFLAGS += -std=c11 -O2 -g -MMD -MP $(WARN)
+CXXFLAGS += -std=c++17 -O1 -g -MMD -MP $(WARN)
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lssl -lcrypto -llog4c \
+         -largtable2 -lstdc++ -lm
+
+LIB_SRC := $(wildcard src/*/*.c)
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/base/toml.o
+LIB := $(BUILD)/libmarigold.a
+
+PROGRAMS = marigold-entry marigold-control marigoldctl marigold-load \
+           fake-engine fake-relay
+BINS := $(PROGRAMS:%=$(BUILD)/%)
+
+UNIT_SRC := $(wildcard tests/unit/*.c)
+UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
+SYSTEM_SRC := $(wildcard tests/system/*.c)
+SYSTEM := $(BUILD)/system-tests
+
+.PHONY: all check check-unit check-system demo format lint events clean
+
+all: $(BINS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	$(AR) rcs $@ $^
+
+$(BUILD)/marigold-%: $(BUILD)/daemons/%.o $(BUILD)/daemons/daemon.o $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/marigoldctl: $(BUILD)/daemons/ctl.o $(BUILD)/daemons/client.o $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/marigold-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c)) \
+                        $(BUILD)/daemons/client.o $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/fake-%: $(BUILD)/tests/fakes/%.o $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
+$(BUILD)/unit-%: $(BUILD)/tests/unit/%.o $(LIB)
+	$(CC) $^ -lcunit $(LDLIBS) -o $@
+
+demo: all
+	scripts/demo.sh $(BUILD)
+
+check: check-unit check-system
+
+check-unit: $(UNITS)
+	@set -e; for t in $(UNITS); do $$t; done
+
+check-system: all
+	scripts/system-tests.sh $(BUILD)
+
+events: $(BUILD)/marigoldctl
+	$(BUILD)/marigoldctl events > docs/EVENTS.md
+
+SOURCES := $(wildcard src/*/*.[ch] src/*/*.cc daemons/*.[ch] bench/*.[ch] \
+             tests/*/*.[ch] include/*.h)
+
+format:
+	clang-format -i $(SOURCES)
+
+lint: $(BUILD)/marigoldctl
+	clang-format --dry-run -Werror $(SOURCES)
+	clang-tidy --quiet $(filter %.c,$(SOURCES)) -- $(CPPFLAGS) -std=c11
+	$(BUILD)/marigoldctl events | diff - docs/EVENTS.md
+
+clean:
+	rm -rf $(BUILD)
+
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/base/counter.c
@@ -0,0 +1,112 @@
+#include "base/counter.h"
+
+#include <inttypes.h>
+
+#define SUB_BITS 4
+#define SUB_COUNT (1 << SUB_BITS)
+#define VALUE_LIMIT ((INT64_C(1) << 40) - 1)
+
+static uint64_t counters[MG_COUNTERS];
+static mg_histogram histograms[MG_HISTOGRAMS];
+
+static const char *const counter_names[] = {
+#define X(id, name) name,
+    MG_COUNTER_LIST(X)
+#undef X
+};
+
+static const char *const histogram_names[] = {
+#define X(id, name) name,
+    MG_HISTOGRAM_LIST(X)
+#undef X
+};
+
+void
+mg_count(mg_counter c, uint64_t n)
+{
+    counters[c] += n;
+}
+
+uint64_t
+mg_counter_value(mg_counter c)
+{
+    return counters[c];
+}
+
+static size_t
+bucket_of(int64_t value)
+{
+    uint64_t v = (uint64_t)value;
+    if (v < SUB_COUNT) {
+        return (size_t)v;
+    }
+    int shift = 63 - __builtin_clzll(v) - SUB_BITS;
+    return (size_t)(shift + 1) * SUB_COUNT + (v >> shift) - SUB_COUNT;
+}
+
+static int64_t
+bucket_edge(size_t bucket)
+{
+    if (bucket < SUB_COUNT) {
+        return (int64_t)bucket;
+    }
+    size_t shift = bucket / SUB_COUNT - 1;
+    uint64_t sub = bucket % SUB_COUNT + SUB_COUNT;
+    return (int64_t)(((sub + 1) << shift) - 1);
+}
+
+void
+mg_histogram_add(mg_histogram *h, int64_t value)
+{
+    if (value < 0) {
+        value = 0;
+    }
+    if (value > VALUE_LIMIT) {
+        value = VALUE_LIMIT;
+    }
+    h->count++;
+    h->bucket[bucket_of(value)]++;
+}
+
+int64_t
+mg_histogram_quantile(const mg_histogram *h, double q)
+{
+    if (h->count == 0) {
+        return 0;
+    }
+    uint64_t rank = (uint64_t)(q * (double)h->count + 0.999999);
+    uint64_t seen = 0;
+    for (size_t i = 0; i < MG_HISTOGRAM_BUCKETS; i++) {
+        seen += h->bucket[i];
+        if (seen >= rank && seen > 0) {
+            return bucket_edge(i);
+        }
+    }
+    return VALUE_LIMIT;
+}
+
+void
+mg_observe(mg_histogram_id id, int64_t value)
+{
+    mg_histogram_add(&histograms[id], value);
+}
+
+void
+mg_metrics_print(mg_buf *out)
+{
+    for (size_t i = 0; i < MG_COUNTERS; i++) {
+        mg_buf_printf(out, "marigold_%s %" PRIu64 "\n", counter_names[i],
+                      counters[i]);
+    }
+    for (size_t i = 0; i < MG_HISTOGRAMS; i++) {
+        const mg_histogram *h = &histograms[i];
+        static const double quantiles[] = {0.5, 0.95, 0.99};
+        for (size_t k = 0; k < 3; k++) {
+            mg_buf_printf(out, "marigold_%s{quantile=\"%g\"} %" PRId64 "\n",
+                          histogram_names[i], quantiles[k],
+                          mg_histogram_quantile(h, quantiles[k]));
+        }
+        mg_buf_printf(out, "marigold_%s_count %" PRIu64 "\n",
+                      histogram_names[i], h->count);
+    }
+}
--- /dev/null
+++ b/src/control/operator.c
@@ -0,0 +1,710 @@
+#include "control/operator.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <uthash.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "policy/rollout.h"
+#include "topology/config.h"
+
+#define FORWARD_TIMEOUT_MS 8000
+#define CHANGED_RETRIES 5
+#define OWNER_KEY_HEADER "x-owner-key"
+
+/* an HTTP request that waits for its answer */
+struct pending {
+    UT_hash_handle hh;
+    uint64_t seq;
+    mg_operator *o;
+    mg_http_req *req; /* NULL when the operator left */
+    int64_t until_ms;
+};
+
+struct mg_operator {
+    mg_control *c;
+    uint64_t next_seq;
+    struct pending *pending;
+};
+
+/* a document on its way through the log */
+struct apply_op {
+    mg_operator *o;
+    const mg_owner *owner; /* of the key that came with it */
+    mg_operator_reply reply;
+    void *user;
+    mg_document doc;
+    int attempts;
+};
+
+mg_operator *
+mg_operator_new(mg_control *c)
+{
+    mg_operator *o = mg_alloc(sizeof(*o));
+    o->c = c;
+    return o;
+}
+
+void
+mg_operator_free(mg_operator *o)
+{
+    free(o);
+}
+
+static void
+reply_json(mg_operator_reply reply, void *user, int status, json_t *body)
+{
+    char *text = json_dumps(body, JSON_SORT_KEYS | JSON_INDENT(2));
+    reply(user, status, mg_str_of(text));
+    free(text);
+    json_decref(body);
+}
+
+static void
+reply_error(mg_operator_reply reply, void *user, mg_rc rc, const char *text)
+{
+    reply_json(reply, user, mg_rc_http(rc),
+               json_pack("{s:s, s:s}", "code", mg_rc_name(rc), "text", text));
+}
+
+/* ------------------------------------------------------------- documents */
+
+static const mg_owner *
+find_owner(const mg_settings *s, mg_str key)
+{
+    char hex[MG_HEX_SHA256_SIZE];
+    mg_sha256_hex(key, hex);
+    const mg_owner *found = NULL;
+    for (size_t i = 0; i < s->owner_count; i++) {
+        if (mg_str_same_secret(mg_str_of(hex),
+                               mg_str_of(s->owners[i].key_sha256))) {
+            found = &s->owners[i];
+        }
+    }
+    return found;
+}
+
+static bool
+current_section(const mg_state *state, const char *name,
+                mg_rec_section_msg *sec)
+{
+    mg_str value;
+    uint64_t rev;
+    mg_msg m;
+    if (!mg_state_get(state, MG_KIND_SECTION, mg_str_of(name), &value,
+                      &rev) ||
+        mg_msg_decode(value, &m) != MG_OK) {
+        return false;
+    }
+    *sec = m.u.rec_section;
+    return true;
+}
+
+static bool
+known_before(const mg_rec_section_msg *cur, const mg_section *s)
+{
+    mg_msg m;
+    mg_str history = cur->history;
+    while (mg_msg_next(&history, &m) == MG_OK) {
+        if (m.u.section_version.version == (uint64_t)s->version &&
+            mg_str_is(m.u.section_version.digest, s->digest)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* sections that change must belong to the operator's team */
+static void
+check_owners(const mg_state *state, const mg_document *doc,
+             const mg_owner *owner, mg_checker *ck)
+{
+    ck->path[0] = '\0';
+    for (size_t i = 0; i < doc->count; i++) {
+        const mg_section *s = &doc->sections[i];
+        mg_rec_section_msg cur;
+        bool exists = current_section(state, s->name, &cur);
+        if (exists && known_before(&cur, s)) {
+            continue;
+        }
+        mg_str theirs = exists ? cur.owner : mg_str_of(s->owner);
+        if (strcmp(s->owner, owner->name) != 0 ||
+            (exists && !mg_str_is(cur.owner, owner->name))) {
+            mg_check_error(ck, NULL, s->name,
+                           "section of owner \"%.*s\" changed with the key "
+                           "of \"%s\"",
+                           MG_STR_FMT(theirs), owner->name);
+        }
+    }
+}
+
+struct config_build {
+    mg_config *config;
+    const mg_document *doc;
+    mg_checker *ck;
+};
+
+static bool
+in_document(const mg_document *doc, mg_str name)
+{
+    for (size_t i = 0; i < doc->count; i++) {
+        if (mg_str_is(name, doc->sections[i].name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_other_section(void *user, mg_str key, mg_str value, uint64_t rev)
+{
+    struct config_build *b = user;
+    mg_msg m;
+    (void)rev;
+    if (in_document(b->doc, key) || mg_msg_decode(value, &m) != MG_OK) {
+        return;
+    }
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), key);
+    mg_config_set_text(b->config, name, m.u.rec_section.text, b->ck);
+}
+
+static void
+add_own_section(struct config_build *b, const mg_state *state,
+                const mg_section *s)
+{
+    mg_rec_section_msg cur;
+    mg_str text = mg_str_of(s->text);
+    /* an older version that was accepted once changes nothing */
+    if (current_section(state, s->name, &cur) && known_before(&cur, s)) {
+        text = cur.text;
+    }
+    mg_config_set_text(b->config, s->name, text, b->ck);
+}
+
+static bool
+move_is_over(const mg_state *state, const mg_move *m)
+{
+    mg_str value;
+    uint64_t rev;
+    mg_msg r;
+    return mg_state_get(state, MG_KIND_MOVE, mg_str_of(m->name), &value,
+                        &rev) &&
+           mg_msg_decode(value, &r) == MG_OK &&
+           r.u.rec_move.state >= MG_MOVE_DONE;
+}
+
+static void
+check_moves(const mg_state *state, const mg_config *config, mg_checker *ck)
+{
+    int64_t now = mg_wall(mg_system_clock());
+    const mg_move *m = mg_config_first_move(config);
+    for (; m != NULL; m = m->hh.next) {
+        int64_t start = m->start_wall_ms > now ? m->start_wall_ms : now;
+        mg_str value;
+        uint64_t rev;
+        /* a move that runs or is over is not planned again */
+        if (mg_state_get(state, MG_KIND_MOVE, mg_str_of(m->name), &value,
+                         &rev) ||
+            move_is_over(state, m)) {
+            continue;
+        }
+        if (m->by_wall_ms - start < mg_rollout_least_ms()) {
+            mg_check_error(ck, NULL, "move",
+                           "\"%s\" can't be done by its time: it needs at "
+                           "least %" PRId64 " ms, %" PRId64 " ms are left",
+                           m->name, mg_rollout_least_ms(),
+                           m->by_wall_ms - start);
+        }
+    }
+}
+
+/* the document as it would be, checked whole */
+static void
+check_whole(const mg_state *state, const mg_document *doc, mg_checker *ck)
+{
+    struct config_build b = {mg_config_new(), doc, ck};
+    mg_state_each(state, MG_KIND_SECTION, add_other_section, &b);
+    for (size_t i = 0; i < doc->count; i++) {
+        add_own_section(&b, state, &doc->sections[i]);
+    }
+    if (ck->error_count == 0) {
+        mg_config_verify(b.config, ck);
+    }
+    if (ck->error_count == 0) {
+        check_moves(state, b.config, ck);
+    }
+    mg_config_free(b.config);
+}
+
+static void apply_result(void *user, const mg_apply_reply *reply);
+
+static void
+encode_sections(const mg_document *doc, mg_buf *out)
+{
+    for (size_t i = 0; i < doc->count; i++) {
+        const mg_section *s = &doc->sections[i];
+        mg_msg m = {.type = MG_MSG_REC_SECTION};
+        m.u.rec_section.name = mg_str_of(s->name);
+        m.u.rec_section.owner = mg_str_of(s->owner);
+        m.u.rec_section.version = (uint64_t)s->version;
+        m.u.rec_section.digest = mg_str_of(s->digest);
+        m.u.rec_section.text = mg_str_of(s->text);
+        mg_msg_encode(&m, out);
+    }
+}
+
+static void
+end_apply(struct apply_op *op)
+{
+    mg_document_free(&op->doc);
+    free(op);
+}
+
+static void
+refuse_apply(struct apply_op *op, mg_rc rc, const char *text)
+{
+    mg_log(MG_EV_DOC_REFUSED, "code=%s why=%.300s", mg_rc_name(rc), text);
+    reply_error(op->reply, op->user, rc, text);
+    end_apply(op);
+}
+
+/* checks against the present state and proposes */
+static void
+try_apply(struct apply_op *op)
+{
+    const mg_state *state = mg_control_state(op->o->c);
+    mg_checker ck;
+    mg_checker_init(&ck, "document");
+    check_owners(state, &op->doc, op->owner, &ck);
+    mg_rc rc = ck.error_count ? MG_E_OWNER : MG_OK;
+    if (rc == MG_OK) {
+        check_whole(state, &op->doc, &ck);
+        rc = ck.error_count ? MG_E_INPUT : MG_OK;
+    }
+    if (rc != MG_OK) {
+        mg_buf_put(&ck.errors, "", 1);
+        refuse_apply(op, rc, ck.errors.p);
+        mg_checker_free(&ck);
+        return;
+    }
+    mg_checker_free(&ck);
+    mg_buf sections = {0};
+    encode_sections(&op->doc, &sections);
+    mg_msg m = {.type = MG_MSG_CMD_DOCUMENT};
+    m.u.cmd_document.base_rev = mg_state_document_rev(state);
+    m.u.cmd_document.sections = mg_str_buf(&sections);
+    rc = mg_control_propose(op->o->c, &m, apply_result, op);
+    mg_buf_free(&sections);
+    if (rc != MG_OK) {
+        refuse_apply(op, rc, "this member ceased to lead");
+    }
+}
+
+static void
+apply_result(void *user, const mg_apply_reply *reply)
+{
+    struct apply_op *op = user;
+    if (reply->rc == MG_E_CHANGED && op->attempts++ < CHANGED_RETRIES) {
+        try_apply(op);
+        return;
+    }
+    if (reply->rc != MG_OK) {
+        refuse_apply(op, reply->rc,
+                     reply->text[0] ? reply->text : mg_rc_name(reply->rc));
+        return;
+    }
+    mg_log(MG_EV_DOC_ACCEPTED, "rev=%" PRIu64 " sections=%zu", reply->rev,
+           op->doc.count);
+    reply_json(op->reply, op->user, 200,
+               json_pack("{s:s, s:I}", "code", "ok", "rev",
+                         (json_int_t)reply->rev));
+    end_apply(op);
+}
+
+static void
+handle_document(mg_operator *o, const mg_owner *owner, mg_str body,
+                mg_operator_reply reply, void *user)
+{
+    mg_checker ck;
+    size_t members;
+    size_t live;
+    mg_control_count_members(o->c, &members, &live);
+    if (members > 0 && live * 2 <= members) {
+        reply_error(reply, user, MG_E_NO_QUORUM,
+                    "fewer than half of the entries hold leases");
+        return;
+    }
+    struct apply_op *op = mg_alloc(sizeof(*op));
+    op->o = o;
+    op->owner = owner;
+    op->reply = reply;
+    op->user = user;
+    mg_checker_init(&ck, "document");
+    mg_rc rc = mg_document_parse(body, "document", &op->doc, &ck);
+    if (rc != MG_OK) {
+        mg_buf_put(&ck.errors, "", 1);
+        refuse_apply(op, rc, ck.errors.p);
+    }
+    else {
+        try_apply(op);
+    }
+    mg_checker_free(&ck);
+}
+
+/* ---------------------------------------------------------------- status */
+
+struct listing {
+    mg_operator *o;
+    json_t *out;
+};
+
+static json_t *
+json_of(mg_str s)
+{
+    return json_stringn(s.p ? s.p : "", s.n);
+}
+
+static void
+list_section(void *user, mg_str key, mg_str value, uint64_t rev)
+{
+    struct listing *l = user;
+    mg_msg m;
+    (void)rev;
+    if (mg_msg_decode(value, &m) == MG_OK) {
+        const mg_rec_section_msg *s = &m.u.rec_section;
+        json_array_append_new(
+            l->out,
+            json_pack("{s:o, s:o, s:I, s:o, s:I}", "section", json_of(key),
+                      "owner", json_of(s->owner), "version",
+                      (json_int_t)s->version, "digest", json_of(s->digest),
+                      "rev", (json_int_t)s->accepted_rev));
+    }
+}
+
+static void
+list_member(void *user, mg_str key, mg_str value, uint64_t rev)
+{
+    static const char *const leases[] = {"none", "maybe", "live"};
+    static const char *const drains[] = {"none", "leaving", "stopped",
+                                         "removed"};
+    struct listing *l = user;
+    mg_msg m;
+    char node[MG_NAME_SIZE];
+    uint64_t applied;
+    (void)rev;
+    mg_str_copy(node, sizeof(node), key);
+    if (mg_msg_decode(value, &m) != MG_OK) {
+        return;
+    }
+    const mg_rec_member_msg *r = &m.u.rec_member;
+    mg_lease_state state =
+        mg_control_member(l->o->c, node, r->incarnation, &applied);
+    json_array_append_new(
+        l->out, json_pack("{s:s, s:o, s:o, s:s, s:s, s:I}", "node", node,
+                          "http_addr", json_of(r->http_addr), "domain",
+                          json_of(r->domain), "lease", leases[state], "drain",
+                          drains[r->draining & 3], "rev",
+                          (json_int_t)applied));
+}
+
+static void
+list_pool(void *user, mg_str key, mg_str value, uint64_t rev)
+{
+    struct listing *l = user;
+    mg_msg m;
+    (void)rev;
+    if (mg_msg_decode(value, &m) == MG_OK) {
+        json_array_append_new(
+            l->out, json_pack("{s:o, s:o, s:I}", "pool", json_of(key),
+                              "holder", json_of(m.u.rec_pool.holder), "epoch",
+                              (json_int_t)m.u.rec_pool.epoch));
+    }
+}
+
+static void
+list_move(void *user, mg_str key, mg_str value, uint64_t rev)
+{
+    struct listing *l = user;
+    mg_msg m;
+    (void)rev;
+    if (mg_msg_decode(value, &m) == MG_OK) {
+        const mg_rec_move_msg *r = &m.u.rec_move;
+        json_array_append_new(
+            l->out,
+            json_pack("{s:o, s:o, s:s, s:I, s:I, s:o}", "move", json_of(key),
+                      "pool", json_of(r->pool), "state",
+                      mg_move_state_name((mg_move_state)r->state),
+                      "share_permille", (json_int_t)r->share_permille,
+                      "changed_wall_ms", (json_int_t)r->wall_ms, "reason",
+                      json_of(r->reason)));
+    }
+}
+
+static void
+list_credit(void *user, const char *member, uint64_t count)
+{
+    json_object_set_new(user, member, json_integer((json_int_t)count));
+}
+
+static json_t *
+list_kind(mg_operator *o, mg_record_kind kind,
+          void (*f)(void *user, mg_str key, mg_str value, uint64_t rev))
+{
+    struct listing l = {o, json_array()};
+    mg_state_each(mg_control_state(o->c), kind, f, &l);
+    return l.out;
+}
+
+static json_t *
+status_json(mg_operator *o)
+{
+    const mg_raft *r = mg_control_raft(o->c);
+    const mg_state *s = mg_control_state(o->c);
+    return json_pack(
+        "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o}", "leader",
+        mg_control_leader(o->c), "term", (json_int_t)mg_raft_term(r),
+        "commit", (json_int_t)mg_raft_commit(r), "rev",
+        (json_int_t)mg_state_rev(s), "document_rev",
+        (json_int_t)mg_state_document_rev(s), "in_force_rev",
+        (json_int_t)mg_control_in_force(o->c), "claims",
+        (json_int_t)mg_state_claim_count(s), "sections",
+        list_kind(o, MG_KIND_SECTION, list_section), "entries",
+        list_kind(o, MG_KIND_MEMBER, list_member), "pools",
+        list_kind(o, MG_KIND_POOL, list_pool));
+}
+
+static json_t *
+credits_json(mg_operator *o)
+{
+    json_t *out = json_object();
+    mg_state_each_credit(mg_control_state(o->c), list_credit, out);
+    return json_pack("{s:o}", "credits", out);
+}
+
+/* --------------------------------------------------------------- draining */
+
+struct drain_op {
+    mg_operator_reply reply;
+    void *user;
+};
+
+static void
+drain_recorded(void *user, const mg_apply_reply *reply)
+{
+    struct drain_op *op = user;
+    if (reply->rc == MG_OK) {
+        reply_json(op->reply, op->user, 200, json_pack("{s:s}", "code", "ok"));
+    }
+    else {
+        reply_error(op->reply, op->user, reply->rc, "try again");
+    }
+    free(op);
+}
+
+static void
+set_draining(mg_operator *o, mg_str node, mg_drain_state to,
+             mg_operator_reply reply, void *user)
+{
+    mg_str value;
+    uint64_t rev;
+    mg_msg rec;
+    if (!mg_state_get(mg_control_state(o->c), MG_KIND_MEMBER, node, &value,
+                      &rev) ||
+        mg_msg_decode(value, &rec) != MG_OK) {
+        reply_error(reply, user, MG_E_NOT_FOUND, "no such entry");
+        return;
+    }
+    char name[MG_NAME_SIZE];
+    uint64_t applied;
+    mg_str_copy(name, sizeof(name), node);
+    if (to == MG_DRAIN_REMOVED &&
+        mg_control_member(o->c, name, rec.u.rec_member.incarnation,
+                          &applied) != MG_LEASE_GONE) {
+        reply_error(reply, user, MG_E_CONFLICT,
+                    "the entry may hold a lease: drain or stop it first");
+        return;
+    }
+    mg_buf data = {0};
+    rec.u.rec_member.draining = to;
+    mg_msg_encode(&rec, &data);
+    mg_msg put = {.type = MG_MSG_CMD_PUT};
+    put.u.cmd_put.kind = MG_KIND_MEMBER;
+    put.u.cmd_put.key = mg_str_of(name);
+    put.u.cmd_put.expect_rev = rev;
+    put.u.cmd_put.value = mg_str_buf(&data);
+    struct drain_op *op = mg_alloc(sizeof(*op));
+    *op = (struct drain_op){reply, user};
+    if (mg_control_propose(o->c, &put, drain_recorded, op) != MG_OK) {
+        free(op);
+        reply_error(reply, user, MG_E_NO_LEADER, "this member does not lead");
+    }
+    mg_buf_free(&data);
+}
+
+/* --------------------------------------------------------------- routing */
+
+static bool
+cut_around(mg_str s, const char *head, const char *tail, mg_str *middle)
+{
+    size_t h = strlen(head);
+    size_t t = strlen(tail);
+    if (s.n <= h + t || memcmp(s.p, head, h) != 0 ||
+        memcmp(s.p + s.n - t, tail, t) != 0) {
+        return false;
+    }
+    *middle = (mg_str){s.p + h, s.n - h - t};
+    return true;
+}
+
+void
+mg_operator_handle(mg_operator *o, mg_str method, mg_str path, mg_str key,
+                   mg_str body, mg_operator_reply reply, void *user)
+{
+    bool get = mg_str_is(method, "GET");
+    mg_str node;
+    if (!mg_raft_ready(mg_control_raft(o->c))) {
+        reply_error(reply, user, MG_E_NO_LEADER, "no leader yet, try again");
+        return;
+    }
+    if (get && mg_str_is(path, "/v1/status")) {
+        reply_json(reply, user, 200, status_json(o));
+        return;
+    }
+    const mg_owner *owner = find_owner(mg_control_settings(o->c), key);
+    if (owner == NULL) {
+        reply_error(reply, user, MG_E_KEY, "no owner has this key");
+    }
+    else if (get && mg_str_is(path, "/v1/moves")) {
+        reply_json(reply, user, 200,
+                   json_pack("{s:o}", "moves",
+                             list_kind(o, MG_KIND_MOVE, list_move)));
+    }
+    else if (get && mg_str_is(path, "/v1/credits")) {
+        reply_json(reply, user, 200, credits_json(o));
+    }
+    else if (!get && mg_str_is(path, "/v1/document")) {
+        handle_document(o, owner, body, reply, user);
+    }
+    else if (!get &&
+             cut_around(path, "/v1/members/", "/remove", &node)) {
+        set_draining(o, node, MG_DRAIN_REMOVED, reply, user);
+    }
+    else if (!get && cut_around(path, "/v1/members/", "/drain", &node)) {
+        set_draining(o, node, MG_DRAIN_LEAVING, reply, user);
+    }
+    else {
+        reply_error(reply, user, MG_E_NOT_FOUND, "no such operation");
+    }
+}
+
+/* -------------------------------------------------------------- HTTP port */
+
+static void
+finish_pending(struct pending *p, int status, mg_str body)
+{
+    HASH_DEL(p->o->pending, p);
+    if (p->req != NULL) {
+        mg_http_on_gone(p->req, NULL, NULL);
+        mg_http_reply(p->req, status, "application/json", NULL, body);
+    }
+    free(p);
+}
+
+static void
+local_reply(void *user, int status, mg_str body)
+{
+    finish_pending(user, status, body);
+}
+
+static void
+operator_left(void *user)
+{
+    ((struct pending *)user)->req = NULL;
+}
+
+void
+mg_operator_tick(mg_operator *o)
+{
+    struct pending *p;
+    struct pending *p1;
+    int64_t now = mg_now(mg_system_clock());
+    static const char text[] = "{\"code\": \"no_leader\", \"text\": "
+                               "\"the leader did not answer; the change may "
+                               "have been accepted, send it again\"}";
+    HASH_ITER(hh, o->pending, p, p1) {
+        if (p->until_ms != 0 && now >= p->until_ms) {
+            finish_pending(p, mg_rc_http(MG_E_NO_LEADER), mg_str_of(text));
+        }
+    }
+}
+
+static void
+print_metrics(mg_http_req *req)
+{
+    mg_buf out = {0};
+    mg_metrics_print(&out);
+    mg_http_reply(req, 200, "text/plain", NULL, mg_str_buf(&out));
+    mg_buf_free(&out);
+}
+
+static struct pending *
+new_pending(mg_operator *o, mg_http_req *req)
+{
+    struct pending *p = mg_alloc(sizeof(*p));
+    p->seq = ++o->next_seq;
+    p->o = o;
+    p->req = req;
+    HASH_ADD(hh, o->pending, seq, sizeof(p->seq), p);
+    mg_http_on_gone(req, operator_left, p);
+    return p;
+}
+
+static void
+forward(mg_operator *o, mg_http_req *req, struct pending *p)
+{
+    mg_msg m = {.type = MG_MSG_OPERATOR};
+    m.u.operator_req.seq = p->seq;
+    m.u.operator_req.method = mg_http_method(req);
+    m.u.operator_req.path = mg_http_path(req);
+    m.u.operator_req.key = mg_http_header(req, OWNER_KEY_HEADER);
+    m.u.operator_req.body = mg_http_body(req);
+    p->until_ms = mg_now(mg_system_clock()) + FORWARD_TIMEOUT_MS;
+    if (mg_control_forward(o->c, &m) != MG_OK) {
+        reply_error(local_reply, p, MG_E_NO_LEADER,
+                    "no leader is known, try again");
+    }
+}
+
+void
+mg_operator_http(void *user, mg_http_req *req)
+{
+    mg_operator *o = user;
+    if (mg_str_is(mg_http_path(req), "/metrics")) {
+        print_metrics(req);
+        return;
+    }
+    struct pending *p = new_pending(o, req);
+    if (mg_raft_get_role(mg_control_raft(o->c)) == MG_RAFT_LEADER) {
+        mg_operator_handle(o, mg_http_method(req), mg_http_path(req),
+                           mg_http_header(req, OWNER_KEY_HEADER),
+                           mg_http_body(req), local_reply, p);
+    }
+    else {
+        forward(o, req, p);
+    }
+}
+
+void
+mg_operator_forwarded(mg_operator *o, const mg_operator_rep_msg *m)
+{
+    struct pending *p;
+    HASH_FIND(hh, o->pending, &m->seq, sizeof(m->seq), p);
+    if (p != NULL) {
+        finish_pending(p, (int)m->status, m->body);
+    }
+}
--- /dev/null
+++ b/src/control/store.c
@@ -0,0 +1,490 @@
+#include "control/store.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+#define META_MAGIC UINT64_C(0x314154454d474d00)
+#define SNAP_MAGIC UINT64_C(0x31504e53474d0000)
+#define LOG_MAGIC UINT64_C(0x31474f4c474d0000)
+#define RECORD_DATA_MAX (64u << 20)
+
+struct record_head {
+    uint64_t size; /* of the data behind the head */
+    uint64_t sum;  /* of term, index and data */
+    uint64_t term;
+    uint64_t index;
+};
+
+struct file_head {
+    uint64_t magic;
+    uint64_t sum; /* of the rest of the file */
+    uint64_t a;
+    uint64_t b;
+    uint64_t c;
+    uint64_t d;
+};
+
+struct mg_store {
+    char dir[PATH_MAX / 2];
+    int dir_fd;
+    int lock_fd;
+    int log_fd;
+    off_t log_end;
+    /* offset of each record since first_index, for truncation */
+    uint64_t first_index;
+    off_t *offsets;
+    size_t count;
+    size_t cap;
+    mg_buf pending; /* appended and not yet written */
+};
+
+static mg_rc
+write_all(int fd, const void *p, size_t n)
+{
+    const char *at = p;
+    while (n > 0) {
+        ssize_t w = write(fd, at, n);
+        if (w < 0 && errno == EINTR) {
+            continue;
+        }
+        if (w <= 0) {
+            return MG_E_IO;
+        }
+        at += w;
+        n -= (size_t)w;
+    }
+    return MG_OK;
+}
+
+static mg_rc
+read_file(mg_store *s, const char *name, mg_buf *out)
+{
+    int fd = openat(s->dir_fd, name, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return errno == ENOENT ? MG_E_NOT_FOUND : MG_E_IO;
+    }
+    char chunk[65536];
+    ssize_t n;
+    while ((n = read(fd, chunk, sizeof(chunk))) > 0) {
+        mg_buf_put(out, chunk, (size_t)n);
+    }
+    close(fd);
+    return n < 0 ? MG_E_IO : MG_OK;
+}
+
+/* writes name.new, syncs it, renames it to name, syncs the folder */
+static mg_rc
+replace_file(mg_store *s, const char *name, const mg_buf *content)
+{
+    char tmp[64];
+    snprintf(tmp, sizeof(tmp), "%s.new", name);
+    int fd = openat(s->dir_fd, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
+                    0600);
+    if (fd < 0) {
+        return MG_E_IO;
+    }
+    mg_rc rc = write_all(fd, content->p, content->n);
+    if (rc == MG_OK && fsync(fd) != 0) {
+        rc = MG_E_IO;
+    }
+    if (close(fd) != 0) {
+        rc = MG_E_IO;
+    }
+    if (rc == MG_OK && renameat(s->dir_fd, tmp, s->dir_fd, name) != 0) {
+        rc = MG_E_IO;
+    }
+    if (rc == MG_OK && fsync(s->dir_fd) != 0) {
+        rc = MG_E_IO;
+    }
+    return rc;
+}
+
+static void
+put_file_head(mg_buf *out, uint64_t magic, const uint64_t v[4], mg_str body)
+{
+    struct file_head h = {magic, 0, v[0], v[1], v[2], v[3]};
+    h.sum = XXH3_64bits_withSeed(body.p, body.n, XXH3_64bits(&h.a, 32));
+    mg_buf_put(out, &h, sizeof(h));
+    mg_buf_put(out, body.p, body.n);
+}
+
+static mg_rc
+check_file_head(const mg_buf *in, uint64_t magic, struct file_head *h)
+{
+    if (in->n < sizeof(*h)) {
+        return MG_E_CORRUPT;
+    }
+    memcpy(h, in->p, sizeof(*h));
+    uint64_t seed = XXH3_64bits(&h->a, 32);
+    uint64_t sum = XXH3_64bits_withSeed(in->p + sizeof(*h),
+                                        in->n - sizeof(*h), seed);
+    return h->magic == magic && h->sum == sum ? MG_OK : MG_E_CORRUPT;
+}
+
+mg_rc
+mg_store_save_meta(mg_store *s, const mg_raft_meta *meta)
+{
+    mg_buf b = {0};
+    uint64_t v[4] = {meta->term, meta->vote, meta->uid, meta->voter};
+    put_file_head(&b, META_MAGIC, v, (mg_str){"", 0});
+    mg_rc rc = replace_file(s, "meta", &b);
+    mg_buf_free(&b);
+    return rc;
+}
+
+static mg_rc
+load_meta(mg_store *s, bool voter, mg_store_image *image)
+{
+    mg_buf b = {0};
+    struct file_head h;
+    mg_rc rc = read_file(s, "meta", &b);
+    if (rc == MG_E_NOT_FOUND) {
+        image->fresh = true;
+        image->meta = (mg_raft_meta){0, 0, mg_random_id(), voter};
+        rc = mg_store_save_meta(s, &image->meta);
+    }
+    else if (rc == MG_OK) {
+        rc = check_file_head(&b, META_MAGIC, &h);
+        if (rc == MG_OK) {
+            image->meta = (mg_raft_meta){h.a, h.b, h.c, h.d};
+        }
+    }
+    mg_buf_free(&b);
+    return rc;
+}
+
+static mg_rc
+load_snapshot(mg_store *s, mg_store_image *image)
+{
+    mg_buf b = {0};
+    struct file_head h;
+    mg_rc rc = read_file(s, "snapshot", &b);
+    if (rc == MG_E_NOT_FOUND) {
+        return MG_OK;
+    }
+    if (rc == MG_OK) {
+        rc = check_file_head(&b, SNAP_MAGIC, &h);
+    }
+    if (rc == MG_OK) {
+        image->snapshot_index = h.a;
+        image->snapshot_term = h.b;
+        mg_buf_put(&image->snapshot, b.p + sizeof(h), b.n - sizeof(h));
+    }
+    mg_buf_free(&b);
+    return rc;
+}
+
+static uint64_t
+record_sum(const struct record_head *h, const char *data)
+{
+    return XXH3_64bits_withSeed(data, h->size, XXH3_64bits(&h->term, 16));
+}
+
+/* a sound record at offset at, or false */
+static bool
+read_record(const mg_buf *b, size_t at, struct record_head *h)
+{
+    if (b->n - at < sizeof(*h)) {
+        return false;
+    }
+    memcpy(h, b->p + at, sizeof(*h));
+    if (h->size > RECORD_DATA_MAX || b->n - at - sizeof(*h) < h->size) {
+        return false;
+    }
+    return h->sum == record_sum(h, b->p + at + sizeof(*h));
+}
+
+static bool
+sound_record_behind(const mg_buf *b, size_t at)
+{
+    struct record_head h;
+    for (size_t i = at + 1; i + sizeof(h) <= b->n; i++) {
+        if (read_record(b, i, &h) && h.index > 0 && h.term > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_offset(mg_store *s, off_t offset)
+{
+    if (s->count == s->cap) {
+        s->cap = s->cap ? s->cap * 2 : 256;
+        s->offsets = mg_realloc(s->offsets, s->cap * sizeof(off_t));
+    }
+    s->offsets[s->count++] = offset;
+}
+
+static mg_rc
+scan_log(mg_store *s, mg_store_image *image)
+{
+    const mg_buf *b = &image->log_bytes;
+    size_t at = sizeof(uint64_t);
+    struct record_head h;
+    size_t cap = 0;
+    s->first_index = image->snapshot_index + 1;
+    while (read_record(b, at, &h)) {
+        size_t next = at + sizeof(h) + h.size;
+        /* entries up to the snapshot are left by a cut between the two */
+        if (h.index > image->snapshot_index) {
+            if (h.index != s->first_index + s->count) {
+                return MG_E_CORRUPT;
+            }
+            note_offset(s, (off_t)at);
+            if (image->entry_count == cap) {
+                cap = cap ? cap * 2 : 256;
+                image->entries =
+                    mg_realloc(image->entries, cap * sizeof(mg_raft_entry));
+            }
+            image->entries[image->entry_count++] = (mg_raft_entry){
+                h.term, h.index, {b->p + at + sizeof(h), h.size}};
+        }
+        at = next;
+    }
+    s->log_end = (off_t)at;
+    if (at == b->n) {
+        return MG_OK;
+    }
+    if (sound_record_behind(b, at)) {
+        return MG_E_CORRUPT;
+    }
+    image->torn = true;
+    return MG_OK;
+}
+
+static mg_rc
+create_log(mg_store *s)
+{
+    mg_buf b = {0};
+    uint64_t magic = LOG_MAGIC;
+    mg_buf_put(&b, &magic, sizeof(magic));
+    mg_rc rc = replace_file(s, "log", &b);
+    mg_buf_free(&b);
+    return rc;
+}
+
+static mg_rc
+load_log(mg_store *s, mg_store_image *image)
+{
+    mg_buf *b = &image->log_bytes;
+    mg_rc rc = read_file(s, "log", b);
+    if (rc == MG_E_NOT_FOUND) {
+        rc = create_log(s);
+        if (rc == MG_OK) {
+            rc = read_file(s, "log", b);
+        }
+    }
+    if (rc != MG_OK) {
+        return rc;
+    }
+    uint64_t magic = 0;
+    if (b->n >= sizeof(magic)) {
+        memcpy(&magic, b->p, sizeof(magic));
+    }
+    if (magic != LOG_MAGIC) {
+        return MG_E_CORRUPT;
+    }
+    rc = scan_log(s, image);
+    if (rc != MG_OK) {
+        return rc;
+    }
+    s->log_fd = openat(s->dir_fd, "log", O_RDWR | O_CLOEXEC);
+    if (s->log_fd < 0 || ftruncate(s->log_fd, s->log_end) != 0 ||
+        lseek(s->log_fd, 0, SEEK_END) < 0 || fsync(s->log_fd) != 0) {
+        return MG_E_IO;
+    }
+    return MG_OK;
+}
+
+static mg_rc
+lock_folder(mg_store *s)
+{
+    s->lock_fd = openat(s->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC,
+                        0600);
+    if (s->lock_fd < 0 || flock(s->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+        return MG_E_IO;
+    }
+    return MG_OK;
+}
+
+mg_rc
+mg_store_open(mg_store **out, const char *dir, bool voter,
+              mg_store_image *image, mg_error *err)
+{
+    mg_store *s = mg_alloc(sizeof(*s));
+    memset(image, 0, sizeof(*image));
+    s->log_fd = -1;
+    s->lock_fd = -1;
+    s->dir_fd = -1;
+    mg_rc rc = MG_E_IO;
+    const char *part = "folder";
+    if (mkdir(dir, 0700) != 0 && errno != EEXIST) {
+        goto fail;
+    }
+    s->dir_fd = open(dir, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (s->dir_fd < 0) {
+        goto fail;
+    }
+    part = "lock (is another process using it?)";
+    if ((rc = lock_folder(s)) != MG_OK) {
+        goto fail;
+    }
+    part = "meta";
+    if ((rc = load_meta(s, voter, image)) != MG_OK) {
+        goto fail;
+    }
+    part = "snapshot";
+    if ((rc = load_snapshot(s, image)) != MG_OK) {
+        goto fail;
+    }
+    part = "log";
+    if ((rc = load_log(s, image)) != MG_OK) {
+        goto fail;
+    }
+    *out = s;
+    return MG_OK;
+fail:
+    mg_fail(err, rc, "%s: %s: %s", dir, part, mg_rc_name(rc));
+    mg_store_image_free(image);
+    mg_store_close(s);
+    return rc;
+}
+
+void
+mg_store_image_free(mg_store_image *image)
+{
+    mg_buf_free(&image->snapshot);
+    mg_buf_free(&image->log_bytes);
+    free(image->entries);
+    image->entries = NULL;
+}
+
+void
+mg_store_close(mg_store *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    int fds[] = {s->log_fd, s->lock_fd, s->dir_fd};
+    for (size_t i = 0; i < 3; i++) {
+        if (fds[i] >= 0) {
+            close(fds[i]);
+        }
+    }
+    free(s->offsets);
+    mg_buf_free(&s->pending);
+    free(s);
+}
+
+mg_rc
+mg_store_append(mg_store *s, const mg_raft_entry *e)
+{
+    MG_INVARIANT(e->index == s->first_index + s->count);
+    struct record_head h = {e->data.n, 0, e->term, e->index};
+    h.sum = record_sum(&h, e->data.p);
+    note_offset(s, s->log_end + (off_t)s->pending.n);
+    mg_buf_put(&s->pending, &h, sizeof(h));
+    mg_buf_put(&s->pending, e->data.p, e->data.n);
+    return MG_OK;
+}
+
+static mg_rc
+write_pending(mg_store *s)
+{
+    mg_rc rc = write_all(s->log_fd, s->pending.p, s->pending.n);
+    s->log_end += (off_t)s->pending.n;
+    s->pending.n = 0;
+    return rc;
+}
+
+mg_rc
+mg_store_truncate(mg_store *s, uint64_t index)
+{
+    if (index < s->first_index || index >= s->first_index + s->count) {
+        return MG_OK;
+    }
+    mg_rc rc = write_pending(s);
+    s->count = (size_t)(index - s->first_index);
+    s->log_end = s->offsets[s->count];
+    if (rc == MG_OK && (ftruncate(s->log_fd, s->log_end) != 0 ||
+                        lseek(s->log_fd, 0, SEEK_END) < 0)) {
+        rc = MG_E_IO;
+    }
+    return rc;
+}
+
+mg_rc
+mg_store_sync(mg_store *s)
+{
+    mg_rc rc = write_pending(s);
+    if (rc == MG_OK && fdatasync(s->log_fd) != 0) {
+        rc = MG_E_IO;
+    }
+    return rc;
+}
+
+/* a new log file with the records behind index */
+static mg_rc
+rewrite_log(mg_store *s, uint64_t index)
+{
+    mg_rc rc = write_pending(s);
+    if (rc != MG_OK) {
+        return rc;
+    }
+    size_t drop = 0;
+    if (index >= s->first_index) {
+        drop = (size_t)(index - s->first_index + 1);
+        drop = drop < s->count ? drop : s->count;
+    }
+    mg_buf old = {0};
+    mg_buf b = {0};
+    uint64_t magic = LOG_MAGIC;
+    if ((rc = read_file(s, "log", &old)) != MG_OK) {
+        goto done;
+    }
+    off_t from = drop < s->count ? s->offsets[drop] : s->log_end;
+    mg_buf_put(&b, &magic, sizeof(magic));
+    mg_buf_put(&b, old.p + from, (size_t)(s->log_end - from));
+    if ((rc = replace_file(s, "log", &b)) != MG_OK) {
+        goto done;
+    }
+    close(s->log_fd);
+    s->log_fd = openat(s->dir_fd, "log", O_RDWR | O_CLOEXEC);
+    if (s->log_fd < 0 || lseek(s->log_fd, 0, SEEK_END) < 0) {
+        rc = MG_E_IO;
+        goto done;
+    }
+    off_t shift = from - (off_t)sizeof(magic);
+    for (size_t i = drop; i < s->count; i++) {
+        s->offsets[i - drop] = s->offsets[i] - shift;
+    }
+    s->count -= drop;
+    s->first_index = index + 1;
+    s->log_end -= shift;
+done:
+    mg_buf_free(&old);
+    mg_buf_free(&b);
+    return rc;
+}
+
+mg_rc
+mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term,
+                       mg_str data)
+{
+    mg_buf b = {0};
+    uint64_t v[4] = {index, term, 0, 0};
+    put_file_head(&b, SNAP_MAGIC, v, data);
+    mg_rc rc = replace_file(s, "snapshot", &b);
+    mg_buf_free(&b);
+    return rc == MG_OK ? rewrite_log(s, index) : rc;
+}
--- /dev/null
+++ b/src/entry/fresh.c
@@ -0,0 +1,108 @@
+/*
+ * fresh - serving while the control group is lost
+ *
+ * The leader accepts a change of the document only while most entries hold
+ * leases. An entry without one asks the others; when most of all entries,
+ * itself included, have given their leases up, no change can have been
+ * accepted since, and the entry goes on for MG_FRESH_MS from the time that
+ * it asked. An entry that knows a newer document is not counted.
+ */
+#include "entry/entry_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+
+#define ASK_MS 250
+#define MEMBERS_MAX 512
+
+static void
+ask_members(mg_entry *e, int64_t now)
+{
+    mg_msg m = {.type = MG_MSG_FRESH_REQ};
+    m.u.fresh_req.seq = (uint64_t)now;
+    const mg_member *p = mg_view_members(e->view);
+    for (; p != NULL; p = p->hh.next) {
+        if (strcmp(p->node, e->settings.node) != 0) {
+            mg_net_send(e->net, p->node, &m);
+        }
+    }
+}
+
+static int
+later_first(const void *a, const void *b)
+{
+    int64_t x = *(const int64_t *)a;
+    int64_t y = *(const int64_t *)b;
+    return (x < y) - (x > y);
+}
+
+/* the time up to which a majority of all members is known to be unleased */
+static int64_t
+majority_time(mg_entry *e, int64_t now)
+{
+    int64_t times[MEMBERS_MAX];
+    size_t members = 0;
+    size_t n = 0;
+    const mg_member *p = mg_view_members(e->view);
+    for (; p != NULL && members < MEMBERS_MAX; p = p->hh.next) {
+        /* as in the leader's count: stopped and removed ones are out */
+        if (p->draining >= 2) {
+            continue;
+        }
+        members++;
+        times[n++] = strcmp(p->node, e->settings.node) == 0
+                         ? now
+                         : mg_entry_peer(e, p->node)->unleased_ms;
+    }
+    if (members == 0) {
+        return INT64_MIN / 2;
+    }
+    qsort(times, n, sizeof(times[0]), later_first);
+    return times[members / 2];
+}
+
+void
+mg_fresh_tick(mg_entry *e)
+{
+    int64_t now = mg_now(e->clock);
+    if (!mg_clink_lease_given_up(e->clink) || now < e->fresh_at) {
+        return;
+    }
+    e->fresh_at = now + ASK_MS;
+    ask_members(e, now);
+}
+
+void
+mg_fresh_request(mg_entry *e, const char *peer, const mg_fresh_req_msg *m)
+{
+    mg_msg rep = {.type = MG_MSG_FRESH_REP};
+    rep.u.fresh_rep.seq = m->seq;
+    rep.u.fresh_rep.leased = !mg_clink_lease_given_up(e->clink);
+    rep.u.fresh_rep.rev = mg_view_document_rev(e->view);
+    mg_net_send(e->net, peer, &rep);
+}
+
+void
+mg_fresh_reply(mg_entry *e, const char *peer, const mg_fresh_rep_msg *m)
+{
+    int64_t now = mg_now(e->clock);
+    if (m->leased || m->rev > mg_view_document_rev(e->view) ||
+        (int64_t)m->seq > now || !mg_clink_lease_given_up(e->clink)) {
+        return;
+    }
+    mg_peer *p = mg_entry_peer(e, peer);
+    if ((int64_t)m->seq > p->unleased_ms) {
+        p->unleased_ms = (int64_t)m->seq;
+    }
+    int64_t until = majority_time(e, now) + MG_FRESH_MS;
+    if (until > now && e->fresh_until_ms <= now) {
+        mg_log(MG_EV_SERVE_WITHOUT_CONTROL, "node=%s document_rev=%llu",
+               e->settings.node,
+               (unsigned long long)mg_view_document_rev(e->view));
+    }
+    if (until > e->fresh_until_ms) {
+        e->fresh_until_ms = until;
+    }
+}
--- /dev/null
+++ b/src/entry/request.c
@@ -0,0 +1,1077 @@
+/*
+ * request - the life of one caller's request at its entry
+ *
+ * A request is written to a target at most once: in on_connected(), after
+ * the lease, the grant and, for a keyed one, the claim have been checked.
+ * What follows only reads: a cut or silent answer is resumed from its offset,
+ * never asked for anew.
+ *
+ * "Did not run" (MG_RAN_NO) is said of a keyed request only by the attempt
+ * that holds its claim and has not dispatched; without the ledger's answer
+ * an earlier attempt may have run it, and MG_RAN_UNKNOWN is said.
+ */
+#include "entry/entry_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "ledger/claims.h"
+
+#define TICKET_RESEND_MS 1000
+#define CONNECT_MS 500
+#define SILENCE_MS 1500
+#define SERVICE_SILENCE_MS 60000
+#define RESUME_FOR_MS 6000
+#define RESUME_PAUSE_MS 200
+#define JOIN_RETRY_MS 300
+#define FINAL_WAIT_MS 3000
+#define KEEP_MS 600000
+#define KEPT_BYTES_MAX (8u << 20)
+#define ANSWER_MAX (16u << 20)
+#define UNSENT_MAX (16u << 20)
+#define SSE_TYPE "text/event-stream"
+#define SSE_END "data: [DONE]\n\n"
+
+static void send_ticket(mg_request *r);
+static void claim(mg_request *r);
+
+static int64_t
+now_of(const mg_request *r)
+{
+    return mg_now(r->e->clock);
+}
+
+static bool
+keyed(const mg_request *r)
+{
+    return r->a.key[0] != '\0';
+}
+
+static mg_request *
+find_request(const mg_entry *e, uint64_t id)
+{
+    mg_request *r;
+    HASH_FIND(hh, e->requests, &id, sizeof(id), r);
+    return r;
+}
+
+static void
+free_request(mg_request *r)
+{
+    mg_entry *e = r->e;
+    if (r->http != NULL) {
+        mg_http_on_gone(r->http, NULL, NULL);
+    }
+    list_del(&r->link);
+    HASH_DEL(e->requests, r);
+    mg_buf_free(&r->body);
+    mg_buf_free(&r->answer);
+    free(r);
+}
+
+static void
+enter(mg_request *r, mg_request_state state)
+{
+    bool timed = state != MG_REQ_KEPT;
+    r->state = state;
+    list_del(&r->link);
+    list_add_tail(&r->link, timed ? &r->e->waiting : &r->e->kept);
+}
+
+/* ------------------------------------------------------- answering callers */
+
+/* the caller is answered or has left: nothing more goes to it */
+static void
+leave_caller(mg_request *r)
+{
+    if (r->http != NULL) {
+        mg_http_on_gone(r->http, NULL, NULL);
+        r->http = NULL;
+    }
+}
+
+static void
+reply_refusal(mg_request *r)
+{
+    mg_log(MG_EV_REQ_REFUSED,
+           "id=%" PRIx64 " workspace=%s pool=%s tier=%u code=%s ran=%s",
+           r->id, r->a.workspace, r->a.pool, r->a.tier, mg_rc_name(r->rc),
+           mg_ran_name(r->ran));
+    mg_count(MG_C_REFUSED, 1);
+    if (r->http == NULL) {
+        return;
+    }
+    mg_http_req *http = r->http;
+    leave_caller(r);
+    if (r->answer_started) {
+        mg_http_abort(http);
+    }
+    else {
+        mg_front_refuse(http, r->rc, r->ran, r->retry_ms, NULL);
+    }
+}
+
+static void
+answer_headers(const mg_request *r, char *out, size_t size)
+{
+    snprintf(out, size, "x-request-id: %" PRIx64 "\nx-version: %s\n", r->id,
+             r->version);
+}
+
+static void
+reply_answer(mg_request *r)
+{
+    char extra[256];
+    if (r->http == NULL) {
+        return;
+    }
+    mg_http_req *http = r->http;
+    leave_caller(r);
+    if (r->answer_started) {
+        mg_http_finish(http);
+        return;
+    }
+    answer_headers(r, extra, sizeof(extra));
+    mg_http_reply(http, r->status, r->type, extra, mg_str_buf(&r->answer));
+}
+
+static void
+reply_answered(mg_request *r)
+{
+    uint64_t total = uv_hrtime() / 1000 - r->began_us;
+    if (!keyed(r) && r->status < 300) {
+        mg_entry_credit(r->e, r->a.member);
+    }
+    mg_log(MG_EV_REQ_ANSWERED,
+           "id=%" PRIx64 " workspace=%s pool=%s target=%s version=%s "
+           "status=%d bytes=%" PRIu64 " total_us=%" PRIu64,
+           r->id, r->a.workspace, r->a.pool, r->target, r->version, r->status,
+           r->received, total);
+    mg_count(MG_C_ANSWERED, 1);
+    reply_answer(r);
+}
+
+/* ---------------------------------------------------------- keeping answers */
+
+static void
+forget_old_answers(mg_entry *e)
+{
+    int64_t now = mg_now(e->clock);
+    list_for_each_safe(el, el1, &e->kept) {
+        mg_request *r = list_entry(el, mg_request, link);
+        if (r->kept_until_ms > now && e->kept_bytes <= KEPT_BYTES_MAX) {
+            break;
+        }
+        e->kept_bytes -= r->answer.n + sizeof(*r);
+        free_request(r);
+    }
+}
+
+/* the request is over; a keyed one stays for resends */
+static void
+end_request(mg_request *r)
+{
+    mg_entry *e = r->e;
+    leave_caller(r);
+    e->open_requests--;
+    if (!keyed(r)) {
+        free_request(r);
+        return;
+    }
+    mg_buf_free(&r->body);
+    r->kept_until_ms = now_of(r) + KEEP_MS;
+    e->kept_bytes += r->answer.n + sizeof(*r);
+    enter(r, MG_REQ_KEPT);
+    forget_old_answers(e);
+}
+
+/* ---------------------------------------------------------- final records */
+
+/* tells the caller, once */
+static void
+reply_end(mg_request *r)
+{
+    if (r->replied) {
+        return;
+    }
+    r->replied = true;
+    if (r->ran == MG_RAN_YES) {
+        reply_answered(r);
+    }
+    else {
+        reply_refusal(r);
+    }
+}
+
+static void
+finish(mg_request *r)
+{
+    reply_end(r);
+    end_request(r);
+}
+
+static void
+final_recorded(void *user, const mg_msg *reply)
+{
+    mg_request *r = user;
+    (void)reply;
+    r->call_seq = 0;
+    finish(r);
+}
+
+static void
+release_recorded(void *user, const mg_msg *reply)
+{
+    (void)user;
+    (void)reply;
+}
+
+static void
+make_final(const mg_request *r, mg_msg *m)
+{
+    m->type = MG_MSG_CMD_FINAL;
+    m->u.cmd_final.workspace = mg_str_of(r->a.workspace);
+    m->u.cmd_final.key = mg_str_of(r->a.key);
+    m->u.cmd_final.nonce = r->id;
+    m->u.cmd_final.ran = r->ran;
+    m->u.cmd_final.status = (uint64_t)r->status;
+    bool credited = r->ran == MG_RAN_YES && r->status < 300;
+    m->u.cmd_final.member = mg_str_of(credited ? r->a.member : "");
+    m->u.cmd_final.answer = (mg_str){"", 0};
+    if (r->ran == MG_RAN_YES && !r->a.stream &&
+        r->answer.n <= MG_CLAIM_ANSWER_MAX) {
+        m->u.cmd_final.answer = mg_str_buf(&r->answer);
+    }
+}
+
+/* the outcome is known: record it, then answer */
+static void
+conclude(mg_request *r, mg_rc rc, mg_ran ran)
+{
+    r->rc = rc;
+    r->ran = ran;
+    if (!r->claimed) {
+        finish(r);
+        return;
+    }
+    mg_msg m;
+    make_final(r, &m);
+    enter(r, MG_REQ_FINAL);
+    /* the record is sent until it is taken; the caller waits for a while */
+    r->final_until_ms = now_of(r) + FINAL_WAIT_MS;
+    r->call_seq = mg_clink_call(r->e->clink, &m, 0, final_recorded, r);
+}
+
+/* records the end of an attempt whose request is gone, without a deadline */
+static void
+release_claim(mg_request *r)
+{
+    mg_msg m;
+    r->ran = MG_RAN_NO;
+    make_final(r, &m);
+    mg_clink_call(r->e->clink, &m, 0, release_recorded, NULL);
+}
+
+/* ----------------------------------------------------------------- tickets */
+
+static void
+tell_done(mg_request *r, mg_done_result result)
+{
+    uint64_t now = uv_hrtime() / 1000;
+    mg_msg m = {.type = MG_MSG_DONE};
+    m.u.done.id = r->id;
+    m.u.done.attempt = r->attempt;
+    m.u.done.pool = mg_str_of(r->a.pool);
+    m.u.done.epoch = r->pool_epoch;
+    m.u.done.result = result;
+    if (r->dispatched) {
+        m.u.done.first_ms =
+            r->first_us ? (r->first_us - r->dispatched_us) / 1000 : 0;
+        m.u.done.total_ms = (now - r->dispatched_us) / 1000;
+    }
+    if (r->a.engine) {
+        m.u.done.tokens = r->events ? r->events : r->a.decode;
+    }
+    mg_pools_send(r->e, r->a.pool, &m);
+}
+
+static void
+tell_cancel(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_CANCEL};
+    m.u.cancel.id = r->id;
+    m.u.cancel.pool = mg_str_of(r->a.pool);
+    m.u.cancel.epoch = r->pool_epoch;
+    mg_pools_send(r->e, r->a.pool, &m);
+}
+
+static void
+send_ticket(mg_request *r)
+{
+    int64_t now = now_of(r);
+    mg_msg m = {.type = MG_MSG_TICKET};
+    r->attempt++;
+    r->ticket_ms = now;
+    r->pool_epoch = mg_pools_epoch(r->e, r->a.pool);
+    m.u.ticket.id = r->id;
+    m.u.ticket.attempt = r->attempt;
+    m.u.ticket.pool = mg_str_of(r->a.pool);
+    m.u.ticket.epoch = r->pool_epoch;
+    m.u.ticket.tier = r->a.tier;
+    m.u.ticket.workspace = mg_str_of(r->a.workspace);
+    m.u.ticket.weight = r->a.weight;
+    m.u.ticket.prefill = r->a.prefill;
+    m.u.ticket.decode = r->a.decode;
+    m.u.ticket.remaining_ms =
+        r->a.deadline_ms > now ? (uint64_t)(r->a.deadline_ms - now) : 0;
+    m.u.ticket.prefix = r->a.prefix;
+    m.u.ticket.fingerprint = r->a.fingerprint;
+    m.u.ticket.route = mg_str_of(r->a.route);
+    mg_pools_send(r->e, r->a.pool, &m);
+}
+
+static void
+wait_for_slot(mg_request *r)
+{
+    enter(r, MG_REQ_WAITING);
+    send_ticket(r);
+}
+
+void
+mg_request_shed(mg_entry *e, const mg_shed_msg *m)
+{
+    mg_request *r = find_request(e, m->id);
+    if (r == NULL || r->state != MG_REQ_WAITING || r->attempt != m->attempt) {
+        return;
+    }
+    r->retry_ms = (int64_t)m->retry_ms;
+    conclude(r, (mg_rc)m->rc, MG_RAN_NO);
+}
+
+bool
+mg_request_displace(mg_entry *e, unsigned tier)
+{
+    mg_request *victim = NULL;
+    list_for_each(el, &e->waiting) {
+        mg_request *r = list_entry(el, mg_request, link);
+        if (r->state == MG_REQ_WAITING && r->a.tier > tier &&
+            (victim == NULL || r->a.tier > victim->a.tier)) {
+            victim = r;
+        }
+    }
+    if (victim == NULL) {
+        return false;
+    }
+    tell_cancel(victim);
+    conclude(victim, MG_E_OVERLOAD, MG_RAN_NO);
+    return true;
+}
+
+/* --------------------------------------------------------------- resending */
+
+static void
+ask_holder(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_JOIN};
+    m.u.join.seq = r->id;
+    m.u.join.nonce = r->holder_nonce;
+    r->join_ms = now_of(r);
+    mg_entry_send(r->e, r->holder, &m);
+}
+
+/* the holder can't be asked any more: whether it ran is not known */
+static bool
+holder_is_lost(const mg_request *r)
+{
+    const mg_member *m = mg_view_member(r->e->view, r->holder);
+    return m == NULL || m->incarnation != r->holder_incarnation ||
+           m->draining >= 3;
+}
+
+static void
+join_holder(mg_request *r, const mg_claim_rep_msg *m)
+{
+    mg_str_copy(r->holder, sizeof(r->holder), m->holder);
+    r->holder_incarnation = m->incarnation;
+    r->holder_nonce = m->nonce;
+    enter(r, MG_REQ_JOINING);
+    ask_holder(r);
+}
+
+static void
+take_kept_answer(mg_request *r, uint64_t status, const char *type,
+                 mg_str body)
+{
+    r->status = (int)status;
+    mg_str_copy(r->type, sizeof(r->type), mg_str_of(type));
+    r->answer.n = 0;
+    mg_buf_put(&r->answer, body.p, body.n);
+    r->ran = MG_RAN_YES;
+    reply_answer(r);
+    end_request(r);
+}
+
+/* this attempt does not dispatch: the request's own fate is told */
+static void
+refuse_resend(mg_request *r, mg_rc rc, mg_ran ran)
+{
+    r->rc = rc;
+    r->ran = ran;
+    finish(r);
+}
+
+static void
+claim_settled(mg_request *r, const mg_claim_rep_msg *m)
+{
+    mg_claim_result result = (mg_claim_result)m->result;
+    if (result == MG_CLAIM_GRANTED) {
+        mg_log(MG_EV_REQ_CLAIMED, "id=%" PRIx64 " workspace=%s", r->id,
+               r->a.workspace);
+        r->claimed = true;
+        wait_for_slot(r);
+        return;
+    }
+    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " workspace=%s found=%s holder="
+           "%.*s",
+           r->id, r->a.workspace, mg_claim_result_name(result),
+           MG_STR_FMT(m->holder));
+    mg_count(MG_C_RESENDS, 1);
+    switch (result) {
+    case MG_CLAIM_RUNNING:
+        join_holder(r, m);
+        break;
+    case MG_CLAIM_ANSWERED:
+        if (m->answer.n > 0) {
+            take_kept_answer(r, m->status, "application/json", m->answer);
+        }
+        else {
+            join_holder(r, m);
+        }
+        break;
+    case MG_CLAIM_MISMATCH:
+        refuse_resend(r, MG_E_MISMATCH, MG_RAN_NO);
+        break;
+    case MG_CLAIM_FULL:
+        refuse_resend(r, MG_E_OVERLOAD, MG_RAN_NO);
+        break;
+    default:
+        refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+    }
+}
+
+static void
+claim_answered(void *user, const mg_msg *reply)
+{
+    mg_request *r = user;
+    uint64_t waited = uv_hrtime() / 1000 - r->began_us;
+    mg_observe(MG_H_CLAIM_WAIT, (int64_t)waited);
+    r->call_seq = 0;
+    MG_INVARIANT(reply != NULL && reply->type == MG_MSG_CLAIM_REP);
+    if (r->state == MG_REQ_ABANDONED) {
+        if (reply->u.claim_rep.result == MG_CLAIM_GRANTED) {
+            release_claim(r);
+        }
+        r->rc = MG_E_DEADLINE;
+        r->ran = MG_RAN_UNKNOWN;
+        end_request(r);
+        return;
+    }
+    claim_settled(r, &reply->u.claim_rep);
+}
+
+static void
+claim(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_CMD_CLAIM};
+    m.u.cmd_claim.workspace = mg_str_of(r->a.workspace);
+    m.u.cmd_claim.key = mg_str_of(r->a.key);
+    m.u.cmd_claim.digest = mg_str_of(r->a.digest);
+    m.u.cmd_claim.holder = mg_str_of(r->e->settings.node);
+    m.u.cmd_claim.incarnation = r->e->incarnation;
+    m.u.cmd_claim.nonce = r->id;
+    mg_count(MG_C_CLAIMS, 1);
+    enter(r, MG_REQ_CLAIMING);
+    r->call_seq = mg_clink_call(r->e->clink, &m, 0, claim_answered, r);
+}
+
+/* another entry asks for the answer of an attempt made here */
+void
+mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m)
+{
+    mg_msg rep = {.type = MG_MSG_JOIN_REP};
+    mg_join_rep_msg *p = &rep.u.join_rep;
+    mg_request *r = find_request(e, m->nonce);
+    p->seq = m->seq;
+    p->type = (mg_str){"", 0};
+    p->body = (mg_str){"", 0};
+    p->rc = MG_E_IN_PROGRESS;
+    p->ran = MG_RAN_UNKNOWN;
+    if (r == NULL) {
+        p->rc = MG_E_UNKNOWN;
+    }
+    else if (r->state == MG_REQ_KEPT) {
+        p->rc = r->ran == MG_RAN_YES ? MG_OK : MG_E_UNKNOWN;
+        p->ran = r->ran;
+        p->status = (uint64_t)r->status;
+        p->type = mg_str_of(r->type);
+        p->body = mg_str_buf(&r->answer);
+        if (r->ran == MG_RAN_YES && r->answer.n != r->received) {
+            p->rc = MG_E_UNKNOWN; /* answered, but too long to be kept */
+        }
+    }
+    mg_entry_send(e, peer, &rep);
+}
+
+void
+mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m)
+{
+    mg_request *r = find_request(e, m->seq);
+    if (r == NULL || r->state != MG_REQ_JOINING ||
+        m->rc == MG_E_IN_PROGRESS) {
+        return;
+    }
+    if (m->rc == MG_OK) {
+        char type[MG_NAME_SIZE];
+        mg_str_copy(type, sizeof(type), m->type);
+        take_kept_answer(r, m->status, type, m->body);
+    }
+    else if (m->ran == MG_RAN_NO) {
+        /* the other attempt has released it */
+        claim(r);
+    }
+    else {
+        refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+    }
+}
+
+/* ---------------------------------------------------------------- dispatch */
+
+static void
+ungrant(mg_request *r, mg_done_result result)
+{
+    tell_done(r, result);
+    wait_for_slot(r);
+}
+
+/* everything that allows this write, checked right before it */
+static const char *
+why_not_dispatch(const mg_request *r)
+{
+    if (!mg_entry_serving(r->e)) {
+        return "no_lease";
+    }
+    if (now_of(r) >= r->grant_until_ms) {
+        return "grant_expired";
+    }
+    if (mg_pools_epoch(r->e, r->a.pool) != r->pool_epoch) {
+        return "other_scheduler";
+    }
+    if (keyed(r) && !r->claimed) {
+        return "no_claim";
+    }
+    return NULL;
+}
+
+static bool
+on_connected(void *user)
+{
+    mg_request *r = user;
+    if (r->dispatched) {
+        return true; /* a resume reads only */
+    }
+    const char *why = why_not_dispatch(r);
+    if (why != NULL) {
+        mg_log(MG_EV_GRANT_STALE, "id=%" PRIx64 " target=%s why=%s", r->id,
+               r->target, why);
+        mg_count(MG_C_STALE_GRANTS, 1);
+        return false;
+    }
+    r->dispatched = true;
+    r->dispatched_us = uv_hrtime() / 1000;
+    r->state = MG_REQ_RUNNING;
+    mg_log(MG_EV_REQ_DISPATCHED,
+           "id=%" PRIx64 " workspace=%s pool=%s target=%s epoch=%" PRIu64,
+           r->id, r->a.workspace, r->a.pool, r->target, r->target_epoch);
+    mg_count(MG_C_DISPATCHED, 1);
+    return true;
+}
+
+static void
+start_streaming(mg_request *r)
+{
+    char extra[256];
+    answer_headers(r, extra, sizeof(extra));
+    r->answer_started = true;
+    mg_http_start(r->http, r->status, r->type, extra);
+}
+
+static void
+on_head(void *user, int status, mg_str type, bool not_run)
+{
+    mg_request *r = user;
+    if (r->resuming && status != 200) {
+        r->resume_refused = true;
+        return;
+    }
+    if (r->status == 0) {
+        r->status = status;
+        r->not_run = not_run && status == 409;
+        mg_str_copy(r->type, sizeof(r->type), type);
+    }
+}
+
+static void
+keep_tail(mg_request *r, mg_str data)
+{
+    size_t size = sizeof(r->tail);
+    if (data.n >= size) {
+        memcpy(r->tail, data.p + data.n - size, size);
+        return;
+    }
+    memmove(r->tail, r->tail + data.n, size - data.n);
+    memcpy(r->tail + size - data.n, data.p, data.n);
+}
+
+static uint32_t
+count_events(mg_str data)
+{
+    uint32_t n = 0;
+    for (size_t i = 1; i < data.n; i++) {
+        n += data.p[i] == '\n' && data.p[i - 1] == '\n';
+    }
+    return n;
+}
+
+static void
+on_data(void *user, mg_str data)
+{
+    mg_request *r = user;
+    if (r->resume_refused) {
+        return;
+    }
+    if (r->first_us == 0) {
+        r->first_us = uv_hrtime() / 1000;
+        mg_observe(MG_H_FIRST_BYTE, (int64_t)(r->first_us - r->began_us));
+    }
+    r->received += data.n;
+    r->resume_until_ms = now_of(r) + RESUME_FOR_MS;
+    keep_tail(r, data);
+    r->events += count_events(data);
+    bool stream = r->a.stream && r->status == 200;
+    if (!stream || (keyed(r) && r->received <= ANSWER_MAX)) {
+        mg_buf_put(&r->answer, data.p, data.n);
+    }
+    if (!stream || r->http == NULL) {
+        return;
+    }
+    if (!r->answer_started) {
+        start_streaming(r);
+    }
+    mg_http_write(r->http, data);
+}
+
+static bool
+answer_is_whole(const mg_request *r)
+{
+    size_t n = strlen(SSE_END);
+    if (strncmp(r->type, SSE_TYPE, strlen(SSE_TYPE)) != 0) {
+        return true;
+    }
+    return memcmp(r->tail + sizeof(r->tail) - n, SSE_END, n) == 0;
+}
+
+static void
+answer_cut(mg_request *r, const char *why)
+{
+    mg_log(MG_EV_REQ_CUT,
+           "id=%" PRIx64 " workspace=%s target=%s received=%" PRIu64
+           " why=%s",
+           r->id, r->a.workspace, r->target, r->received, why);
+    mg_count(MG_C_CUT, 1);
+    tell_done(r, MG_DONE_CUT);
+    conclude(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+}
+
+/* reads on from the offset, over a new connection */
+static void
+resume_later(mg_request *r, const char *why)
+{
+    int64_t now = now_of(r);
+    bool may = r->a.engine && !r->resume_refused &&
+               now < r->resume_until_ms;
+    if (!may) {
+        answer_cut(r, why);
+        return;
+    }
+    r->resuming = true;
+    r->resume_at_ms = now + RESUME_PAUSE_MS;
+}
+
+static void
+forget_dispatch(mg_request *r)
+{
+    r->dispatched = false;
+    r->not_run = false;
+    r->status = 0;
+    r->received = 0;
+    r->first_us = 0;
+    r->answer.n = 0;
+}
+
+static void
+answer_ended(mg_request *r)
+{
+    if (r->not_run) {
+        /* the target's own word: it is another epoch, or leaving */
+        forget_dispatch(r);
+        ungrant(r, MG_DONE_UNREACHED);
+        return;
+    }
+    tell_done(r, r->status < 500 ? MG_DONE_OK : MG_DONE_FAILED);
+    conclude(r, MG_OK, MG_RAN_YES);
+}
+
+static void
+on_call_end(void *user, mg_http_end end, const char *why)
+{
+    mg_request *r = user;
+    r->call = NULL;
+    if (!r->dispatched) {
+        bool unreached = strcmp(why, "withdrawn") != 0;
+        if (unreached) {
+            mg_log(MG_EV_REQ_CONNECT_FAILED, "id=%" PRIx64 " target=%s why=%s",
+                   r->id, r->target, why);
+            mg_count(MG_C_CONNECT_FAILED, 1);
+        }
+        ungrant(r, unreached ? MG_DONE_UNREACHED : MG_DONE_NOT_DISPATCHED);
+    }
+    else if (end == MG_HTTP_WHOLE && !r->resume_refused &&
+             answer_is_whole(r)) {
+        answer_ended(r);
+    }
+    else if (end == MG_HTTP_WHOLE && !r->resume_refused) {
+        answer_cut(r, "no_closing_event");
+    }
+    else {
+        resume_later(r, why);
+    }
+}
+
+static void
+start_call(mg_request *r, bool resume)
+{
+    char path[MG_TEXT_SIZE];
+    char extra[512];
+    if (resume) {
+        snprintf(path, sizeof(path), "/v1/streams/%" PRIx64
+                 "?offset=%" PRIu64,
+                 r->id, r->received);
+    }
+    else {
+        snprintf(path, sizeof(path), "%s", r->a.path);
+    }
+    snprintf(extra, sizeof(extra),
+             "content-type: application/json\r\nx-request-id: %" PRIx64
+             "\r\nx-target-epoch: %" PRIu64 "\r\n%s%.200s%s",
+             r->id, r->target_epoch, keyed(r) ? "idempotency-key: " : "",
+             r->a.key, keyed(r) ? "\r\n" : "");
+    mg_http_call *call = mg_http_call_new(&(mg_http_call_options){
+        .loop = r->e->loop,
+        .addr = r->target_addr,
+        .method = resume ? "GET" : "POST",
+        .path = path,
+        .extra = extra,
+        .body = resume ? (mg_str){"", 0} : mg_str_buf(&r->body),
+        .connect_ms = CONNECT_MS,
+        .silence_ms = r->a.engine ? SILENCE_MS : SERVICE_SILENCE_MS,
+        .on_connected = on_connected,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_call_end,
+        .user = r,
+    });
+    if (call != NULL) {
+        r->call = call;
+    }
+}
+
+void
+mg_request_grant(mg_entry *e, const mg_grant_msg *m)
+{
+    mg_request *r = find_request(e, m->id);
+    if (r == NULL || r->state != MG_REQ_WAITING ||
+        r->attempt != m->attempt || m->epoch != r->pool_epoch) {
+        return;
+    }
+    mg_observe(MG_H_GRANT_WAIT,
+               (int64_t)(uv_hrtime() / 1000 - r->began_us));
+    mg_str_copy(r->target, sizeof(r->target), m->target);
+    mg_str_copy(r->target_addr, sizeof(r->target_addr), m->addr);
+    mg_str_copy(r->version, sizeof(r->version), m->version);
+    r->target_epoch = m->target_epoch;
+    r->grant_until_ms = now_of(r) + (int64_t)m->valid_ms;
+    r->resume_until_ms = now_of(r) + RESUME_FOR_MS;
+    enter(r, MG_REQ_CONNECTING);
+    start_call(r, false);
+}
+
+/* -------------------------------------------------------- departing callers */
+
+/* the engine stops generating; best effort */
+static void
+ignore_head(void *user, int status, mg_str type, bool not_run)
+{
+    (void)not_run;
+    (void)user;
+    (void)status;
+    (void)type;
+}
+
+static void
+ignore_data(void *user, mg_str data)
+{
+    (void)user;
+    (void)data;
+}
+
+static void
+ignore_end(void *user, mg_http_end end, const char *why)
+{
+    (void)user;
+    (void)end;
+    (void)why;
+}
+
+static void
+cancel_at_target(mg_request *r)
+{
+    char path[MG_TEXT_SIZE];
+    snprintf(path, sizeof(path), "/v1/streams/%" PRIx64, r->id);
+    mg_http_call_new(&(mg_http_call_options){
+        .loop = r->e->loop,
+        .addr = r->target_addr,
+        .method = "DELETE",
+        .path = path,
+        .connect_ms = CONNECT_MS,
+        .silence_ms = SILENCE_MS,
+        .on_head = ignore_head,
+        .on_data = ignore_data,
+        .on_end = ignore_end,
+    });
+}
+
+static void
+cancel_running(mg_request *r)
+{
+    if (r->call != NULL) {
+        mg_http_call_cancel(r->call);
+        r->call = NULL;
+    }
+    if (r->dispatched && r->a.engine) {
+        cancel_at_target(r);
+    }
+    tell_done(r, r->dispatched ? MG_DONE_CANCELLED : MG_DONE_NOT_DISPATCHED);
+    r->rc = MG_E_CLOSED;
+    end_request(r);
+}
+
+static void
+caller_gone(void *user)
+{
+    mg_request *r = user;
+    r->http = NULL;
+    mg_count(MG_C_CANCELLED, 1);
+    mg_log(MG_EV_REQ_CANCELLED, "id=%" PRIx64 " workspace=%s dispatched=%d",
+           r->id, r->a.workspace, r->dispatched);
+    switch (r->state) {
+    case MG_REQ_WAITING:
+        tell_cancel(r);
+        conclude(r, MG_E_CLOSED, MG_RAN_NO);
+        break;
+    case MG_REQ_JOINING:
+        r->ran = MG_RAN_UNKNOWN;
+        end_request(r);
+        break;
+    case MG_REQ_CLAIMING:
+        enter(r, MG_REQ_ABANDONED);
+        break;
+    case MG_REQ_CONNECTING:
+    case MG_REQ_RUNNING:
+        /* a keyed request goes on: its caller may ask for the answer again */
+        if (!keyed(r)) {
+            cancel_running(r);
+        }
+        break;
+    case MG_REQ_FINAL:
+    case MG_REQ_KEPT:
+    case MG_REQ_ABANDONED:
+        break;
+    }
+}
+
+/* ------------------------------------------------------------------- clock */
+
+static void
+refuse_late(mg_request *r)
+{
+    switch (r->state) {
+    case MG_REQ_CLAIMING:
+        /* without the ledger's word an earlier attempt may have run */
+        r->rc = MG_E_DEADLINE;
+        r->ran = MG_RAN_UNKNOWN;
+        reply_refusal(r);
+        enter(r, MG_REQ_ABANDONED);
+        break;
+    case MG_REQ_JOINING:
+        refuse_resend(r, MG_E_IN_PROGRESS, MG_RAN_UNKNOWN);
+        break;
+    case MG_REQ_WAITING:
+        tell_cancel(r);
+        conclude(r, MG_E_DEADLINE, MG_RAN_NO);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+tick_request(mg_request *r, int64_t now)
+{
+    if (r->resume_at_ms != 0 && now >= r->resume_at_ms) {
+        r->resume_at_ms = 0;
+        start_call(r, true);
+    }
+    else if (now >= r->a.deadline_ms &&
+             (r->state == MG_REQ_CLAIMING || r->state == MG_REQ_JOINING ||
+              r->state == MG_REQ_WAITING)) {
+        refuse_late(r);
+    }
+    else if (r->state == MG_REQ_FINAL && now >= r->final_until_ms) {
+        reply_end(r);
+    }
+    else if (r->state == MG_REQ_WAITING &&
+             now - r->ticket_ms >= TICKET_RESEND_MS) {
+        send_ticket(r);
+    }
+    else if (r->state == MG_REQ_JOINING &&
+             now - r->join_ms >= JOIN_RETRY_MS) {
+        if (holder_is_lost(r)) {
+            refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+        }
+        else {
+            ask_holder(r);
+        }
+    }
+    else if (r->http != NULL && mg_http_unsent(r->http) > UNSENT_MAX) {
+        mg_http_req *http = r->http;
+        leave_caller(r);
+        mg_http_abort(http);
+        caller_gone(r);
+    }
+}
+
+void
+mg_request_tick(mg_entry *e)
+{
+    int64_t now = mg_now(e->clock);
+    list_for_each_safe(el, el1, &e->waiting) {
+        tick_request(list_entry(el, mg_request, link), now);
+    }
+    forget_old_answers(e);
+}
+
+static void
+send_held(mg_request *r, uint64_t epoch)
+{
+    mg_msg m = {.type = MG_MSG_HELD};
+    m.u.held.id = r->id;
+    m.u.held.attempt = r->attempt;
+    m.u.held.pool = mg_str_of(r->a.pool);
+    m.u.held.epoch = epoch;
+    m.u.held.tier = r->a.tier;
+    m.u.held.workspace = mg_str_of(r->a.workspace);
+    m.u.held.prefill = r->a.prefill;
+    m.u.held.decode = r->a.decode;
+    m.u.held.target = mg_str_of(r->target);
+    m.u.held.target_epoch = r->target_epoch;
+    m.u.held.fingerprint = r->a.fingerprint;
+    m.u.held.route = mg_str_of(r->a.route);
+    m.u.held.elapsed_ms = (uv_hrtime() / 1000 - r->dispatched_us) / 1000;
+    mg_pools_send(r->e, r->a.pool, &m);
+    r->pool_epoch = epoch;
+}
+
+static mg_pool_sync *
+sync_of(mg_entry *e, const char *pool)
+{
+    mg_pool_sync *s;
+    HASH_FIND_STR(e->syncs, pool, s);
+    if (s == NULL) {
+        s = mg_alloc(sizeof(*s));
+        mg_str_copy(s->pool, sizeof(s->pool), mg_str_of(pool));
+        HASH_ADD_STR(e->syncs, pool, s);
+    }
+    return s;
+}
+
+/* dispatched requests first, so that their slots count before new grants */
+void
+mg_request_resync(mg_entry *e, const char *pool)
+{
+    uint64_t epoch = mg_pools_epoch(e, pool);
+    mg_pool_sync *sync = sync_of(e, pool);
+    if (sync->epoch == epoch) {
+        return;
+    }
+    sync->epoch = epoch;
+    list_for_each_safe(el, el1, &e->waiting) {
+        mg_request *r = list_entry(el, mg_request, link);
+        if (strcmp(r->a.pool, pool) == 0 && r->state == MG_REQ_RUNNING) {
+            send_held(r, epoch);
+        }
+    }
+    mg_msg m = {.type = MG_MSG_SYNCED};
+    m.u.synced.pool = mg_str_of(pool);
+    m.u.synced.epoch = epoch;
+    mg_pools_send(e, pool, &m);
+    list_for_each_safe(el2, el3, &e->waiting) {
+        mg_request *r = list_entry(el2, mg_request, link);
+        if (strcmp(r->a.pool, pool) == 0 && r->state == MG_REQ_WAITING) {
+            send_ticket(r);
+        }
+    }
+}
+
+/* ------------------------------------------------------------------- begin */
+
+void
+mg_request_begin(mg_entry *e, mg_http_req *http, const mg_admission *a)
+{
+    mg_request *r = mg_alloc(sizeof(*r));
+    r->e = e;
+    r->id = mg_random_id();
+    r->http = http;
+    r->a = *a;
+    r->began_us = uv_hrtime() / 1000;
+    init_list_head(&r->link);
+    mg_str body = mg_http_body(http);
+    mg_buf_put(&r->body, body.p, body.n);
+    HASH_ADD(hh, e->requests, id, sizeof(r->id), r);
+    e->open_requests++;
+    mg_http_on_gone(http, caller_gone, r);
+    mg_log(MG_EV_REQ_ADMITTED,
+           "id=%" PRIx64 " workspace=%s pool=%s tier=%u prefill=%u decode=%u "
+           "keyed=%d left_ms=%" PRId64,
+           r->id, a->workspace, a->pool, a->tier, a->prefill, a->decode,
+           keyed(r), a->deadline_ms - now_of(r));
+    if (keyed(r)) {
+        claim(r);
+    }
+    else {
+        wait_for_slot(r);
+    }
+}
--- /dev/null
+++ b/src/policy/sched.c
@@ -0,0 +1,936 @@
+#include "policy/sched.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "policy/quarantine.h"
+
+#define QUEUE_MAX_DEFAULT 4096
+#define TICKET_REMAINING_MAX_MS (24 * 3600 * INT64_C(1000))
+/* estimates count against a deadline only after so many samples */
+#define ESTIMATE_MIN_SAMPLES 8
+/* part of an estimate that must fit before the deadline */
+#define ESTIMATE_TRUST 0.7
+#define RATE_WINDOW_MS 500
+#define RATE_WEIGHT 0.3
+#define RECORD_RETRY_MS 1000
+#define TARGET_FORGET_MS 60000
+
+struct awaited_entry {
+    struct list_head link;
+    char entry[MG_NAME_SIZE];
+};
+
+struct mg_sched {
+    mg_sched_host *host;
+    mg_clock *clock;
+    char pool[MG_NAME_SIZE];
+    uint64_t epoch;
+    char version[MG_NAME_SIZE];
+    size_t queue_max;
+    mg_tierq *queue;
+    mg_ticket *tickets;      /* by id, waiting and set aside */
+    struct list_head aside;  /* suspects that no target can take now */
+    size_t aside_count;
+    mg_slot *slots;          /* by id */
+    struct list_head targets;
+    mg_quarantine *quarantine;
+    mg_rollout *rollout;
+    char move[MG_NAME_SIZE];
+    int64_t move_retry_ms;
+    struct list_head awaited;
+    bool rebuilding;
+    int64_t rebuild_until_ms;
+    /* served cost, for the predicted wait */
+    double rate; /* per ms; 0 until it is known */
+    uint64_t window_cost;
+    bool window_busy;
+    int64_t window_ms;
+};
+
+mg_sched *
+mg_sched_new(const mg_sched_options *o)
+{
+    mg_sched *s = mg_alloc(sizeof(*s));
+    s->host = o->host;
+    s->clock = o->clock;
+    mg_str_copy(s->pool, sizeof(s->pool), mg_str_of(o->pool));
+    s->epoch = o->epoch;
+    s->queue_max = QUEUE_MAX_DEFAULT;
+    s->queue = mg_tierq_new();
+    s->quarantine = mg_quarantine_new();
+    init_list_head(&s->targets);
+    init_list_head(&s->awaited);
+    init_list_head(&s->aside);
+    for (size_t i = 0; i < o->entry_count; i++) {
+        struct awaited_entry *a = mg_alloc(sizeof(*a));
+        mg_str_copy(a->entry, sizeof(a->entry), mg_str_of(o->entries[i]));
+        list_add_tail(&a->link, &s->awaited);
+    }
+    s->rebuilding = o->entry_count > 0;
+    s->rebuild_until_ms = mg_now(s->clock) + MG_SCHED_REBUILD_MS;
+    s->window_ms = mg_now(s->clock);
+    return s;
+}
+
+static void
+free_slot(mg_sched *s, mg_slot *slot)
+{
+    HASH_DEL(s->slots, slot);
+    mg_target_remove_slot(slot->target, slot);
+    free(slot);
+}
+
+static void
+free_ticket(mg_sched *s, mg_ticket *t)
+{
+    if (t->share != NULL) {
+        mg_tierq_remove(s->queue, t);
+    }
+    else if (!list_empty(&t->link)) {
+        list_del(&t->link);
+        s->aside_count--;
+    }
+    HASH_DEL(s->tickets, t);
+    free(t);
+}
+
+void
+mg_sched_free(mg_sched *s)
+{
+    mg_ticket *t;
+    mg_ticket *t1;
+    HASH_ITER(hh, s->tickets, t, t1) {
+        free_ticket(s, t);
+    }
+    mg_slot *slot;
+    mg_slot *slot1;
+    HASH_ITER(hh, s->slots, slot, slot1) {
+        free_slot(s, slot);
+    }
+    list_for_each_safe(el, el1, &s->targets) {
+        free(list_entry(el, mg_target, link));
+    }
+    list_for_each_safe(el2, el3, &s->awaited) {
+        free(list_entry(el2, struct awaited_entry, link));
+    }
+    mg_tierq_free(s->queue);
+    mg_quarantine_free(s->quarantine);
+    mg_rollout_free(s->rollout);
+    free(s);
+}
+
+void
+mg_sched_configure(mg_sched *s, const mg_pool *pool)
+{
+    mg_str_copy(s->version, sizeof(s->version), mg_str_of(pool->version));
+    s->queue_max = (size_t)pool->queue_max;
+}
+
+void
+mg_sched_set_move(mg_sched *s, const mg_move *move,
+                  const mg_rec_move_msg *rec)
+{
+    if (move == NULL) {
+        mg_rollout_free(s->rollout);
+        s->rollout = NULL;
+        s->move[0] = '\0';
+        return;
+    }
+    mg_move_state state = rec ? (mg_move_state)rec->state : MG_MOVE_PENDING;
+    uint32_t share = rec ? (uint32_t)rec->share_permille : 0;
+    uint64_t reserved = rec ? rec->reserved : 0;
+    if (s->rollout != NULL && strcmp(s->move, move->name) == 0) {
+        if (rec != NULL) {
+            mg_rollout_committed(s->rollout, state, share, reserved);
+            s->move_retry_ms = 0;
+        }
+        return;
+    }
+    mg_rollout_free(s->rollout);
+    mg_str_copy(s->move, sizeof(s->move), mg_str_of(move->name));
+    s->rollout = mg_rollout_new(&(mg_rollout_options){
+        .clock = s->clock,
+        .name = move->name,
+        .from = s->version,
+        .to = move->to,
+        .start_wall_ms = move->start_wall_ms,
+        .by_wall_ms = move->by_wall_ms,
+        .canary_percent = move->canary_percent,
+        .state = state,
+        .share_permille = share,
+        .reserved = reserved,
+    });
+}
+
+void
+mg_sched_load_mark(mg_sched *s, const mg_rec_quarantine_msg *rec)
+{
+    mg_quarantine_load(s->quarantine, rec->fingerprint, (unsigned)rec->marks,
+                       (int64_t)rec->until_wall_ms);
+}
+
+/* ------------------------------------------------------------- tickets */
+
+static mg_ticket *
+find_ticket(mg_sched *s, uint64_t id)
+{
+    mg_ticket *t;
+    HASH_FIND(hh, s->tickets, &id, sizeof(id), t);
+    return t;
+}
+
+static mg_slot *
+find_slot(mg_sched *s, uint64_t id)
+{
+    mg_slot *slot;
+    HASH_FIND(hh, s->slots, &id, sizeof(id), slot);
+    return slot;
+}
+
+static void
+shed(mg_sched *s, mg_ticket *t, mg_rc rc, int64_t retry_ms)
+{
+    mg_msg m = {.type = MG_MSG_SHED};
+    m.u.shed.id = t->id;
+    m.u.shed.attempt = t->attempt;
+    m.u.shed.pool = mg_str_of(s->pool);
+    m.u.shed.epoch = s->epoch;
+    m.u.shed.rc = rc;
+    m.u.shed.retry_ms = (uint64_t)retry_ms;
+    s->host->send(s->host, t->entry, &m);
+    mg_log(MG_EV_ROUTE_SHED,
+           "id=%" PRIx64 " pool=%s tier=%u workspace=%s why=%s waiting=%zu "
+           "lowest_tier=%d left_ms=%" PRId64 " rate=%.2f",
+           t->id, s->pool, t->tier, t->workspace, mg_rc_name(rc),
+           mg_tierq_count(s->queue), mg_tierq_lowest(s->queue),
+           t->deadline_ms - mg_now(s->clock), s->rate);
+    mg_count(MG_C_SHED, 1);
+    free_ticket(s, t);
+}
+
+/* a ticket that is known: a greater attempt gives up the former one */
+static bool
+sent_again(mg_sched *s, const char *entry, const mg_ticket_msg *m)
+{
+    mg_ticket *t = find_ticket(s, m->id);
+    if (t != NULL) {
+        t->attempt = m->attempt > t->attempt ? m->attempt : t->attempt;
+        return true;
+    }
+    mg_slot *slot = find_slot(s, m->id);
+    if (slot == NULL) {
+        return false;
+    }
+    if (m->attempt <= slot->attempt || slot->ended ||
+        strcmp(slot->entry, entry) != 0) {
+        return true;
+    }
+    if (s->rollout != NULL) {
+        mg_rollout_ungranted(s->rollout, slot->is_new);
+    }
+    free_slot(s, slot);
+    return false;
+}
+
+void
+mg_sched_ticket(mg_sched *s, const char *entry, const mg_ticket_msg *m)
+{
+    if (m->epoch != s->epoch || m->tier >= MG_TIER_MAX ||
+        sent_again(s, entry, m)) {
+        return;
+    }
+    int64_t now = mg_now(s->clock);
+    int64_t left = m->remaining_ms < TICKET_REMAINING_MAX_MS
+                       ? (int64_t)m->remaining_ms
+                       : TICKET_REMAINING_MAX_MS;
+    mg_ticket *t = mg_alloc(sizeof(*t));
+    init_list_head(&t->link);
+    t->id = m->id;
+    t->attempt = m->attempt;
+    mg_str_copy(t->entry, sizeof(t->entry), mg_str_of(entry));
+    mg_str_copy(t->workspace, sizeof(t->workspace), m->workspace);
+    mg_str_copy(t->route, sizeof(t->route), m->route);
+    t->tier = (unsigned)m->tier;
+    t->weight = (uint32_t)m->weight;
+    t->prefill = (uint32_t)m->prefill;
+    t->decode = (uint32_t)m->decode;
+    t->arrived_ms = now;
+    t->deadline_ms = now + left;
+    t->prefix = m->prefix;
+    t->fingerprint = m->fingerprint;
+    HASH_ADD(hh, s->tickets, id, sizeof(t->id), t);
+    mg_tierq_add(s->queue, t);
+}
+
+void
+mg_sched_cancel(mg_sched *s, const char *entry, uint64_t id)
+{
+    mg_ticket *t = find_ticket(s, id);
+    if (t != NULL && strcmp(t->entry, entry) == 0) {
+        free_ticket(s, t);
+    }
+}
+
+/* ----------------------------------------------------- crash suspects */
+
+static void
+put_mark(mg_sched *s, const mg_slot *slot, unsigned marks, int64_t wall)
+{
+    mg_msg m = {.type = MG_MSG_REC_QUARANTINE};
+    char key[32];
+    snprintf(key, sizeof(key), "%016" PRIx64, slot->fingerprint);
+    m.u.rec_quarantine.fingerprint = slot->fingerprint;
+    m.u.rec_quarantine.pool = mg_str_of(s->pool);
+    m.u.rec_quarantine.marks = marks;
+    m.u.rec_quarantine.target = mg_str_of(slot->target->name);
+    m.u.rec_quarantine.until_wall_ms = (uint64_t)(wall + MG_QUARANTINE_MS);
+    s->host->put_record(s->host, s, MG_KIND_QUARANTINE, key, &m);
+}
+
+/* all that ran on a target when it died are marked, then dropped */
+static void
+target_died(mg_sched *s, mg_target *t, const char *why)
+{
+    int64_t wall = mg_wall(s->clock);
+    mg_log(MG_EV_TARGET_DOWN, "pool=%s target=%s epoch=%" PRIu64
+           " why=%s running=%u",
+           s->pool, t->name, t->epoch, why, t->running);
+    list_for_each_safe(el, el1, &t->slots) {
+        mg_slot *slot = list_entry(el, mg_slot, link);
+        if (slot->fingerprint != 0) {
+            unsigned marks = mg_quarantine_mark(
+                s->quarantine, slot->fingerprint, t->name, t->epoch, wall);
+            mg_log(marks >= MG_QUARANTINE_MARKS ? MG_EV_QUARANTINE
+                                                : MG_EV_CRASH_SUSPECT,
+                   "id=%" PRIx64 " fingerprint=%016" PRIx64
+                   " target=%s marks=%u",
+                   slot->id, slot->fingerprint, t->name, marks);
+            put_mark(s, slot, marks, wall);
+        }
+        free_slot(s, slot);
+    }
+}
+
+/* ------------------------------------------------------------- targets */
+
+static mg_target *
+find_target(mg_sched *s, mg_str name)
+{
+    list_for_each(el, &s->targets) {
+        mg_target *t = list_entry(el, mg_target, link);
+        if (mg_str_is(name, t->name)) {
+            return t;
+        }
+    }
+    return NULL;
+}
+
+static mg_target *
+add_target(mg_sched *s, mg_str name, uint64_t epoch)
+{
+    mg_target *t = mg_alloc(sizeof(*t));
+    mg_str_copy(t->name, sizeof(t->name), name);
+    t->epoch = epoch;
+    init_list_head(&t->slots);
+    list_add_tail(&t->link, &s->targets);
+    return t;
+}
+
+/* a new run under a known name */
+static void
+restart_target(mg_sched *s, mg_target *t)
+{
+    if (!t->leaving) {
+        target_died(s, t, "new_epoch");
+    }
+    else {
+        list_for_each_safe(el, el1, &t->slots) {
+            free_slot(s, list_entry(el, mg_slot, link));
+        }
+    }
+    t->leaving = false;
+    t->samples = 0;
+    memset(t->prefixes, 0, sizeof(t->prefixes));
+}
+
+mg_rc
+mg_sched_announce(mg_sched *s, const mg_announce_msg *m)
+{
+    int64_t now = mg_now(s->clock);
+    mg_target *t = find_target(s, m->target);
+    if (t != NULL && m->epoch < t->epoch) {
+        return MG_E_STALE;
+    }
+    if (t == NULL) {
+        t = add_target(s, m->target, m->epoch);
+    }
+    else if (m->epoch > t->epoch) {
+        restart_target(s, t);
+    }
+    bool was_usable = mg_target_usable(t, now);
+    bool was_leaving = t->leaving;
+    mg_target_announce(t, m, now);
+    if (t->leaving && !was_leaving) {
+        mg_log(MG_EV_TARGET_LEAVING, "pool=%s target=%s epoch=%" PRIu64,
+               s->pool, t->name, t->epoch);
+    }
+    else if (!was_usable && mg_target_usable(t, now)) {
+        mg_log(MG_EV_TARGET_UP,
+               "pool=%s target=%s epoch=%" PRIu64 " version=%s domain=%s "
+               "slots=%u",
+               s->pool, t->name, t->epoch, t->version, t->domain,
+               t->slots_max);
+    }
+    return MG_OK;
+}
+
+static bool
+is_new_version(const mg_sched *s, const mg_target *t)
+{
+    return s->rollout != NULL && mg_rollout_is_new(s->rollout, t->version);
+}
+
+static bool
+version_allowed(const mg_sched *s, const mg_target *t)
+{
+    if (is_new_version(s, t)) {
+        return mg_rollout_may_use_new(s->rollout);
+    }
+    if (s->rollout != NULL && !mg_rollout_may_use_old(s->rollout)) {
+        return false;
+    }
+    return s->version[0] == '\0' || strcmp(s->version, t->version) == 0;
+}
+
+static bool
+has_room(const mg_target *t, const mg_ticket *k)
+{
+    if (t->running >= t->slots_max) {
+        return false;
+    }
+    /* a request above the bound runs alone */
+    return t->tokens_max == 0 || t->running == 0 ||
+           t->tokens + k->prefill + k->decode <= t->tokens_max;
+}
+
+struct choice {
+    mg_target *target;
+    mg_estimate estimate;
+    bool is_new;
+};
+
+/* whether candidate b is better than a for the ticket */
+static bool
+better(const struct choice *a, const struct choice *b, bool suspect)
+{
+    if (a->target == NULL) {
+        return true;
+    }
+    if (suspect && a->target->running != b->target->running) {
+        return b->target->running < a->target->running;
+    }
+    if (a->is_new != b->is_new) {
+        /* version_allowed() holds the new one to its share */
+        return b->is_new;
+    }
+    return b->estimate.total_ms < a->estimate.total_ms;
+}
+
+static struct choice
+choose_target(mg_sched *s, const mg_ticket *k, bool suspect)
+{
+    struct choice best = {NULL};
+    int64_t now = mg_now(s->clock);
+    list_for_each(el, &s->targets) {
+        mg_target *t = list_entry(el, mg_target, link);
+        if (!mg_target_usable(t, now) || !has_room(t, k) ||
+            !version_allowed(s, t) || (suspect && t->suspects > 0)) {
+            continue;
+        }
+        struct choice c = {t,
+                           mg_target_estimate(t, k->prefill, k->decode,
+                                              k->prefix, now),
+                           is_new_version(s, t)};
+        if (better(&best, &c, suspect)) {
+            best = c;
+        }
+    }
+    return best;
+}
+
+/* -------------------------------------------------------------- grants */
+
+static mg_slot *
+new_slot(mg_sched *s, uint64_t id, const char *entry)
+{
+    mg_slot *slot = mg_alloc(sizeof(*slot));
+    slot->id = id;
+    slot->granted_ms = mg_now(s->clock);
+    mg_str_copy(slot->entry, sizeof(slot->entry), mg_str_of(entry));
+    HASH_ADD(hh, s->slots, id, sizeof(slot->id), slot);
+    return slot;
+}
+
+static void
+send_grant(mg_sched *s, const mg_ticket *k, const mg_target *t)
+{
+    mg_msg m = {.type = MG_MSG_GRANT};
+    m.u.grant.id = k->id;
+    m.u.grant.attempt = k->attempt;
+    m.u.grant.pool = mg_str_of(s->pool);
+    m.u.grant.epoch = s->epoch;
+    m.u.grant.target = mg_str_of(t->name);
+    m.u.grant.addr = mg_str_of(t->addr);
+    m.u.grant.version = mg_str_of(t->version);
+    m.u.grant.target_epoch = t->epoch;
+    m.u.grant.valid_ms = MG_GRANT_VALID_MS;
+    s->host->send(s->host, k->entry, &m);
+}
+
+static void
+grant(mg_sched *s, mg_ticket *k, const struct choice *c, bool suspect)
+{
+    mg_target *t = c->target;
+    int64_t now = mg_now(s->clock);
+    mg_slot *slot = new_slot(s, k->id, k->entry);
+    slot->attempt = k->attempt;
+    mg_str_copy(slot->route, sizeof(slot->route), mg_str_of(k->route));
+    slot->prefill = k->prefill;
+    slot->decode = k->decode;
+    slot->fingerprint = k->fingerprint;
+    slot->suspect = suspect;
+    slot->is_new = c->is_new;
+    mg_target_add_slot(t, slot);
+    mg_target_note_prefix(t, k->prefix);
+    if (s->rollout != NULL) {
+        mg_rollout_granted(s->rollout, c->is_new);
+    }
+    send_grant(s, k, t);
+    mg_log(MG_EV_ROUTE_GRANT,
+           "id=%" PRIx64 " pool=%s tier=%u workspace=%s target=%s version=%s "
+           "waited_ms=%" PRId64 " left_ms=%" PRId64
+           " est_first_ms=%.0f est_total_ms=%.0f running=%u/%u prefix=%s "
+           "suspect=%d waiting=%zu why=least_time",
+           k->id, s->pool, k->tier, k->workspace, t->name, t->version,
+           now - k->arrived_ms, k->deadline_ms - now, c->estimate.first_ms,
+           c->estimate.total_ms, t->running, t->slots_max,
+           c->estimate.prefix_hit ? "hit" : "miss", suspect,
+           mg_tierq_count(s->queue) - 1);
+    mg_count(MG_C_GRANTS, 1);
+    if (k->share != NULL) {
+        mg_tierq_serve(s->queue, k);
+    }
+    free_ticket(s, k);
+}
+
+/* the deadline can't be met even on the best target */
+static bool
+too_late(const mg_sched *s, const mg_ticket *k, const struct choice *c)
+{
+    int64_t left = k->deadline_ms - mg_now(s->clock);
+    if (left <= 0) {
+        return true;
+    }
+    return c->target != NULL &&
+           c->target->samples >= ESTIMATE_MIN_SAMPLES &&
+           c->estimate.total_ms * ESTIMATE_TRUST > (double)left;
+}
+
+/* what became of a ticket that was tried */
+typedef enum attempt {
+    ATTEMPT_ENDED,
+    ATTEMPT_BLOCKED,         /* no room for any */
+    ATTEMPT_BLOCKED_SUSPECT, /* only for this suspect */
+} attempt;
+
+static attempt
+try_ticket(mg_sched *s, mg_ticket *k)
+{
+    unsigned marks = mg_quarantine_marks(s->quarantine, k->fingerprint,
+                                         mg_wall(s->clock));
+    if (marks >= MG_QUARANTINE_MARKS) {
+        shed(s, k, MG_E_QUARANTINED, 0);
+        return ATTEMPT_ENDED;
+    }
+    struct choice c = choose_target(s, k, marks > 0);
+    if (too_late(s, k, &c)) {
+        shed(s, k, MG_E_DEADLINE, 0);
+        return ATTEMPT_ENDED;
+    }
+    if (c.target != NULL) {
+        grant(s, k, &c, marks > 0);
+        return ATTEMPT_ENDED;
+    }
+    return marks > 0 ? ATTEMPT_BLOCKED_SUSPECT : ATTEMPT_BLOCKED;
+}
+
+static void
+set_aside(mg_sched *s, mg_ticket *k)
+{
+    mg_tierq_remove(s->queue, k);
+    list_add_tail(&k->link, &s->aside);
+    s->aside_count++;
+}
+
+static void
+grant_all(mg_sched *s)
+{
+    list_for_each_safe(el, el1, &s->aside) {
+        try_ticket(s, list_entry(el, mg_ticket, link));
+    }
+    mg_ticket *k;
+    while ((k = mg_tierq_head(s->queue)) != NULL) {
+        attempt a = try_ticket(s, k);
+        if (a == ATTEMPT_BLOCKED) {
+            break;
+        }
+        if (a == ATTEMPT_BLOCKED_SUSPECT) {
+            set_aside(s, k);
+        }
+    }
+}
+
+/* ------------------------------------------------------------ shedding */
+
+static void
+shed_overflow(mg_sched *s)
+{
+    while (mg_tierq_count(s->queue) > s->queue_max) {
+        shed(s, mg_tierq_victim(s->queue), MG_E_OVERLOAD, 1000);
+    }
+}
+
+/* sheds from the end of the order what can't be reached in time */
+static void
+shed_hopeless(mg_sched *s)
+{
+    mg_ticket *k;
+    if (s->rate <= 0) {
+        return;
+    }
+    int64_t now = mg_now(s->clock);
+    while ((k = mg_tierq_victim(s->queue)) != NULL) {
+        double wait = (double)mg_tierq_cost_up_to(s->queue, k->tier) / s->rate;
+        if (wait <= (double)(k->deadline_ms - now)) {
+            break;
+        }
+        shed(s, k, MG_E_OVERLOAD, (int64_t)wait);
+    }
+}
+
+static void
+expire_ticket(void *user, mg_ticket *k)
+{
+    mg_sched *s = user;
+    if (k->deadline_ms <= mg_now(s->clock)) {
+        shed(s, k, MG_E_DEADLINE, 0);
+    }
+}
+
+static void
+measure_rate(mg_sched *s)
+{
+    int64_t now = mg_now(s->clock);
+    int64_t span = now - s->window_ms;
+    s->window_busy = s->window_busy && mg_tierq_count(s->queue) > 0;
+    if (span < RATE_WINDOW_MS) {
+        return;
+    }
+    double rate = (double)s->window_cost / (double)span;
+    if (s->window_busy && rate > 0) {
+        s->rate = s->rate > 0 ? s->rate + (rate - s->rate) * RATE_WEIGHT
+                              : rate;
+    }
+    else if (rate > s->rate && s->rate > 0) {
+        s->rate = rate;
+    }
+    s->window_cost = 0;
+    s->window_busy = mg_tierq_count(s->queue) > 0;
+    s->window_ms = now;
+}
+
+/* ----------------------------------------------------------------- done */
+
+static void
+sample_rollout(mg_sched *s, const mg_slot *slot, const mg_done_msg *m)
+{
+    mg_sample sample = {
+        .route = slot->route,
+        .is_new = slot->is_new,
+        .failed = m->result == MG_DONE_FAILED || m->result == MG_DONE_CUT,
+        .first_per_token = (double)m->first_ms / (slot->prefill + 64.0),
+        .gap_ms = m->tokens > 1 ? (double)(m->total_ms - m->first_ms) /
+                                      (double)(m->tokens - 1)
+                                : 0,
+    };
+    mg_rollout_sample(s->rollout, &sample);
+}
+
+void
+mg_sched_done(mg_sched *s, const char *entry, const mg_done_msg *m)
+{
+    mg_slot *slot = find_slot(s, m->id);
+    if (slot == NULL || slot->ended || slot->attempt != m->attempt ||
+        strcmp(slot->entry, entry) != 0) {
+        return;
+    }
+    mg_target *t = slot->target;
+    t->unreached = t->unreached || m->result == MG_DONE_UNREACHED;
+    bool ran = m->result == MG_DONE_OK || m->result == MG_DONE_FAILED ||
+               m->result == MG_DONE_CUT;
+    if (m->result == MG_DONE_OK) {
+        mg_target_learn(t, slot->prefill, (double)m->first_ms,
+                        (double)m->total_ms, (uint32_t)m->tokens);
+        s->window_cost += slot->prefill + (uint64_t)slot->decode * 8 + 1;
+    }
+    if (s->rollout != NULL) {
+        if (ran) {
+            sample_rollout(s, slot, m);
+        }
+        else {
+            mg_rollout_ungranted(s->rollout, slot->is_new);
+        }
+    }
+    if (m->result == MG_DONE_CUT) {
+        /* the target may have died of it: wait for its next sign of life */
+        slot->ended = true;
+        slot->ended_ms = mg_now(s->clock);
+        return;
+    }
+    free_slot(s, slot);
+}
+
+/* --------------------------------------------------------------- rebuild */
+
+static struct awaited_entry *
+find_awaited(mg_sched *s, const char *entry)
+{
+    list_for_each(el, &s->awaited) {
+        struct awaited_entry *a = list_entry(el, struct awaited_entry, link);
+        if (strcmp(a->entry, entry) == 0) {
+            return a;
+        }
+    }
+    return NULL;
+}
+
+void
+mg_sched_held(mg_sched *s, const char *entry, const mg_held_msg *m)
+{
+    if (m->epoch != s->epoch || find_slot(s, m->id) != NULL) {
+        return;
+    }
+    mg_target *t = find_target(s, m->target);
+    if (t == NULL) {
+        t = add_target(s, m->target, m->target_epoch);
+    }
+    if (t->epoch != m->target_epoch) {
+        return;
+    }
+    mg_slot *slot = new_slot(s, m->id, entry);
+    slot->attempt = m->attempt;
+    mg_str_copy(slot->route, sizeof(slot->route), m->route);
+    slot->prefill = (uint32_t)m->prefill;
+    slot->decode = (uint32_t)m->decode;
+    slot->fingerprint = m->fingerprint;
+    slot->granted_ms -= (int64_t)m->elapsed_ms;
+    mg_target_add_slot(t, slot);
+}
+
+static void
+drop_awaited(mg_sched *s, const char *entry)
+{
+    struct awaited_entry *a = find_awaited(s, entry);
+    if (a != NULL) {
+        list_del(&a->link);
+        free(a);
+    }
+}
+
+void
+mg_sched_synced(mg_sched *s, const char *entry)
+{
+    drop_awaited(s, entry);
+}
+
+void
+mg_sched_entry_gone(mg_sched *s, const char *entry)
+{
+    drop_awaited(s, entry);
+    mg_ticket *t;
+    mg_ticket *t1;
+    HASH_ITER(hh, s->tickets, t, t1) {
+        if (strcmp(t->entry, entry) == 0) {
+            free_ticket(s, t);
+        }
+    }
+    mg_slot *slot;
+    mg_slot *slot1;
+    HASH_ITER(hh, s->slots, slot, slot1) {
+        if (strcmp(slot->entry, entry) == 0) {
+            free_slot(s, slot);
+        }
+    }
+}
+
+static void
+finish_rebuild(mg_sched *s)
+{
+    if (!s->rebuilding) {
+        return;
+    }
+    bool late = mg_now(s->clock) >= s->rebuild_until_ms;
+    if (!list_empty(&s->awaited) && !late) {
+        return;
+    }
+    s->rebuilding = false;
+    mg_log(MG_EV_SCHED_REBUILT, "pool=%s epoch=%" PRIu64 " slots=%u late=%d",
+           s->pool, s->epoch, HASH_COUNT(s->slots), late);
+}
+
+/* ---------------------------------------------------------------- runs */
+
+static void
+expire_targets(mg_sched *s)
+{
+    int64_t now = mg_now(s->clock);
+    list_for_each_safe(el, el1, &s->targets) {
+        mg_target *t = list_entry(el, mg_target, link);
+        if (now < t->lease_until_ms) {
+            continue;
+        }
+        if (t->lease_until_ms == 0) {
+            /* known from HELD only: it has a lease's time to announce, and
+               without slots of its own it is granted nothing until then */
+            t->lease_until_ms = now + MG_TARGET_LEASE_MS;
+            continue;
+        }
+        if (t->running > 0) {
+            target_died(s, t, "lease");
+        }
+        if (now - t->lease_until_ms > TARGET_FORGET_MS) {
+            list_del(&t->link);
+            free(t);
+        }
+    }
+}
+
+/* a cut request is cleared once its target has announced itself again */
+static void
+clear_ended_slots(mg_sched *s)
+{
+    int64_t now = mg_now(s->clock);
+    list_for_each(el, &s->targets) {
+        mg_target *t = list_entry(el, mg_target, link);
+        int64_t heard = t->lease_until_ms - MG_TARGET_LEASE_MS;
+        list_for_each_safe(e2, e3, &t->slots) {
+            mg_slot *slot = list_entry(e2, mg_slot, link);
+            if (slot->ended && heard > slot->ended_ms &&
+                now < t->lease_until_ms) {
+                free_slot(s, slot);
+            }
+        }
+    }
+}
+
+static bool
+new_version_has_targets(const mg_sched *s)
+{
+    list_for_each(el, &s->targets) {
+        const mg_target *t = list_entry(el, mg_target, link);
+        if (is_new_version(s, t) &&
+            mg_target_usable(t, mg_now(s->clock))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+advance_move(mg_sched *s)
+{
+    mg_rollout_change c;
+    int64_t now = mg_now(s->clock);
+    if (s->rollout == NULL || now < s->move_retry_ms ||
+        !mg_rollout_due(s->rollout, new_version_has_targets(s), &c)) {
+        return;
+    }
+    s->move_retry_ms = now + RECORD_RETRY_MS;
+    mg_msg m = {.type = MG_MSG_REC_MOVE};
+    m.u.rec_move.move = mg_str_of(s->move);
+    m.u.rec_move.pool = mg_str_of(s->pool);
+    m.u.rec_move.state = c.state;
+    m.u.rec_move.share_permille = c.share_permille;
+    m.u.rec_move.reserved = c.reserved;
+    m.u.rec_move.wall_ms = (uint64_t)mg_wall(s->clock);
+    m.u.rec_move.reason = mg_str_of(c.reason);
+    mg_log(MG_EV_MOVE_STATE,
+           "move=%s pool=%s state=%s share=%u reserved=%" PRIu64 " why=%s",
+           s->move, s->pool, mg_move_state_name(c.state), c.share_permille,
+           c.reserved, c.reason);
+    s->host->put_record(s->host, s, MG_KIND_MOVE, s->move, &m);
+}
+
+void
+mg_sched_run(mg_sched *s)
+{
+    finish_rebuild(s);
+    expire_targets(s);
+    clear_ended_slots(s);
+    mg_quarantine_expire(s->quarantine, mg_wall(s->clock));
+    measure_rate(s);
+    advance_move(s);
+    mg_tierq_each(s->queue, expire_ticket, s);
+    if (!s->rebuilding) {
+        grant_all(s);
+    }
+    shed_overflow(s);
+    shed_hopeless(s);
+}
+
+const char *
+mg_sched_pool(const mg_sched *s)
+{
+    return s->pool;
+}
+
+uint64_t
+mg_sched_epoch(const mg_sched *s)
+{
+    return s->epoch;
+}
+
+size_t
+mg_sched_waiting(const mg_sched *s)
+{
+    return HASH_COUNT(s->tickets);
+}
+
+size_t
+mg_sched_running(const mg_sched *s)
+{
+    return HASH_COUNT(s->slots);
+}
+
+bool
+mg_sched_rebuilding(const mg_sched *s)
+{
+    return s->rebuilding;
+}
+
+const mg_rollout *
+mg_sched_rollout(const mg_sched *s)
+{
+    return s->rollout;
+}
+
+const struct list_head *
+mg_sched_targets(const mg_sched *s)
+{
+    return &s->targets;
+}
--- /dev/null
+++ b/src/wire/http.h
@@ -0,0 +1,97 @@
+/*
+ * http - HTTP/1.1 server and client on h2o and libuv
+ *
+ * Server: a request's handler answers at once or later, with
+ * mg_http_reply(), or with mg_http_start(), mg_http_write() and
+ * mg_http_finish(). An answer that was started and can't be finished is ended
+ * by mg_http_abort(): the connection closes without the closing chunk, so
+ * that no caller takes a part for the whole. on_gone comes at most once,
+ * when the connection is lost before the answer's end; after it, and after
+ * the last byte, the request must not be used.
+ *
+ * Client: one connection for each call, never reused, so that a failure to
+ * connect proves that the peer has not seen the request.
+ */
+#ifndef MG_HTTP_H
+#define MG_HTTP_H
+
+#include <stdbool.h>
+
+#include <uv.h>
+
+#include "base/bytes.h"
+#include "base/outcome.h"
+
+typedef struct mg_http_server mg_http_server;
+typedef struct mg_http_req mg_http_req;
+
+typedef struct mg_http_options {
+    uv_loop_t *loop;
+    const char *listen_addr;
+    size_t body_max;
+    void (*on_request)(void *user, mg_http_req *req);
+    void *user;
+} mg_http_options;
+
+mg_rc mg_http_open(mg_http_server **out, const mg_http_options *opts,
+                   mg_error *err);
+/* Stops listening; open connections go on. */
+void mg_http_stop_listening(mg_http_server *s);
+/* Answers from now on ask the callers to close their connections. */
+void mg_http_drain(mg_http_server *s);
+size_t mg_http_open_requests(const mg_http_server *s);
+
+mg_str mg_http_method(const mg_http_req *r);
+mg_str mg_http_path(const mg_http_req *r);
+/* behind the '?', empty when there is none */
+mg_str mg_http_query(const mg_http_req *r);
+mg_str mg_http_body(const mg_http_req *r);
+/* name in lower case; an empty string when the header is missing */
+mg_str mg_http_header(const mg_http_req *r, const char *name);
+void mg_http_on_gone(mg_http_req *r, void (*f)(void *user), void *user);
+
+/* extra: lines "name: value\n", may be NULL */
+void mg_http_reply(mg_http_req *r, int status, const char *type,
+                   const char *extra, mg_str body);
+void mg_http_start(mg_http_req *r, int status, const char *type,
+                   const char *extra);
+void mg_http_write(mg_http_req *r, mg_str data);
+void mg_http_finish(mg_http_req *r);
+void mg_http_abort(mg_http_req *r);
+/* bytes written and not yet taken by the connection */
+size_t mg_http_unsent(const mg_http_req *r);
+
+typedef struct mg_http_call mg_http_call;
+
+typedef enum mg_http_end {
+    MG_HTTP_WHOLE,       /* the answer came to its framed end */
+    MG_HTTP_NOT_SENT,    /* no connection: the peer has seen nothing */
+    MG_HTTP_CUT,         /* ended early, or without framing */
+    MG_HTTP_SILENT,      /* no byte for the allowed time */
+} mg_http_end;
+
+typedef struct mg_http_call_options {
+    uv_loop_t *loop;
+    const char *addr;
+    const char *method;
+    const char *path;
+    const char *extra; /* header lines "name: value\r\n", may be NULL */
+    mg_str body;       /* copied */
+    int64_t connect_ms;
+    int64_t silence_ms;
+    /* about to write: false withdraws the call, nothing is sent */
+    bool (*on_connected)(void *user);
+    /* not_run: the peer says so itself, with the header x-not-run */
+    void (*on_head)(void *user, int status, mg_str type, bool not_run);
+    void (*on_data)(void *user, mg_str data);
+    /* once, last; the call is freed after it */
+    void (*on_end)(void *user, mg_http_end end, const char *why);
+    void *user;
+} mg_http_call_options;
+
+/* NULL when the call ended at once; on_end was called then. */
+mg_http_call *mg_http_call_new(const mg_http_call_options *opts);
+/* Ends the call without on_end. */
+void mg_http_call_cancel(mg_http_call *c);
+
+#endif
--- /dev/null
+++ b/src/wire/link.c
@@ -0,0 +1,569 @@
+#include "wire/link.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/check.h"
+#include "base/counter.h"
+#include "base/event.h"
+#include "base/list.h"
+
+#define TICK_MS 100
+#define BACKLOG 128
+
+typedef struct conn conn;
+
+/* a peer that this process dials */
+typedef struct dial {
+    struct list_head link; /* mg_net.dials */
+    char peer[MG_NAME_SIZE];
+    char addr[MG_ADDR_SIZE];
+    conn *conn; /* NULL between attempts */
+    int64_t next_attempt;
+} dial;
+
+struct conn {
+    struct list_head link; /* mg_net.conns */
+    uv_tcp_t tcp;
+    mg_net *net;
+    dial *dial; /* NULL for an incoming connection */
+    char peer[MG_NAME_SIZE];
+    bool connected;
+    bool greeted;
+    bool closing;
+    int64_t opened_at;
+    int64_t heard_at;
+    int64_t sent_at;
+    mg_buf in;
+    mg_buf out;
+};
+
+struct mg_net {
+    mg_net_options opts;
+    char *node;
+    char *key;
+    uv_tcp_t listener;
+    uv_timer_t timer;
+    uv_prepare_t prepare;
+    struct list_head conns;
+    struct list_head dials;
+    int incoming;
+    int open_handles;
+    bool closing;
+};
+
+typedef struct write_req {
+    uv_write_t req;
+    mg_buf buf;
+    conn *conn;
+} write_req;
+
+typedef struct connect_req {
+    uv_connect_t req;
+    conn *conn;
+} connect_req;
+
+static mg_rc
+parse_addr(const char *addr, struct sockaddr_in *sin)
+{
+    char host[MG_ADDR_SIZE];
+    const char *colon = strrchr(addr, ':');
+    if (colon == NULL) {
+        return MG_E_INPUT;
+    }
+    mg_str_copy(host, sizeof(host), (mg_str){addr, (size_t)(colon - addr)});
+    int port = (int)strtol(colon + 1, NULL, 10);
+    return uv_ip4_addr(host, port, sin) == 0 ? MG_OK : MG_E_INPUT;
+}
+
+static void
+free_net_if_done(mg_net *net)
+{
+    if (net->closing && net->open_handles == 0) {
+        free(net->node);
+        free(net->key);
+        free(net);
+    }
+}
+
+static void
+on_conn_closed(uv_handle_t *h)
+{
+    conn *c = h->data;
+    mg_net *net = c->net;
+    list_del(&c->link);
+    mg_buf_free(&c->in);
+    mg_buf_free(&c->out);
+    free(c);
+    net->open_handles--;
+    free_net_if_done(net);
+}
+
+static void
+close_conn(conn *c, const char *why)
+{
+    if (c->closing) {
+        return;
+    }
+    c->closing = true;
+    if (c->greeted) {
+        mg_log(MG_EV_LINK_DOWN, "peer=%s dir=%s why=%s", c->peer,
+               c->dial ? "out" : "in", why);
+        mg_count(MG_C_LINKS_LOST, 1);
+    }
+    if (c->dial != NULL) {
+        c->dial->conn = NULL;
+        c->dial->next_attempt =
+            mg_now(c->net->opts.clock) + MG_LINK_REDIAL_MS;
+        c->dial = NULL;
+    }
+    else {
+        c->net->incoming--;
+    }
+    uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
+}
+
+static conn *
+new_conn(mg_net *net)
+{
+    conn *c = mg_alloc(sizeof(*c));
+    c->net = net;
+    c->opened_at = mg_now(net->opts.clock);
+    c->heard_at = c->opened_at;
+    uv_tcp_init(net->opts.loop, &c->tcp);
+    c->tcp.data = c;
+    net->open_handles++;
+    list_add_tail(&c->link, &net->conns);
+    return c;
+}
+
+static void
+queue_message(conn *c, const mg_msg *m)
+{
+    mg_frame_put(m, &c->out);
+}
+
+static void
+queue_hello(conn *c)
+{
+    mg_net *net = c->net;
+    mg_msg m = {.type = MG_MSG_HELLO};
+    m.u.hello.node = mg_str_of(net->node);
+    m.u.hello.key = mg_str_of(net->key);
+    m.u.hello.protocol = MG_LINK_PROTOCOL;
+    m.u.hello.incarnation = net->opts.incarnation;
+    queue_message(c, &m);
+}
+
+static void
+refuse_conn(conn *c, const char *why)
+{
+    mg_log(MG_EV_LINK_REFUSED, "peer=%s why=%s", c->peer[0] ? c->peer : "?",
+           why);
+    mg_count(MG_C_BAD_INPUT, 1);
+    close_conn(c, why);
+}
+
+static void
+handle_hello(conn *c, const mg_hello_msg *h)
+{
+    mg_net *net = c->net;
+    if (!mg_str_same_secret(h->key, mg_str_of(net->key))) {
+        refuse_conn(c, "key");
+        return;
+    }
+    if (h->protocol != MG_LINK_PROTOCOL) {
+        refuse_conn(c, "protocol");
+        return;
+    }
+    if (h->node.n == 0 || h->node.n >= MG_NAME_SIZE) {
+        refuse_conn(c, "name");
+        return;
+    }
+    if (c->dial != NULL && !mg_str_is(h->node, c->dial->peer)) {
+        refuse_conn(c, "other_node");
+        return;
+    }
+    mg_str_copy(c->peer, sizeof(c->peer), h->node);
+    c->greeted = true;
+    if (c->dial == NULL) {
+        queue_hello(c);
+    }
+    mg_log(MG_EV_LINK_UP, "peer=%s dir=%s", c->peer, c->dial ? "out" : "in");
+    mg_count(MG_C_LINKS_OPENED, 1);
+    if (net->opts.on_up != NULL) {
+        net->opts.on_up(net->opts.user, c->peer);
+    }
+}
+
+static void
+handle_message(conn *c, const mg_msg *m)
+{
+    mg_net *net = c->net;
+    if (!c->greeted) {
+        if (m->type == MG_MSG_HELLO) {
+            handle_hello(c, &m->u.hello);
+        }
+        else {
+            refuse_conn(c, "not_greeted");
+        }
+        return;
+    }
+    switch (m->type) {
+    case MG_MSG_HELLO:
+    case MG_MSG_PONG:
+        break;
+    case MG_MSG_PING: {
+        mg_msg pong = {.type = MG_MSG_PONG};
+        pong.u.pong.seq = m->u.ping.seq;
+        queue_message(c, &pong);
+        break;
+    }
+    default:
+        net->opts.on_message(net->opts.user, c->peer, m);
+    }
+}
+
+static void
+take_frames(conn *c)
+{
+    size_t taken = 0;
+    while (!c->closing) {
+        mg_msg m;
+        size_t used = 0;
+        mg_str rest = {c->in.p + taken, c->in.n - taken};
+        size_t max = c->greeted ? MG_FRAME_MAX : MG_LINK_GREETING_MAX;
+        mg_rc rc = mg_frame_take(rest, max, &used, &m);
+        if (rc == MG_E_IN_PROGRESS) {
+            break;
+        }
+        if (rc != MG_OK) {
+            refuse_conn(c, rc == MG_E_TOO_LARGE ? "frame_size" : "frame");
+            return;
+        }
+        handle_message(c, &m);
+        taken += used;
+    }
+    mg_buf_skip(&c->in, taken);
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+    static char scratch[65536];
+    (void)h;
+    (void)suggested;
+    *buf = uv_buf_init(scratch, sizeof(scratch));
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+    conn *c = s->data;
+    if (c->closing) {
+        return;
+    }
+    if (n < 0) {
+        close_conn(c, n == UV_EOF ? "eof" : uv_err_name((int)n));
+        return;
+    }
+    c->heard_at = mg_now(c->net->opts.clock);
+    mg_count(MG_C_LINK_BYTES_IN, (uint64_t)n);
+    mg_buf_put(&c->in, buf->base, (size_t)n);
+    take_frames(c);
+}
+
+static void
+start_conn(conn *c)
+{
+    c->connected = true;
+    uv_tcp_nodelay(&c->tcp, 1);
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static void
+on_incoming(uv_stream_t *listener, int status)
+{
+    mg_net *net = listener->data;
+    if (status < 0) {
+        return;
+    }
+    conn *c = new_conn(net);
+    net->incoming++;
+    if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+        close_conn(c, "accept");
+    }
+    else if (net->incoming > MG_LINK_MAX_INCOMING) {
+        refuse_conn(c, "too_many");
+    }
+    else {
+        start_conn(c);
+    }
+}
+
+static void
+on_connected(uv_connect_t *req, int status)
+{
+    conn *c = ((connect_req *)req)->conn;
+    if (!c->closing) {
+        if (status < 0) {
+            close_conn(c, uv_err_name(status));
+        }
+        else {
+            start_conn(c);
+            queue_hello(c);
+        }
+    }
+    free(req);
+}
+
+static void
+attempt_dial(mg_net *net, dial *d)
+{
+    struct sockaddr_in sin;
+    if (parse_addr(d->addr, &sin) != MG_OK) {
+        return;
+    }
+    conn *c = new_conn(net);
+    c->dial = d;
+    d->conn = c;
+    mg_str_copy(c->peer, sizeof(c->peer), mg_str_of(d->peer));
+    connect_req *req = mg_alloc(sizeof(*req));
+    req->conn = c;
+    int rc = uv_tcp_connect(&req->req, &c->tcp, (struct sockaddr *)&sin,
+                            on_connected);
+    if (rc != 0) {
+        free(req);
+        close_conn(c, uv_err_name(rc));
+    }
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    write_req *w = (write_req *)req;
+    if (status < 0) {
+        close_conn(w->conn, uv_err_name(status));
+    }
+    mg_buf_free(&w->buf);
+    free(w);
+}
+
+static void
+flush_conn(conn *c)
+{
+    if (!c->connected || c->closing || c->out.n == 0) {
+        return;
+    }
+    if (uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) >
+        MG_LINK_UNSENT_MAX) {
+        close_conn(c, "unsent_bytes");
+        return;
+    }
+    write_req *w = mg_alloc(sizeof(*w));
+    w->buf = c->out;
+    w->conn = c;
+    c->out = (mg_buf){0};
+    c->sent_at = mg_now(c->net->opts.clock);
+    mg_count(MG_C_LINK_BYTES_OUT, w->buf.n);
+    uv_buf_t b = uv_buf_init(w->buf.p, (unsigned)w->buf.n);
+    int rc = uv_write(&w->req, (uv_stream_t *)&c->tcp, &b, 1, on_written);
+    if (rc != 0) {
+        mg_buf_free(&w->buf);
+        free(w);
+        close_conn(c, uv_err_name(rc));
+    }
+}
+
+static void
+on_prepare(uv_prepare_t *h)
+{
+    mg_net *net = h->data;
+    if (net->opts.on_turn != NULL) {
+        net->opts.on_turn(net->opts.user);
+    }
+    list_for_each_safe(el, el1, &net->conns) {
+        flush_conn(list_entry(el, conn, link));
+    }
+}
+
+static void
+watch_conn(conn *c, int64_t now)
+{
+    if (c->closing) {
+        return;
+    }
+    if (!c->greeted && now - c->opened_at > MG_LINK_GREETING_MS) {
+        close_conn(c, "greeting_timeout");
+    }
+    else if (now - c->heard_at > MG_LINK_SILENCE_MS) {
+        close_conn(c, "silence");
+    }
+    else if (c->greeted && now - c->sent_at >= MG_LINK_PING_MS) {
+        mg_msg m = {.type = MG_MSG_PING};
+        m.u.ping.seq = (uint64_t)now;
+        queue_message(c, &m);
+    }
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    mg_net *net = t->data;
+    int64_t now = mg_now(net->opts.clock);
+    list_for_each_safe(el, el1, &net->conns) {
+        watch_conn(list_entry(el, conn, link), now);
+    }
+    list_for_each(el2, &net->dials) {
+        dial *d = list_entry(el2, dial, link);
+        if (d->conn == NULL && now >= d->next_attempt) {
+            attempt_dial(net, d);
+        }
+    }
+}
+
+static void
+on_handle_closed(uv_handle_t *h)
+{
+    mg_net *net = h->data;
+    net->open_handles--;
+    free_net_if_done(net);
+}
+
+static void
+init_handles(mg_net *net)
+{
+    uv_tcp_init(net->opts.loop, &net->listener);
+    uv_timer_init(net->opts.loop, &net->timer);
+    uv_prepare_init(net->opts.loop, &net->prepare);
+    net->listener.data = net;
+    net->timer.data = net;
+    net->prepare.data = net;
+    net->open_handles = 3;
+}
+
+mg_rc
+mg_net_open(mg_net **out, const mg_net_options *opts, mg_error *err)
+{
+    struct sockaddr_in sin;
+    if (parse_addr(opts->listen_addr, &sin) != MG_OK) {
+        return mg_fail(err, MG_E_INPUT, "bad address %s", opts->listen_addr);
+    }
+    mg_net *net = mg_alloc(sizeof(*net));
+    net->opts = *opts;
+    net->node = mg_strdup(opts->node);
+    net->key = mg_strdup(opts->key);
+    init_list_head(&net->conns);
+    init_list_head(&net->dials);
+    init_handles(net);
+    int rc = uv_tcp_bind(&net->listener, (struct sockaddr *)&sin, 0);
+    if (rc == 0) {
+        rc = uv_listen((uv_stream_t *)&net->listener, BACKLOG, on_incoming);
+    }
+    if (rc != 0) {
+        mg_net_close(net);
+        return mg_fail(err, MG_E_IO, "can't listen on %s: %s",
+                       opts->listen_addr, uv_strerror(rc));
+    }
+    uv_timer_start(&net->timer, on_tick, TICK_MS, TICK_MS);
+    uv_prepare_start(&net->prepare, on_prepare);
+    *out = net;
+    return MG_OK;
+}
+
+void
+mg_net_close(mg_net *net)
+{
+    list_for_each_safe(el, el1, &net->conns) {
+        close_conn(list_entry(el, conn, link), "stop");
+    }
+    list_for_each_safe(el2, el3, &net->dials) {
+        dial *d = list_entry(el2, dial, link);
+        list_del(&d->link);
+        free(d);
+    }
+    net->closing = true;
+    uv_close((uv_handle_t *)&net->listener, on_handle_closed);
+    uv_close((uv_handle_t *)&net->timer, on_handle_closed);
+    uv_close((uv_handle_t *)&net->prepare, on_handle_closed);
+}
+
+static dial *
+find_dial(mg_net *net, const char *peer)
+{
+    list_for_each(el, &net->dials) {
+        dial *d = list_entry(el, dial, link);
+        if (strcmp(d->peer, peer) == 0) {
+            return d;
+        }
+    }
+    return NULL;
+}
+
+void
+mg_net_dial(mg_net *net, const char *peer, const char *addr)
+{
+    dial *d = find_dial(net, peer);
+    if (d != NULL && strcmp(d->addr, addr) == 0) {
+        return;
+    }
+    if (d == NULL) {
+        d = mg_alloc(sizeof(*d));
+        mg_str_copy(d->peer, sizeof(d->peer), mg_str_of(peer));
+        list_add_tail(&d->link, &net->dials);
+    }
+    mg_str_copy(d->addr, sizeof(d->addr), mg_str_of(addr));
+    if (d->conn != NULL) {
+        close_conn(d->conn, "new_address");
+    }
+    attempt_dial(net, d);
+}
+
+void
+mg_net_undial(mg_net *net, const char *peer)
+{
+    dial *d = find_dial(net, peer);
+    if (d == NULL) {
+        return;
+    }
+    if (d->conn != NULL) {
+        close_conn(d->conn, "undial");
+    }
+    list_del(&d->link);
+    free(d);
+}
+
+static conn *
+find_conn(mg_net *net, const char *peer)
+{
+    conn *best = NULL;
+    list_for_each(el, &net->conns) {
+        conn *c = list_entry(el, conn, link);
+        if (!c->greeted || c->closing || strcmp(c->peer, peer) != 0) {
+            continue;
+        }
+        if (c->dial != NULL) {
+            return c;
+        }
+        best = c; /* the newest incoming one stands last */
+    }
+    return best;
+}
+
+bool
+mg_net_up(mg_net *net, const char *peer)
+{
+    return find_conn(net, peer) != NULL;
+}
+
+mg_rc
+mg_net_send(mg_net *net, const char *peer, const mg_msg *m)
+{
+    conn *c = find_conn(net, peer);
+    if (c == NULL) {
+        return MG_E_CLOSED;
+    }
+    queue_message(c, m);
+    return MG_OK;
+}
--- /dev/null
+++ b/src/wire/msg.c
@@ -0,0 +1,203 @@
+#include "wire/msg.h"
+
+#include <string.h>
+
+#include <msgpack.h>
+
+typedef enum field_kind { FIELD_U64, FIELD_STR, FIELD_BIN } field_kind;
+
+#define FIELD_KIND(type, name) FIELD_##type,
+#define M(number, NAME, name) \
+    static const unsigned char name##_kinds[] = { \
+        MG_FIELDS_##NAME(FIELD_KIND)};
+MG_MSG_LIST(M)
+#undef M
+
+/*
+ * The fields of a message struct are uint64_t and mg_str only, in wire
+ * order, so that their offsets follow from their kinds.
+ */
+static const struct layout {
+    int type;
+    const char *name;
+    const unsigned char *kinds;
+    size_t count;
+    size_t size;
+} layouts[] = {
+#define M(number, NAME, name) \
+    {number, #NAME, name##_kinds, sizeof(name##_kinds), \
+     sizeof(mg_##name##_msg)},
+    MG_MSG_LIST(M)
+#undef M
+};
+
+static const struct layout *
+find_layout(uint64_t type)
+{
+    for (size_t i = 0; i < sizeof(layouts) / sizeof(layouts[0]); i++) {
+        if ((uint64_t)layouts[i].type == type) {
+            return &layouts[i];
+        }
+    }
+    return NULL;
+}
+
+const char *
+mg_msg_name(mg_msg_type type)
+{
+    const struct layout *l = find_layout(type);
+    return l ? l->name : "?";
+}
+
+static int
+put_bytes(void *data, const char *p, size_t n)
+{
+    mg_buf_put(data, p, n);
+    return 0;
+}
+
+void
+mg_msg_encode(const mg_msg *m, mg_buf *out)
+{
+    const struct layout *l = find_layout(m->type);
+    MG_INVARIANT(l != NULL);
+    msgpack_packer pk;
+    msgpack_packer_init(&pk, out, put_bytes);
+    msgpack_pack_array(&pk, l->count + 1);
+    msgpack_pack_uint64(&pk, (uint64_t)m->type);
+    const char *at = (const char *)&m->u;
+    for (size_t i = 0; i < l->count; i++) {
+        if (l->kinds[i] == FIELD_U64) {
+            uint64_t v;
+            memcpy(&v, at, sizeof(v));
+            msgpack_pack_uint64(&pk, v);
+            at += sizeof(v);
+            continue;
+        }
+        mg_str s;
+        memcpy(&s, at, sizeof(s));
+        at += sizeof(s);
+        if (l->kinds[i] == FIELD_STR) {
+            msgpack_pack_str(&pk, s.n);
+            msgpack_pack_str_body(&pk, s.p, s.n);
+        }
+        else {
+            msgpack_pack_bin(&pk, s.n);
+            msgpack_pack_bin_body(&pk, s.p, s.n);
+        }
+    }
+}
+
+static mg_rc
+read_field(const msgpack_object *o, field_kind kind, char **at)
+{
+    if (kind == FIELD_U64) {
+        if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return MG_E_INPUT;
+        }
+        memcpy(*at, &o->via.u64, sizeof(uint64_t));
+        *at += sizeof(uint64_t);
+        return MG_OK;
+    }
+    mg_str s;
+    if (kind == FIELD_STR && o->type == MSGPACK_OBJECT_STR) {
+        s = (mg_str){o->via.str.ptr, o->via.str.size};
+    }
+    else if (kind == FIELD_BIN && o->type == MSGPACK_OBJECT_BIN) {
+        s = (mg_str){o->via.bin.ptr, o->via.bin.size};
+    }
+    else {
+        return MG_E_INPUT;
+    }
+    memcpy(*at, &s, sizeof(s));
+    *at += sizeof(s);
+    return MG_OK;
+}
+
+static mg_rc
+read_message(const msgpack_object *o, mg_msg *m)
+{
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size == 0) {
+        return MG_E_INPUT;
+    }
+    const msgpack_object *items = o->via.array.ptr;
+    if (items[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return MG_E_INPUT;
+    }
+    const struct layout *l = find_layout(items[0].via.u64);
+    if (l == NULL || o->via.array.size != l->count + 1) {
+        return MG_E_INPUT;
+    }
+    m->type = (mg_msg_type)l->type;
+    char *at = (char *)&m->u;
+    for (size_t i = 0; i < l->count; i++) {
+        mg_rc rc = read_field(&items[i + 1], l->kinds[i], &at);
+        if (rc != MG_OK) {
+            return rc;
+        }
+    }
+    return MG_OK;
+}
+
+mg_rc
+mg_msg_next(mg_str *rest, mg_msg *m)
+{
+    if (rest->n == 0) {
+        return MG_E_CLOSED;
+    }
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t off = 0;
+    mg_rc rc = MG_E_INPUT;
+    if (msgpack_unpack_next(&unpacked, rest->p, rest->n, &off) ==
+        MSGPACK_UNPACK_SUCCESS) {
+        rc = read_message(&unpacked.data, m);
+        rest->p += off;
+        rest->n -= off;
+    }
+    msgpack_unpacked_destroy(&unpacked);
+    return rc;
+}
+
+mg_rc
+mg_msg_decode(mg_str bytes, mg_msg *m)
+{
+    mg_rc rc = mg_msg_next(&bytes, m);
+    if (rc == MG_E_CLOSED || (rc == MG_OK && bytes.n != 0)) {
+        return MG_E_INPUT;
+    }
+    return rc;
+}
+
+void
+mg_frame_put(const mg_msg *m, mg_buf *out)
+{
+    size_t start = out->n;
+    mg_buf_put(out, "\0\0\0\0", MG_FRAME_HEAD);
+    mg_msg_encode(m, out);
+    size_t n = out->n - start - MG_FRAME_HEAD;
+    MG_INVARIANT(n <= MG_FRAME_MAX);
+    for (size_t i = 0; i < MG_FRAME_HEAD; i++) {
+        out->p[start + i] = (char)(n >> (8 * (MG_FRAME_HEAD - 1 - i)));
+    }
+}
+
+mg_rc
+mg_frame_take(mg_str in, size_t max, size_t *used, mg_msg *m)
+{
+    if (in.n < MG_FRAME_HEAD) {
+        return MG_E_IN_PROGRESS;
+    }
+    size_t n = 0;
+    for (size_t i = 0; i < MG_FRAME_HEAD; i++) {
+        n = n << 8 | (unsigned char)in.p[i];
+    }
+    if (n > max) {
+        return MG_E_TOO_LARGE;
+    }
+    if (in.n < MG_FRAME_HEAD + n) {
+        return MG_E_IN_PROGRESS;
+    }
+    *used = MG_FRAME_HEAD + n;
+    return mg_msg_decode((mg_str){in.p + MG_FRAME_HEAD, n}, m);
+}
--- /dev/null
+++ b/tests/fakes/engine.c
@@ -0,0 +1,700 @@
+/*
+ * fake-engine - a stand-in for a model engine or a plain service
+ *
+ * As an engine it batches continuously: each step decodes one token of every
+ * running request and works through a bounded chunk of prefill. It caches
+ * prompt prefixes, knows no priorities, reports load with a lag, can resume
+ * and cancel streams. An answer is a function of the prompt, so that a
+ * caller can tell whether it is whole and its own.
+ *
+ * Every execution is written to the journal, one line "id key", before it
+ * starts. Faults are switched on by options.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <uthash.h>
+
+#include "base/check.h"
+#include "base/clock.h"
+#include "base/list.h"
+#include "wire/http.h"
+
+#define ANNOUNCE_MS 500
+#define CHUNK_TOKENS 512
+#define KEEP_MS 30000
+#define LOAD_HISTORY 64
+#define ENTRIES_MAX 16
+#define PREFIX_BYTES 256
+
+static struct {
+    const char *name;
+    const char *pool;
+    const char *version;
+    const char *domain;
+    const char *addr;
+    const char *key;
+    const char *crash_on;
+    const char *bad_route;
+    bool service;
+    bool ignore_epoch;
+    int slots;
+    int prefill_us; /* per token */
+    int gap_us;     /* of a step */
+    int batch_us;   /* more for each running request */
+    int service_ms;
+    int cache;      /* prefixes */
+    int lag_ms;
+    int fail_percent;
+    int slow_above; /* steps take thrice as long with more running */
+    char *entries[ENTRIES_MAX];
+    int entry_count;
+} opt;
+
+struct stream {
+    UT_hash_handle hh;
+    struct list_head link; /* running, queued or over */
+    char id[64];
+    mg_http_req *http;
+    bool sse;
+    uint64_t sent; /* bytes given to http */
+    mg_buf out;    /* all bytes of the answer so far */
+    int prefill_left;
+    int decode_left;
+    int decoded;
+    uint64_t hash;
+    uint64_t prefix;
+    bool over;
+    bool failed;
+    int64_t over_ms;
+};
+
+static struct {
+    uv_loop_t *loop;
+    uv_timer_t step;
+    uv_timer_t announce;
+    mg_http_server *http;
+    struct stream *streams;
+    struct list_head running;
+    struct list_head queued;
+    struct list_head over;
+    int running_count;
+    int queued_count;
+    uint64_t *prefixes;
+    int next_prefix;
+    uint64_t epoch;
+    bool leaving;
+    int entry;
+    int journal;
+    mg_rng rng;
+    int64_t debt_us; /* of step time, below a millisecond */
+    struct {
+        int64_t at;
+        int running;
+        int queued;
+    } load[LOAD_HISTORY];
+    int load_next;
+} g;
+
+static int64_t
+now_ms(void)
+{
+    return mg_now(mg_system_clock());
+}
+
+static void
+journal(const char *id, mg_str key)
+{
+    char line[400];
+    int n = snprintf(line, sizeof(line), "%s %.*s\n", id, MG_STR_FMT(key));
+    if (g.journal >= 0 && write(g.journal, line, (size_t)n) != n) {
+        abort();
+    }
+}
+
+/* ------------------------------------------------------------- streams */
+
+static void
+put_token(struct stream *s)
+{
+    char word[64];
+    snprintf(word, sizeof(word), "w%d-%08x ", s->decoded,
+             (unsigned)s->hash);
+    s->decoded++;
+    s->decode_left--;
+    if (s->sse) {
+        mg_buf_printf(&s->out,
+                      "data: {\"choices\":[{\"delta\":{\"content\":"
+                      "\"%s\"}}]}\n\n",
+                      word);
+    }
+    else {
+        mg_buf_put(&s->out, word, strlen(word));
+    }
+}
+
+static void
+push(struct stream *s)
+{
+    if (s->http == NULL || !s->sse || s->sent >= s->out.n) {
+        return;
+    }
+    mg_str more = {s->out.p + s->sent, s->out.n - s->sent};
+    s->sent = s->out.n;
+    mg_http_write(s->http, more);
+}
+
+static void
+let_go(struct stream *s)
+{
+    if (s->http != NULL) {
+        mg_http_on_gone(s->http, NULL, NULL);
+        s->http = NULL;
+    }
+}
+
+static void
+end_stream(struct stream *s)
+{
+    list_del(&s->link);
+    list_add_tail(&s->link, &g.over);
+    s->over = true;
+    s->over_ms = now_ms();
+    if (!s->sse) {
+        mg_buf text = s->out;
+        s->out = (mg_buf){0};
+        mg_buf_printf(&s->out,
+                      "{\"choices\":[{\"message\":{\"content\":\"%.*s\"}}]}",
+                      (int)text.n, text.p);
+        mg_buf_free(&text);
+    }
+    else {
+        mg_buf_printf(&s->out, "data: [DONE]\n\n");
+    }
+    if (s->http == NULL) {
+        return;
+    }
+    mg_http_req *http = s->http;
+    if (s->sse) {
+        push(s);
+        let_go(s);
+        mg_http_finish(http);
+    }
+    else {
+        let_go(s);
+        mg_http_reply(http, 200, "application/json", NULL,
+                      mg_str_buf(&s->out));
+    }
+}
+
+static void
+free_stream(struct stream *s)
+{
+    let_go(s);
+    HASH_DEL(g.streams, s);
+    list_del(&s->link);
+    mg_buf_free(&s->out);
+    free(s);
+}
+
+static void
+fail_stream(struct stream *s)
+{
+    mg_http_req *http = s->http;
+    if (http != NULL) {
+        let_go(s);
+        mg_http_reply(http, 500, "application/json", NULL,
+                      mg_str_of("{\"error\":\"bad version\"}"));
+    }
+}
+
+static void
+start_queued(void)
+{
+    while (g.running_count < opt.slots && !list_empty(&g.queued)) {
+        struct stream *s = list_entry(g.queued.next, struct stream, link);
+        list_del(&s->link);
+        list_add_tail(&s->link, &g.running);
+        g.queued_count--;
+        g.running_count++;
+    }
+}
+
+/* one iteration of the batch; returns how long it takes, in us */
+static int64_t
+run_step(void)
+{
+    int64_t us = opt.gap_us + (int64_t)opt.batch_us * g.running_count;
+    int chunk = CHUNK_TOKENS;
+    list_for_each_safe(el, el1, &g.running) {
+        struct stream *s = list_entry(el, struct stream, link);
+        if (s->prefill_left > 0) {
+            int n = s->prefill_left < chunk ? s->prefill_left : chunk;
+            s->prefill_left -= n;
+            chunk -= n;
+            us += (int64_t)n * opt.prefill_us;
+            continue;
+        }
+        put_token(s);
+        push(s);
+        if (s->decode_left <= 0) {
+            g.running_count--;
+            end_stream(s);
+        }
+    }
+    if (opt.slow_above > 0 && g.running_count > opt.slow_above) {
+        us *= 3;
+    }
+    return us;
+}
+
+static void
+on_step(uv_timer_t *t)
+{
+    list_for_each_safe(el, el1, &g.over) {
+        struct stream *s = list_entry(el, struct stream, link);
+        if (now_ms() - s->over_ms < KEEP_MS) {
+            break;
+        }
+        free_stream(s);
+    }
+    start_queued();
+    if (g.running_count == 0) {
+        uv_timer_start(t, on_step, 1, 0);
+        return;
+    }
+    g.debt_us += run_step();
+    uv_timer_start(t, on_step, (uint64_t)(g.debt_us / 1000), 0);
+    g.debt_us %= 1000;
+}
+
+static bool
+cached(uint64_t prefix)
+{
+    for (int i = 0; i < opt.cache; i++) {
+        if (g.prefixes[i] == prefix) {
+            return true;
+        }
+    }
+    if (opt.cache > 0) {
+        g.prefixes[g.next_prefix++ % opt.cache] = prefix;
+    }
+    return false;
+}
+
+static void
+stream_gone(void *user)
+{
+    /* the engine goes on: the stream can be resumed */
+    ((struct stream *)user)->http = NULL;
+}
+
+static void
+add_text(json_t *v, mg_buf *out)
+{
+    size_t i;
+    json_t *item;
+    if (json_is_string(v)) {
+        mg_buf_put(out, json_string_value(v), json_string_length(v));
+    }
+    else if (json_is_array(v)) {
+        json_array_foreach (v, i, item) {
+            add_text(json_is_object(item) ? json_object_get(item, "content")
+                                          : item,
+                     out);
+        }
+    }
+}
+
+static void
+attach(struct stream *s, mg_http_req *http, uint64_t offset)
+{
+    s->http = http;
+    s->sent = offset;
+    mg_http_on_gone(http, stream_gone, s);
+    if (s->sse) {
+        mg_http_start(http, 200, "text/event-stream", NULL);
+        push(s);
+    }
+}
+
+static void
+complete(mg_http_req *http, mg_str id)
+{
+    mg_str body = mg_http_body(http);
+    json_t *tree = json_loadb(body.p, body.n, 0, NULL);
+    mg_buf text = {0};
+    add_text(json_object_get(tree, "messages"), &text);
+    add_text(json_object_get(tree, "prompt"), &text);
+    mg_buf_put(&text, "", 1);
+    text.n--;
+    if (opt.crash_on[0] && strstr(text.p, opt.crash_on) != NULL) {
+        raise(SIGKILL);
+    }
+    struct stream *s = mg_alloc(sizeof(*s));
+    mg_str_copy(s->id, sizeof(s->id), id);
+    s->hash = mg_hash(mg_str_buf(&text));
+    s->sse = json_is_true(json_object_get(tree, "stream"));
+    s->decode_left =
+        (int)json_integer_value(json_object_get(tree, "max_tokens"));
+    s->decode_left = s->decode_left > 0 ? s->decode_left : 256;
+    s->prefill_left = (int)(text.n / 4 + 1);
+    size_t head = text.n < PREFIX_BYTES ? text.n : PREFIX_BYTES;
+    if (text.n >= PREFIX_BYTES && cached(mg_hash((mg_str){text.p, head}))) {
+        s->prefill_left /= 5;
+    }
+    init_list_head(&s->link);
+    list_add_tail(&s->link, &g.queued);
+    g.queued_count++;
+    HASH_ADD_STR(g.streams, id, s);
+    bool bad = (int)mg_rng_below(&g.rng, 100) < opt.fail_percent &&
+               (opt.bad_route[0] == '\0' ||
+                mg_str_is(mg_http_path(http), opt.bad_route));
+    if (bad) {
+        s->http = http;
+        fail_stream(s);
+        g.queued_count--;
+        free_stream(s);
+    }
+    else {
+        attach(s, http, 0);
+    }
+    mg_buf_free(&text);
+    json_decref(tree);
+}
+
+struct service_call {
+    uv_timer_t timer;
+    mg_http_req *http;
+    char id[64];
+};
+
+static void
+service_gone(void *user)
+{
+    ((struct service_call *)user)->http = NULL;
+}
+
+static void
+service_closed(uv_handle_t *h)
+{
+    free(h->data);
+}
+
+static void
+service_done(uv_timer_t *t)
+{
+    struct service_call *c = t->data;
+    char out[128];
+    snprintf(out, sizeof(out), "{\"done\":\"%s\"}", c->id);
+    if (c->http != NULL) {
+        mg_http_on_gone(c->http, NULL, NULL);
+        mg_http_reply(c->http, 200, "application/json", NULL,
+                      mg_str_of(out));
+    }
+    uv_close((uv_handle_t *)t, service_closed);
+}
+
+static void
+serve(mg_http_req *http, mg_str id)
+{
+    struct service_call *c = mg_alloc(sizeof(*c));
+    mg_str_copy(c->id, sizeof(c->id), id);
+    c->http = http;
+    mg_http_on_gone(http, service_gone, c);
+    uv_timer_init(g.loop, &c->timer);
+    c->timer.data = c;
+    uv_timer_start(&c->timer, service_done, (uint64_t)opt.service_ms, 0);
+}
+
+static void
+on_stream_path(mg_http_req *http)
+{
+    mg_str path = mg_http_path(http);
+    char id[64];
+    size_t head = strlen("/v1/streams/");
+    mg_str_copy(id, sizeof(id), (mg_str){path.p + head, path.n - head});
+    struct stream *s;
+    HASH_FIND_STR(g.streams, id, s);
+    if (s == NULL) {
+        mg_http_reply(http, 404, "application/json", NULL,
+                      mg_str_of("{\"error\":\"no such stream\"}"));
+        return;
+    }
+    if (mg_str_is(mg_http_method(http), "DELETE")) {
+        if (!s->over) {
+            struct list_head *el = &s->link;
+            bool queued = false;
+            list_for_each(q, &g.queued) {
+                queued = queued || q == el;
+            }
+            g.running_count -= !queued;
+            g.queued_count -= queued;
+        }
+        free_stream(s);
+        mg_http_reply(http, 200, "application/json", NULL, mg_str_of("{}"));
+        return;
+    }
+    mg_str query = mg_http_query(http);
+    uint64_t offset = 0;
+    if (query.n > 7 && query.n < 30 && memcmp(query.p, "offset=", 7) == 0) {
+        char number[32];
+        mg_str_copy(number, sizeof(number),
+                    (mg_str){query.p + 7, query.n - 7});
+        offset = strtoull(number, NULL, 10);
+    }
+    let_go(s);
+    if (s->over) {
+        mg_str rest = {s->out.p + offset, s->out.n - offset};
+        mg_http_reply(http, 200,
+                      s->sse ? "text/event-stream" : "application/json",
+                      NULL, rest);
+    }
+    else {
+        attach(s, http, offset);
+    }
+}
+
+static void
+on_http(void *user, mg_http_req *http)
+{
+    (void)user;
+    mg_str path = mg_http_path(http);
+    if (path.n > 12 && memcmp(path.p, "/v1/streams/", 12) == 0) {
+        on_stream_path(http);
+        return;
+    }
+    char id[64];
+    char epoch[32];
+    mg_str_copy(id, sizeof(id), mg_http_header(http, "x-request-id"));
+    mg_str_copy(epoch, sizeof(epoch), mg_http_header(http, "x-target-epoch"));
+    if (!opt.ignore_epoch && strtoull(epoch, NULL, 10) != g.epoch) {
+        mg_http_reply(http, 409, "application/json", "x-not-run: epoch\n",
+                      mg_str_of("{\"error\":\"other epoch\"}"));
+        return;
+    }
+    journal(id, mg_http_header(http, "idempotency-key"));
+    if (opt.service) {
+        serve(http, mg_str_of(id));
+    }
+    else {
+        complete(http, mg_str_of(id));
+    }
+}
+
+/* -------------------------------------------------------- announcements */
+
+static void
+on_head(void *user, int status, mg_str type, bool not_run)
+{
+    (void)type;
+    (void)not_run;
+    *(int *)user = status;
+}
+
+static void
+on_data(void *user, mg_str data)
+{
+    (void)user;
+    (void)data;
+}
+
+static void
+on_end(void *user, mg_http_end end, const char *why)
+{
+    (void)why;
+    int *status = user;
+    if (end != MG_HTTP_WHOLE || *status != 200) {
+        g.entry++;
+    }
+    else if (g.leaving && g.running_count + g.queued_count == 0) {
+        uv_stop(g.loop);
+    }
+    free(status);
+}
+
+static void
+lagged_load(int *running, int *queued)
+{
+    int64_t want = now_ms() - opt.lag_ms;
+    *running = 0;
+    *queued = 0;
+    for (int i = 0; i < LOAD_HISTORY; i++) {
+        int k = (g.load_next + i) % LOAD_HISTORY;
+        if (g.load[k].at != 0 && g.load[k].at <= want) {
+            *running = g.load[k].running;
+            *queued = g.load[k].queued;
+        }
+    }
+}
+
+static void
+on_announce(uv_timer_t *t)
+{
+    (void)t;
+    int running;
+    int queued;
+    int k = g.load_next++ % LOAD_HISTORY;
+    g.load[k].at = now_ms();
+    g.load[k].running = g.running_count;
+    g.load[k].queued = g.queued_count;
+    lagged_load(&running, &queued);
+    char extra[128];
+    snprintf(extra, sizeof(extra), "x-target-key: %s\r\n", opt.key);
+    json_t *body = json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:I,s:i,s:b,s:i,s:i,s:i}", "pool", opt.pool,
+        "target", opt.name, "addr", opt.addr, "version", opt.version,
+        "domain", opt.domain, "epoch", (json_int_t)g.epoch, "slots",
+        opt.slots, "leaving", g.leaving, "running", running, "queued", queued,
+        "report_age_ms", opt.lag_ms);
+    char *text = json_dumps(body, JSON_COMPACT);
+    int *status = mg_alloc(sizeof(*status));
+    mg_http_call_new(&(mg_http_call_options){
+        .loop = g.loop,
+        .addr = opt.entries[g.entry % opt.entry_count],
+        .method = "POST",
+        .path = "/v1/targets/announce",
+        .extra = extra,
+        .body = mg_str_of(text),
+        .connect_ms = 300,
+        .silence_ms = 1500,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+        .user = status,
+    });
+    free(text);
+    json_decref(body);
+}
+
+static void
+on_term(uv_signal_t *h, int number)
+{
+    (void)h;
+    (void)number;
+    g.leaving = true;
+    on_announce(NULL);
+}
+
+/* ------------------------------------------------------------------ main */
+
+static void
+split_entries(char *list)
+{
+    for (char *e = strtok(list, ","); e != NULL && opt.entry_count <
+         ENTRIES_MAX; e = strtok(NULL, ",")) {
+        opt.entries[opt.entry_count++] = e;
+    }
+}
+
+static int
+read_args(int argc, char **argv)
+{
+    struct arg_str *name = arg_str1(NULL, "name", "NAME", "target's name");
+    struct arg_str *pool = arg_str1(NULL, "pool", "POOL", "what it serves");
+    struct arg_str *version = arg_str0(NULL, "version", "V", "its version");
+    struct arg_str *domain = arg_str0(NULL, "domain", "D", "failure domain");
+    struct arg_str *addr = arg_str1(NULL, "addr", "IP:PORT", "own address");
+    struct arg_str *entries =
+        arg_str1(NULL, "entries", "LIST", "where to announce, by commas");
+    struct arg_str *key = arg_str0(NULL, "key", "KEY", "target key");
+    struct arg_str *crash =
+        arg_str0(NULL, "crash-on", "TEXT", "die of prompts with this text");
+    struct arg_str *route =
+        arg_str0(NULL, "bad-route", "PATH", "fail on this path only");
+    struct arg_file *jour = arg_file0(NULL, "journal", "FILE", "executions");
+    struct arg_lit *service = arg_lit0(NULL, "service", "plain service");
+    struct arg_lit *ignore =
+        arg_lit0(NULL, "ignore-epoch", "don't check the target epoch");
+    struct arg_int *slots = arg_int0(NULL, "slots", "N", "batch size");
+    struct arg_int *prefill = arg_int0(NULL, "prefill-us", "US", "per token");
+    struct arg_int *gap = arg_int0(NULL, "gap-us", "US", "of a step");
+    struct arg_int *batch = arg_int0(NULL, "batch-us", "US", "per request");
+    struct arg_int *ms = arg_int0(NULL, "service-ms", "MS", "of a call");
+    struct arg_int *cache = arg_int0(NULL, "cache", "N", "prefixes kept");
+    struct arg_int *lag = arg_int0(NULL, "lag-ms", "MS", "of load reports");
+    struct arg_int *fail = arg_int0(NULL, "fail", "PERCENT", "of requests");
+    struct arg_int *slow =
+        arg_int0(NULL, "slow-above", "N", "slow with more running");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {name,  pool,  version, domain, addr,    entries,
+                     key,   crash, route,   jour,   service, ignore,
+                     slots, prefill, gap,   batch,  ms,      cache,
+                     lag,   fail,  slow,    end};
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        return 2;
+    }
+    opt.name = strdup(name->sval[0]);
+    opt.pool = strdup(pool->sval[0]);
+    opt.version = strdup(version->count ? version->sval[0] : "v1");
+    opt.domain = strdup(domain->count ? domain->sval[0] : "d1");
+    opt.addr = strdup(addr->sval[0]);
+    opt.key = strdup(key->count ? key->sval[0] : "");
+    opt.crash_on = strdup(crash->count ? crash->sval[0] : "");
+    opt.bad_route = strdup(route->count ? route->sval[0] : "");
+    opt.service = service->count > 0;
+    opt.ignore_epoch = ignore->count > 0;
+    opt.slots = slots->count ? slots->ival[0] : 8;
+    opt.prefill_us = prefill->count ? prefill->ival[0] : 20;
+    opt.gap_us = gap->count ? gap->ival[0] : 2000;
+    opt.batch_us = batch->count ? batch->ival[0] : 50;
+    opt.service_ms = ms->count ? ms->ival[0] : 5;
+    opt.cache = cache->count ? cache->ival[0] : 32;
+    opt.lag_ms = lag->count ? lag->ival[0] : 2000;
+    opt.fail_percent = fail->count ? fail->ival[0] : 0;
+    opt.slow_above = slow->count ? slow->ival[0] : 0;
+    g.journal = -1;
+    if (jour->count) {
+        g.journal = open(jour->filename[0],
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    }
+    split_entries(strdup(entries->sval[0]));
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    mg_error err;
+    uv_signal_t term;
+    signal(SIGPIPE, SIG_IGN);
+    int rc = read_args(argc, argv);
+    if (rc != 0) {
+        return rc;
+    }
+    g.loop = uv_default_loop();
+    g.epoch = (uint64_t)mg_wall(mg_system_clock());
+    g.prefixes = mg_alloc(sizeof(uint64_t) * (size_t)(opt.cache + 1));
+    mg_rng_init(&g.rng, mg_hash(mg_str_of(opt.name)));
+    init_list_head(&g.running);
+    init_list_head(&g.queued);
+    init_list_head(&g.over);
+    if (mg_http_open(&g.http,
+                     &(mg_http_options){
+                         .loop = g.loop,
+                         .listen_addr = opt.addr,
+                         .body_max = 8 << 20,
+                         .on_request = on_http,
+                     },
+                     &err) != MG_OK) {
+        fprintf(stderr, "fake-engine: %s\n", err.text);
+        return 1;
+    }
+    uv_timer_init(g.loop, &g.step);
+    uv_timer_init(g.loop, &g.announce);
+    uv_timer_start(&g.step, on_step, 1, 0);
+    uv_timer_start(&g.announce, on_announce, 1, ANNOUNCE_MS);
+    uv_signal_init(g.loop, &term);
+    uv_signal_start(&term, on_term, SIGTERM);
+    uv_run(g.loop, UV_RUN_DEFAULT);
+    return 0;
+}
