--- a/src/base/event.c
+++ b/src/base/event.c
@@ -6,7 +6,6 @@
 #include <time.h>
 
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 
 #define EVENT_LINE_MAX 1024
 
@@ -43,6 +42,15 @@
     return line;
 }
 
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t stderr_appender = {"mg_stderr", NULL,
+                                                      append_line, NULL};
 static const log4c_layout_type_t line_layout = {"mg_line", format_line};
 
 mg_rc
@@ -65,10 +73,10 @@
     }
     snprintf(process_name, sizeof(process_name), "%s", process);
     category = log4c_category_get("marigold");
-    log4c_appender_t *to = log4c_appender_get("stderr");
+    log4c_appender_t *to = log4c_appender_get("mg_stderr");
     log4c_layout_t *layout = log4c_layout_get("mg_line");
     log4c_layout_set_type(layout, &line_layout);
-    log4c_appender_set_type(to, &log4c_appender_type_stream);
+    log4c_appender_set_type(to, &stderr_appender);
     log4c_appender_set_layout(to, layout);
     log4c_category_set_appender(category, to);
     log4c_category_set_additivity(category, 0);
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -532,6 +532,22 @@
     bool is_claim;
 };
 
+static void
+reply_claim(mg_control *c, const char *peer, uint64_t seq,
+            const mg_claim_reply *r)
+{
+    mg_msg m = {.type = MG_MSG_CLAIM_REP};
+    m.u.claim_rep.seq = seq;
+    m.u.claim_rep.result = r->result;
+    m.u.claim_rep.holder = r->holder;
+    m.u.claim_rep.incarnation = r->incarnation;
+    m.u.claim_rep.nonce = r->nonce;
+    m.u.claim_rep.gen = r->gen;
+    m.u.claim_rep.status = r->status;
+    m.u.claim_rep.answer = r->answer;
+    mg_net_send(c->net, peer, &m);
+}
+
 static void
 command_applied(void *user, const mg_apply_reply *reply)
 {
@@ -541,15 +557,7 @@
         reply_not_leader(rc->c, rc->peer, rc->seq);
     }
     else if (rc->is_claim) {
-        m.type = MG_MSG_CLAIM_REP;
-        m.u.claim_rep.seq = rc->seq;
-        m.u.claim_rep.result = reply->claim.result;
-        m.u.claim_rep.holder = reply->claim.holder;
-        m.u.claim_rep.incarnation = reply->claim.incarnation;
-        m.u.claim_rep.nonce = reply->claim.nonce;
-        m.u.claim_rep.status = reply->claim.status;
-        m.u.claim_rep.answer = reply->claim.answer;
-        mg_net_send(rc->c->net, rc->peer, &m);
+        reply_claim(rc->c, rc->peer, rc->seq, &reply->claim);
     }
     else {
         m.type = MG_MSG_PROPOSE_REP;
@@ -567,6 +575,7 @@
 {
     switch (m->type) {
     case MG_MSG_CMD_CLAIM:
+    case MG_MSG_CMD_REFUSE:
         return is_claim;
     case MG_MSG_CMD_FINAL:
     case MG_MSG_CMD_CREDITS:
@@ -603,6 +612,25 @@
     }
 }
 
+/* an answer that may be old: a later claim decides */
+static void
+on_peek(mg_control *c, const char *peer, const mg_peek_msg *q)
+{
+    mg_msg m;
+    mg_claim_reply reply;
+    if (mg_msg_decode(q->command, &m) != MG_OK ||
+        m.type != MG_MSG_CMD_CLAIM) {
+        mg_count(MG_C_BAD_INPUT, 1);
+    }
+    else if (!mg_raft_ready(c->raft)) {
+        reply_not_leader(c, peer, q->seq);
+    }
+    else {
+        mg_state_peek(c->state, &m.u.cmd_claim, &reply);
+        reply_claim(c, peer, q->seq, &reply);
+    }
+}
+
 /* ------------------------------------------------------- pool placement */
 
 static bool
@@ -821,6 +849,9 @@
     case MG_MSG_CLAIM:
         on_command(c, peer, m->u.claim.seq, m->u.claim.command, true);
         break;
+    case MG_MSG_PEEK:
+        on_peek(c, peer, &m->u.peek);
+        break;
     case MG_MSG_PROPOSE:
         on_command(c, peer, m->u.propose.seq, m->u.propose.command, false);
         break;
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -413,6 +413,9 @@
     case MG_MSG_CMD_CLAIM:
         mg_claims_claim(s->claims, &m.u.cmd_claim, &reply->claim);
         break;
+    case MG_MSG_CMD_REFUSE:
+        mg_claims_refuse(s->claims, &m.u.cmd_refuse, &reply->claim);
+        break;
     case MG_MSG_CMD_FINAL:
         apply_final(s, &m.u.cmd_final, reply);
         break;
@@ -424,6 +427,13 @@
     }
 }
 
+void
+mg_state_peek(const mg_state *s, const mg_cmd_claim_msg *cmd,
+              mg_claim_reply *reply)
+{
+    mg_claims_peek(s->claims, cmd, reply);
+}
+
 /* ------------------------------------------------------------ reading */
 
 uint64_t
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -42,6 +42,9 @@
 void mg_state_free(mg_state *s);
 /* Malformed commands are MG_E_INPUT and change nothing. */
 void mg_state_apply(mg_state *s, mg_str command, mg_apply_reply *reply);
+/* What a claim would find now; changes nothing. */
+void mg_state_peek(const mg_state *s, const mg_cmd_claim_msg *cmd,
+                   mg_claim_reply *reply);
 
 uint64_t mg_state_rev(const mg_state *s);
 /* revision of the last change to a section */
--- a/src/entry/clink.c
+++ b/src/entry/clink.c
@@ -15,7 +15,7 @@
 struct call {
     UT_hash_handle hh;
     uint64_t seq;
-    bool is_claim;
+    mg_msg_type type; /* CLAIM, PEEK or PROPOSE */
     mg_buf command;
     int64_t deadline_ms;
     int64_t resend_ms;
@@ -148,26 +148,20 @@
 {
     mg_msg m;
     c->resend_ms = now_of(l) + RESEND_MS;
-    if (c->is_claim) {
-        m.type = MG_MSG_CLAIM;
-        m.u.claim.seq = c->seq;
-        m.u.claim.command = mg_str_buf(&c->command);
-    }
-    else {
-        m.type = MG_MSG_PROPOSE;
-        m.u.propose.seq = c->seq;
-        m.u.propose.command = mg_str_buf(&c->command);
-    }
+    m.type = c->type;
+    /* the three have the same fields */
+    m.u.propose.seq = c->seq;
+    m.u.propose.command = mg_str_buf(&c->command);
     mg_net_send(l->opts.net, leader_node(l), &m);
 }
 
-uint64_t
-mg_clink_call(mg_clink *l, const mg_msg *command, int64_t deadline_ms,
-              mg_clink_done done, void *user)
+static uint64_t
+start_call(mg_clink *l, mg_msg_type type, const mg_msg *command,
+           int64_t deadline_ms, mg_clink_done done, void *user)
 {
     struct call *c = mg_alloc(sizeof(*c));
     c->seq = ++l->next_seq;
-    c->is_claim = command->type == MG_MSG_CMD_CLAIM;
+    c->type = type;
     mg_msg_encode(command, &c->command);
     c->deadline_ms = deadline_ms;
     c->done = done;
@@ -177,6 +171,23 @@
     return c->seq;
 }
 
+uint64_t
+mg_clink_call(mg_clink *l, const mg_msg *command, int64_t deadline_ms,
+              mg_clink_done done, void *user)
+{
+    bool claim = command->type == MG_MSG_CMD_CLAIM ||
+                 command->type == MG_MSG_CMD_REFUSE;
+    return start_call(l, claim ? MG_MSG_CLAIM : MG_MSG_PROPOSE, command,
+                      deadline_ms, done, user);
+}
+
+uint64_t
+mg_clink_peek(mg_clink *l, const mg_msg *command, int64_t deadline_ms,
+              mg_clink_done done, void *user)
+{
+    return start_call(l, MG_MSG_PEEK, command, deadline_ms, done, user);
+}
+
 static struct call *
 find_call(mg_clink *l, uint64_t seq)
 {
--- a/src/entry/clink.h
+++ b/src/entry/clink.h
@@ -48,6 +48,9 @@
  */
 uint64_t mg_clink_call(mg_clink *l, const mg_msg *command,
                        int64_t deadline_ms, mg_clink_done done, void *user);
+/* Asks what a CMD_CLAIM would find, without the log. */
+uint64_t mg_clink_peek(mg_clink *l, const mg_msg *command,
+                       int64_t deadline_ms, mg_clink_done done, void *user);
 /* done will not be called; the command may still be applied. */
 void mg_clink_forget(mg_clink *l, uint64_t seq);
 bool mg_clink_leased(const mg_clink *l);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -211,6 +211,9 @@
     case MG_MSG_JOIN_REP:
         mg_request_join_rep(e, &m->u.join_rep);
         break;
+    case MG_MSG_LOCATE_REP:
+        mg_request_locate_rep(e, &m->u.locate_rep);
+        break;
     case MG_MSG_FRESH_REQ:
         mg_fresh_request(e, peer, &m->u.fresh_req);
         break;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -2,7 +2,8 @@
  * entry_int - what the parts of an entry share
  *
  * front.c    HTTP of callers and targets, admission
- * request.c  the life of a request: claim, ticket, dispatch, answer, final
+ * request.c  the life of a request: ticket, dispatch, answer, final
+ * keyed.c    what the ledger says of a keyed request; resends
  * pools.c    the schedulers held here, messages to those held elsewhere
  * fresh.c    serving while the control group is lost
  * entry.c    set-up, drain, credits
@@ -18,11 +19,13 @@
 #include "wire/http.h"
 
 typedef enum mg_request_state {
-    MG_REQ_CLAIMING,   /* the claim is on its way */
+    MG_REQ_ASKING,     /* asks the ledger what it knows of the key */
     MG_REQ_JOINING,    /* another attempt holds it: its answer is awaited */
     MG_REQ_WAITING,    /* ticket at the scheduler */
-    MG_REQ_CONNECTING, /* granted, not yet written to the target */
+    MG_REQ_CLAIMING,   /* granted; the claim is on its way */
+    MG_REQ_CONNECTING, /* claimed, not yet written to the target */
     MG_REQ_RUNNING,    /* dispatched */
+    MG_REQ_REFUSING,   /* the ledger's word that it did not run is awaited */
     MG_REQ_FINAL,      /* the final record is on its way */
     MG_REQ_KEPT,       /* over; kept for resends */
     MG_REQ_ABANDONED,  /* refused before its claim was answered */
@@ -52,7 +55,9 @@
     UT_hash_handle hh;     /* mg_entry.requests, by id */
     struct list_head link; /* mg_entry.waiting or .kept */
     mg_entry *e;
-    uint64_t id; /* also the claim's nonce */
+    uint64_t id;
+    uint64_t nonce; /* of the claim: the own id, or another attempt's */
+    uint64_t gen;   /* of the key when this attempt began */
     mg_request_state state;
     mg_http_req *http; /* NULL when the caller left or was answered */
     mg_admission a;
@@ -94,6 +99,9 @@
     uint64_t holder_incarnation;
     uint64_t holder_nonce;
     int64_t join_ms;
+    bool slot_given_up; /* the claim took longer than the grant was valid */
+    char *addrs;     /* targets still to be asked for the answer; owned */
+    char *next_addr; /* in addrs */
     int64_t kept_until_ms;
     uint64_t began_us;
     uint64_t dispatched_us;
@@ -201,6 +209,7 @@
 void mg_request_shed(mg_entry *e, const mg_shed_msg *m);
 void mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m);
 void mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m);
+void mg_request_locate_rep(mg_entry *e, const mg_locate_rep_msg *m);
 void mg_request_tick(mg_entry *e);
 /* The pool has another holder or epoch: tickets and held grants go there. */
 void mg_request_resync(mg_entry *e, const char *pool);
--- /dev/null
+++ b/src/entry/keyed.c
@@ -0,0 +1,377 @@
+/*
+ * keyed - what the ledger says of a keyed request, and what a resend gets
+ *
+ * An attempt asks first what is known of its key (peek). A key that nobody
+ * holds waits for a slot, and is claimed when it has one; so an entry that
+ * dies with waiting requests leaves no claims behind. A key that another
+ * attempt holds or has run is joined: the answer is asked from the entry
+ * that holds it; when that entry is lost, the stream is read from the
+ * target where it runs. Nothing here is ever dispatched a second time.
+ */
+#include "entry/request_int.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "ledger/claims.h"
+
+#define JOIN_RETRY_MS 300
+#define HOLDER_LOST_MS 2000
+#define REFUSE_WAIT_MS 3000
+
+static int64_t
+now_of(const mg_request *r)
+{
+    return mg_now(r->e->clock);
+}
+
+void
+mg_keyed_refuse_resend(mg_request *r, mg_rc rc, mg_ran ran)
+{
+    r->rc = rc;
+    r->ran = ran;
+    mg_request_finish(r);
+}
+
+/* ----------------------------------------------------------------- joining */
+
+static void
+ask_holder(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_JOIN};
+    m.u.join.seq = r->id;
+    m.u.join.nonce = r->holder_nonce;
+    mg_entry_send(r->e, r->holder, &m);
+}
+
+static void
+ask_scheduler(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_LOCATE};
+    m.u.locate.seq = r->id;
+    m.u.locate.pool = mg_str_of(r->a.pool);
+    m.u.locate.id = r->holder_nonce;
+    mg_pools_send(r->e, r->a.pool, &m);
+}
+
+static bool
+holder_is_lost(const mg_request *r)
+{
+    mg_entry *e = r->e;
+    if (strcmp(r->holder, e->settings.node) == 0) {
+        return r->holder_incarnation != e->incarnation;
+    }
+    const mg_member *m = mg_view_member(e->view, r->holder);
+    return m == NULL || m->incarnation != r->holder_incarnation ||
+           now_of(r) - mg_entry_peer(e, r->holder)->up_ms > HOLDER_LOST_MS;
+}
+
+static void
+join_holder(mg_request *r, const mg_claim_rep_msg *m)
+{
+    mg_str_copy(r->holder, sizeof(r->holder), m->holder);
+    r->holder_incarnation = m->incarnation;
+    r->holder_nonce = m->nonce;
+    mg_request_enter(r, MG_REQ_JOINING);
+    r->join_ms = 0;
+    mg_keyed_tick_join(r, now_of(r));
+}
+
+void
+mg_keyed_tick_join(mg_request *r, int64_t now)
+{
+    if (now - r->join_ms < JOIN_RETRY_MS) {
+        return;
+    }
+    r->join_ms = now;
+    if (!holder_is_lost(r)) {
+        ask_holder(r);
+    }
+    else if (r->a.engine) {
+        ask_scheduler(r);
+    }
+    else {
+        mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+    }
+}
+
+static void
+take_kept_answer(mg_request *r, uint64_t status, const char *type,
+                 mg_str body)
+{
+    r->status = (int)status;
+    mg_str_copy(r->type, sizeof(r->type), mg_str_of(type));
+    r->answer.n = 0;
+    mg_buf_put(&r->answer, body.p, body.n);
+    r->received = body.n;
+    r->ran = MG_RAN_YES;
+    mg_request_reply_answer(r);
+    mg_request_end(r);
+}
+
+void
+mg_request_locate_rep(mg_entry *e, const mg_locate_rep_msg *m)
+{
+    mg_request *r = mg_request_find(e, m->seq);
+    if (r == NULL || r->state != MG_REQ_JOINING || r->addrs != NULL) {
+        return;
+    }
+    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " found=lost_holder holder=%s "
+           "targets=%.*s",
+           r->id, r->holder, MG_STR_FMT(m->addrs));
+    r->addrs = mg_str_dup(m->addrs);
+    r->next_addr = r->addrs;
+    r->nonce = r->holder_nonce;
+    r->resuming = true;
+    r->dispatched = true;
+    r->claimed = true; /* the final record is the other attempt's */
+    r->began_us = uv_hrtime() / 1000;
+    r->dispatched_us = r->began_us;
+    mg_request_enter(r, MG_REQ_RUNNING);
+    mg_keyed_read_next(r);
+}
+
+void
+mg_keyed_read_next(mg_request *r)
+{
+    char *addr = strsep(&r->next_addr, ",");
+    r->resume_refused = false;
+    r->resume_until_ms = now_of(r) + JOIN_RETRY_MS;
+    if (addr == NULL || addr[0] == '\0') {
+        mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+        return;
+    }
+    mg_str_copy(r->target_addr, sizeof(r->target_addr), mg_str_of(addr));
+    mg_request_start_call(r, true);
+}
+
+/* another entry asks for the answer of an attempt made here */
+void
+mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m)
+{
+    mg_msg rep = {.type = MG_MSG_JOIN_REP};
+    mg_join_rep_msg *p = &rep.u.join_rep;
+    mg_request *r = mg_request_find(e, m->nonce);
+    p->seq = m->seq;
+    p->type = (mg_str){"", 0};
+    p->body = (mg_str){"", 0};
+    p->rc = MG_E_IN_PROGRESS;
+    p->ran = MG_RAN_UNKNOWN;
+    if (r == NULL) {
+        p->rc = MG_E_UNKNOWN;
+    }
+    else if (r->state == MG_REQ_KEPT) {
+        bool whole = r->ran == MG_RAN_YES && r->answer.n == r->received;
+        p->rc = whole ? MG_OK : MG_E_UNKNOWN;
+        p->ran = r->ran;
+        p->status = (uint64_t)r->status;
+        p->type = mg_str_of(r->type);
+        p->body = mg_str_buf(&r->answer);
+    }
+    mg_entry_send(e, peer, &rep);
+}
+
+void
+mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m)
+{
+    mg_request *r = mg_request_find(e, m->seq);
+    if (r == NULL || r->state != MG_REQ_JOINING ||
+        m->rc == MG_E_IN_PROGRESS) {
+        return;
+    }
+    if (m->rc == MG_OK) {
+        char type[MG_NAME_SIZE];
+        mg_str_copy(type, sizeof(type), m->type);
+        take_kept_answer(r, m->status, type, m->body);
+    }
+    else if (m->ran == MG_RAN_NO) {
+        /* the other attempt has released it: begin again */
+        mg_keyed_ask(r);
+    }
+    else {
+        mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+    }
+}
+
+/* ------------------------------------------------------ asking and claiming */
+
+static void
+make_claim(const mg_request *r, mg_msg *m)
+{
+    m->type = MG_MSG_CMD_CLAIM;
+    m->u.cmd_claim.workspace = mg_str_of(r->a.workspace);
+    m->u.cmd_claim.key = mg_str_of(r->a.key);
+    m->u.cmd_claim.digest = mg_str_of(r->a.digest);
+    m->u.cmd_claim.holder = mg_str_of(r->e->settings.node);
+    m->u.cmd_claim.incarnation = r->e->incarnation;
+    m->u.cmd_claim.nonce = r->id;
+    m->u.cmd_claim.gen = r->gen;
+}
+
+/* the key is another attempt's, or over */
+static void
+follow_other(mg_request *r, const mg_claim_rep_msg *m)
+{
+    mg_claim_result result = (mg_claim_result)m->result;
+    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " workspace=%s found=%s holder="
+           "%.*s",
+           r->id, r->a.workspace, mg_claim_result_name(result),
+           MG_STR_FMT(m->holder));
+    mg_count(MG_C_RESENDS, 1);
+    switch (result) {
+    case MG_CLAIM_RUNNING:
+        join_holder(r, m);
+        break;
+    case MG_CLAIM_ANSWERED:
+        if (m->answer.n > 0) {
+            take_kept_answer(r, m->status, "application/json", m->answer);
+        }
+        else {
+            join_holder(r, m);
+        }
+        break;
+    case MG_CLAIM_MISMATCH:
+        mg_keyed_refuse_resend(r, MG_E_MISMATCH, MG_RAN_NO);
+        break;
+    case MG_CLAIM_FULL:
+    case MG_CLAIM_RELEASED:
+        /* refused elsewhere since this attempt began */
+        mg_keyed_refuse_resend(r, MG_E_OVERLOAD, MG_RAN_NO);
+        break;
+    case MG_CLAIM_GRANTED:
+    case MG_CLAIM_UNKNOWN:
+        mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+        break;
+    }
+}
+
+static void
+asked(void *user, const mg_msg *reply)
+{
+    mg_request *r = user;
+    r->call_seq = 0;
+    if (reply->u.claim_rep.result == MG_CLAIM_RELEASED) {
+        r->gen = reply->u.claim_rep.gen;
+        mg_request_wait_for_slot(r);
+    }
+    else {
+        follow_other(r, &reply->u.claim_rep);
+    }
+}
+
+void
+mg_keyed_ask(mg_request *r)
+{
+    mg_msg m;
+    make_claim(r, &m);
+    mg_request_enter(r, MG_REQ_ASKING);
+    r->call_seq = mg_clink_peek(r->e->clink, &m, 0, asked, r);
+}
+
+void
+mg_keyed_stop_asking(mg_request *r)
+{
+    mg_clink_forget(r->e->clink, r->call_seq);
+    mg_keyed_refuse_resend(r, MG_E_DEADLINE, MG_RAN_UNKNOWN);
+}
+
+static void
+claim_granted(mg_request *r)
+{
+    mg_log(MG_EV_REQ_CLAIMED, "id=%" PRIx64 " workspace=%s", r->id,
+           r->a.workspace);
+    r->claimed = true;
+    if (r->slot_given_up) {
+        r->slot_given_up = false;
+        mg_request_wait_for_slot(r);
+    }
+    else {
+        mg_request_connect(r);
+    }
+}
+
+static void
+claim_answered(void *user, const mg_msg *reply)
+{
+    mg_request *r = user;
+    bool granted = reply->u.claim_rep.result == MG_CLAIM_GRANTED;
+    mg_observe(MG_H_CLAIM_WAIT, (now_of(r) - r->join_ms) * 1000);
+    r->call_seq = 0;
+    if (r->state == MG_REQ_ABANDONED) {
+        if (granted) {
+            mg_request_release_claim(r);
+        }
+        mg_request_end(r);
+    }
+    else if (granted) {
+        claim_granted(r);
+    }
+    else {
+        mg_keyed_give_up_slot(r);
+        follow_other(r, &reply->u.claim_rep);
+    }
+}
+
+void
+mg_keyed_claim(mg_request *r)
+{
+    mg_msg m;
+    make_claim(r, &m);
+    mg_count(MG_C_CLAIMS, 1);
+    mg_request_enter(r, MG_REQ_CLAIMING);
+    r->join_ms = now_of(r);
+    r->call_seq = mg_clink_call(r->e->clink, &m, 0, claim_answered, r);
+}
+
+void
+mg_keyed_give_up_slot(mg_request *r)
+{
+    if (!r->slot_given_up) {
+        r->slot_given_up = true;
+        mg_request_tell_done(r, MG_DONE_NOT_DISPATCHED);
+    }
+}
+
+/* the caller is told "unknown"; a claim that still comes is released */
+void
+mg_keyed_abandon(mg_request *r)
+{
+    mg_keyed_give_up_slot(r);
+    r->rc = MG_E_DEADLINE;
+    r->ran = MG_RAN_UNKNOWN;
+    mg_request_enter(r, MG_REQ_ABANDONED);
+    mg_request_reply_end(r);
+}
+
+/* ---------------------------------------------------------------- refusing */
+
+static void
+refused(void *user, const mg_msg *reply)
+{
+    mg_request *r = user;
+    r->call_seq = 0;
+    if (reply == NULL) {
+        r->ran = MG_RAN_UNKNOWN;
+    }
+    else if (reply->u.claim_rep.result != MG_CLAIM_RELEASED) {
+        follow_other(r, &reply->u.claim_rep);
+        return;
+    }
+    mg_request_finish(r);
+}
+
+void
+mg_keyed_refuse(mg_request *r)
+{
+    mg_msg m = {.type = MG_MSG_CMD_REFUSE};
+    m.u.cmd_refuse.workspace = mg_str_of(r->a.workspace);
+    m.u.cmd_refuse.key = mg_str_of(r->a.key);
+    m.u.cmd_refuse.digest = mg_str_of(r->a.digest);
+    m.u.cmd_refuse.gen = r->gen;
+    mg_request_enter(r, MG_REQ_REFUSING);
+    r->call_seq = mg_clink_call(r->e->clink, &m, now_of(r) + REFUSE_WAIT_MS,
+                                refused, r);
+}
--- a/src/entry/pools.c
+++ b/src/entry/pools.c
@@ -215,6 +215,23 @@
     mg_entry_send(e, peer, &rep);
 }
 
+static void
+on_locate(mg_entry *e, const char *peer, const mg_locate_msg *m)
+{
+    char pool[MG_NAME_SIZE];
+    mg_buf addrs = {0};
+    mg_str_copy(pool, sizeof(pool), m->pool);
+    mg_local_sched *ls = find_local(e, pool);
+    if (ls != NULL && !mg_sched_rebuilding(ls->sched)) {
+        mg_sched_locate(ls->sched, m->id, &addrs);
+        mg_msg rep = {.type = MG_MSG_LOCATE_REP};
+        rep.u.locate_rep.seq = m->seq;
+        rep.u.locate_rep.addrs = mg_str_buf(&addrs);
+        mg_entry_send(e, peer, &rep);
+    }
+    mg_buf_free(&addrs);
+}
+
 /* the scheduler held here that a message names by pool and epoch */
 static mg_local_sched *
 sched_for(mg_entry *e, mg_str pool, uint64_t epoch)
@@ -237,6 +254,9 @@
     case MG_MSG_ANNOUNCE:
         on_announce(e, peer, &m->u.announce);
         break;
+    case MG_MSG_LOCATE:
+        on_locate(e, peer, &m->u.locate);
+        break;
     case MG_MSG_TICKET:
         ls = sched_for(e, m->u.ticket.pool, m->u.ticket.epoch);
         if (ls != NULL) {
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -10,7 +10,7 @@
  * that holds its claim and has not dispatched; without the ledger's answer
  * an earlier attempt may have run it, and MG_RAN_UNKNOWN is said.
  */
-#include "entry/entry_int.h"
+#include "entry/request_int.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -27,7 +27,6 @@
 #define SERVICE_SILENCE_MS 60000
 #define RESUME_FOR_MS 6000
 #define RESUME_PAUSE_MS 200
-#define JOIN_RETRY_MS 300
 #define FINAL_WAIT_MS 3000
 #define KEEP_MS 600000
 #define KEPT_BYTES_MAX (8u << 20)
@@ -36,23 +35,20 @@
 #define SSE_TYPE "text/event-stream"
 #define SSE_END "data: [DONE]\n\n"
 
-static void send_ticket(mg_request *r);
-static void claim(mg_request *r);
-
 static int64_t
 now_of(const mg_request *r)
 {
     return mg_now(r->e->clock);
 }
 
-static bool
-keyed(const mg_request *r)
+bool
+mg_request_keyed(const mg_request *r)
 {
     return r->a.key[0] != '\0';
 }
 
-static mg_request *
-find_request(const mg_entry *e, uint64_t id)
+mg_request *
+mg_request_find(const mg_entry *e, uint64_t id)
 {
     mg_request *r;
     HASH_FIND(hh, e->requests, &id, sizeof(id), r);
@@ -70,11 +66,12 @@
     HASH_DEL(e->requests, r);
     mg_buf_free(&r->body);
     mg_buf_free(&r->answer);
+    free(r->addrs);
     free(r);
 }
 
-static void
-enter(mg_request *r, mg_request_state state)
+void
+mg_request_enter(mg_request *r, mg_request_state state)
 {
     bool timed = state != MG_REQ_KEPT;
     r->state = state;
@@ -122,8 +119,8 @@
              r->version);
 }
 
-static void
-reply_answer(mg_request *r)
+void
+mg_request_reply_answer(mg_request *r)
 {
     char extra[256];
     if (r->http == NULL) {
@@ -143,7 +140,7 @@
 reply_answered(mg_request *r)
 {
     uint64_t total = uv_hrtime() / 1000 - r->began_us;
-    if (!keyed(r) && r->status < 300) {
+    if (!mg_request_keyed(r) && r->status < 300) {
         mg_entry_credit(r->e, r->a.member);
     }
     mg_log(MG_EV_REQ_ANSWERED,
@@ -152,7 +149,7 @@
            r->id, r->a.workspace, r->a.pool, r->target, r->version, r->status,
            r->received, total);
     mg_count(MG_C_ANSWERED, 1);
-    reply_answer(r);
+    mg_request_reply_answer(r);
 }
 
 /* ---------------------------------------------------------- keeping answers */
@@ -172,28 +169,28 @@
 }
 
 /* the request is over; a keyed one stays for resends */
-static void
-end_request(mg_request *r)
+void
+mg_request_end(mg_request *r)
 {
     mg_entry *e = r->e;
     leave_caller(r);
     e->open_requests--;
-    if (!keyed(r)) {
+    if (!mg_request_keyed(r)) {
         free_request(r);
         return;
     }
     mg_buf_free(&r->body);
     r->kept_until_ms = now_of(r) + KEEP_MS;
     e->kept_bytes += r->answer.n + sizeof(*r);
-    enter(r, MG_REQ_KEPT);
+    mg_request_enter(r, MG_REQ_KEPT);
     forget_old_answers(e);
 }
 
 /* ---------------------------------------------------------- final records */
 
 /* tells the caller, once */
-static void
-reply_end(mg_request *r)
+void
+mg_request_reply_end(mg_request *r)
 {
     if (r->replied) {
         return;
@@ -207,11 +204,11 @@
     }
 }
 
-static void
-finish(mg_request *r)
+void
+mg_request_finish(mg_request *r)
 {
-    reply_end(r);
-    end_request(r);
+    mg_request_reply_end(r);
+    mg_request_end(r);
 }
 
 static void
@@ -220,7 +217,7 @@
     mg_request *r = user;
     (void)reply;
     r->call_seq = 0;
-    finish(r);
+    mg_request_finish(r);
 }
 
 static void
@@ -236,7 +233,7 @@
     m->type = MG_MSG_CMD_FINAL;
     m->u.cmd_final.workspace = mg_str_of(r->a.workspace);
     m->u.cmd_final.key = mg_str_of(r->a.key);
-    m->u.cmd_final.nonce = r->id;
+    m->u.cmd_final.nonce = r->nonce;
     m->u.cmd_final.ran = r->ran;
     m->u.cmd_final.status = (uint64_t)r->status;
     bool credited = r->ran == MG_RAN_YES && r->status < 300;
@@ -249,26 +246,31 @@
 }
 
 /* the outcome is known: record it, then answer */
-static void
-conclude(mg_request *r, mg_rc rc, mg_ran ran)
+void
+mg_request_conclude(mg_request *r, mg_rc rc, mg_ran ran)
 {
     r->rc = rc;
     r->ran = ran;
     if (!r->claimed) {
-        finish(r);
+        if (mg_request_keyed(r) && ran == MG_RAN_NO) {
+            mg_keyed_refuse(r);
+        }
+        else {
+            mg_request_finish(r);
+        }
         return;
     }
     mg_msg m;
     make_final(r, &m);
-    enter(r, MG_REQ_FINAL);
+    mg_request_enter(r, MG_REQ_FINAL);
     /* the record is sent until it is taken; the caller waits for a while */
     r->final_until_ms = now_of(r) + FINAL_WAIT_MS;
     r->call_seq = mg_clink_call(r->e->clink, &m, 0, final_recorded, r);
 }
 
 /* records the end of an attempt whose request is gone, without a deadline */
-static void
-release_claim(mg_request *r)
+void
+mg_request_release_claim(mg_request *r)
 {
     mg_msg m;
     r->ran = MG_RAN_NO;
@@ -278,8 +280,8 @@
 
 /* ----------------------------------------------------------------- tickets */
 
-static void
-tell_done(mg_request *r, mg_done_result result)
+void
+mg_request_tell_done(mg_request *r, mg_done_result result)
 {
     uint64_t now = uv_hrtime() / 1000;
     mg_msg m = {.type = MG_MSG_DONE};
@@ -334,22 +336,22 @@
     mg_pools_send(r->e, r->a.pool, &m);
 }
 
-static void
-wait_for_slot(mg_request *r)
+void
+mg_request_wait_for_slot(mg_request *r)
 {
-    enter(r, MG_REQ_WAITING);
+    mg_request_enter(r, MG_REQ_WAITING);
     send_ticket(r);
 }
 
 void
 mg_request_shed(mg_entry *e, const mg_shed_msg *m)
 {
-    mg_request *r = find_request(e, m->id);
+    mg_request *r = mg_request_find(e, m->id);
     if (r == NULL || r->state != MG_REQ_WAITING || r->attempt != m->attempt) {
         return;
     }
     r->retry_ms = (int64_t)m->retry_ms;
-    conclude(r, (mg_rc)m->rc, MG_RAN_NO);
+    mg_request_conclude(r, (mg_rc)m->rc, MG_RAN_NO);
 }
 
 bool
@@ -367,194 +369,17 @@
         return false;
     }
     tell_cancel(victim);
-    conclude(victim, MG_E_OVERLOAD, MG_RAN_NO);
+    mg_request_conclude(victim, MG_E_OVERLOAD, MG_RAN_NO);
     return true;
 }
 
-/* --------------------------------------------------------------- resending */
-
-static void
-ask_holder(mg_request *r)
-{
-    mg_msg m = {.type = MG_MSG_JOIN};
-    m.u.join.seq = r->id;
-    m.u.join.nonce = r->holder_nonce;
-    r->join_ms = now_of(r);
-    mg_entry_send(r->e, r->holder, &m);
-}
-
-/* the holder can't be asked any more: whether it ran is not known */
-static bool
-holder_is_lost(const mg_request *r)
-{
-    const mg_member *m = mg_view_member(r->e->view, r->holder);
-    return m == NULL || m->incarnation != r->holder_incarnation ||
-           m->draining >= 3;
-}
-
-static void
-join_holder(mg_request *r, const mg_claim_rep_msg *m)
-{
-    mg_str_copy(r->holder, sizeof(r->holder), m->holder);
-    r->holder_incarnation = m->incarnation;
-    r->holder_nonce = m->nonce;
-    enter(r, MG_REQ_JOINING);
-    ask_holder(r);
-}
-
-static void
-take_kept_answer(mg_request *r, uint64_t status, const char *type,
-                 mg_str body)
-{
-    r->status = (int)status;
-    mg_str_copy(r->type, sizeof(r->type), mg_str_of(type));
-    r->answer.n = 0;
-    mg_buf_put(&r->answer, body.p, body.n);
-    r->ran = MG_RAN_YES;
-    reply_answer(r);
-    end_request(r);
-}
-
-/* this attempt does not dispatch: the request's own fate is told */
-static void
-refuse_resend(mg_request *r, mg_rc rc, mg_ran ran)
-{
-    r->rc = rc;
-    r->ran = ran;
-    finish(r);
-}
-
-static void
-claim_settled(mg_request *r, const mg_claim_rep_msg *m)
-{
-    mg_claim_result result = (mg_claim_result)m->result;
-    if (result == MG_CLAIM_GRANTED) {
-        mg_log(MG_EV_REQ_CLAIMED, "id=%" PRIx64 " workspace=%s", r->id,
-               r->a.workspace);
-        r->claimed = true;
-        wait_for_slot(r);
-        return;
-    }
-    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " workspace=%s found=%s holder="
-           "%.*s",
-           r->id, r->a.workspace, mg_claim_result_name(result),
-           MG_STR_FMT(m->holder));
-    mg_count(MG_C_RESENDS, 1);
-    switch (result) {
-    case MG_CLAIM_RUNNING:
-        join_holder(r, m);
-        break;
-    case MG_CLAIM_ANSWERED:
-        if (m->answer.n > 0) {
-            take_kept_answer(r, m->status, "application/json", m->answer);
-        }
-        else {
-            join_holder(r, m);
-        }
-        break;
-    case MG_CLAIM_MISMATCH:
-        refuse_resend(r, MG_E_MISMATCH, MG_RAN_NO);
-        break;
-    case MG_CLAIM_FULL:
-        refuse_resend(r, MG_E_OVERLOAD, MG_RAN_NO);
-        break;
-    default:
-        refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
-    }
-}
-
-static void
-claim_answered(void *user, const mg_msg *reply)
-{
-    mg_request *r = user;
-    uint64_t waited = uv_hrtime() / 1000 - r->began_us;
-    mg_observe(MG_H_CLAIM_WAIT, (int64_t)waited);
-    r->call_seq = 0;
-    MG_INVARIANT(reply != NULL && reply->type == MG_MSG_CLAIM_REP);
-    if (r->state == MG_REQ_ABANDONED) {
-        if (reply->u.claim_rep.result == MG_CLAIM_GRANTED) {
-            release_claim(r);
-        }
-        r->rc = MG_E_DEADLINE;
-        r->ran = MG_RAN_UNKNOWN;
-        end_request(r);
-        return;
-    }
-    claim_settled(r, &reply->u.claim_rep);
-}
-
-static void
-claim(mg_request *r)
-{
-    mg_msg m = {.type = MG_MSG_CMD_CLAIM};
-    m.u.cmd_claim.workspace = mg_str_of(r->a.workspace);
-    m.u.cmd_claim.key = mg_str_of(r->a.key);
-    m.u.cmd_claim.digest = mg_str_of(r->a.digest);
-    m.u.cmd_claim.holder = mg_str_of(r->e->settings.node);
-    m.u.cmd_claim.incarnation = r->e->incarnation;
-    m.u.cmd_claim.nonce = r->id;
-    mg_count(MG_C_CLAIMS, 1);
-    enter(r, MG_REQ_CLAIMING);
-    r->call_seq = mg_clink_call(r->e->clink, &m, 0, claim_answered, r);
-}
-
-/* another entry asks for the answer of an attempt made here */
-void
-mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m)
-{
-    mg_msg rep = {.type = MG_MSG_JOIN_REP};
-    mg_join_rep_msg *p = &rep.u.join_rep;
-    mg_request *r = find_request(e, m->nonce);
-    p->seq = m->seq;
-    p->type = (mg_str){"", 0};
-    p->body = (mg_str){"", 0};
-    p->rc = MG_E_IN_PROGRESS;
-    p->ran = MG_RAN_UNKNOWN;
-    if (r == NULL) {
-        p->rc = MG_E_UNKNOWN;
-    }
-    else if (r->state == MG_REQ_KEPT) {
-        p->rc = r->ran == MG_RAN_YES ? MG_OK : MG_E_UNKNOWN;
-        p->ran = r->ran;
-        p->status = (uint64_t)r->status;
-        p->type = mg_str_of(r->type);
-        p->body = mg_str_buf(&r->answer);
-        if (r->ran == MG_RAN_YES && r->answer.n != r->received) {
-            p->rc = MG_E_UNKNOWN; /* answered, but too long to be kept */
-        }
-    }
-    mg_entry_send(e, peer, &rep);
-}
-
-void
-mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m)
-{
-    mg_request *r = find_request(e, m->seq);
-    if (r == NULL || r->state != MG_REQ_JOINING ||
-        m->rc == MG_E_IN_PROGRESS) {
-        return;
-    }
-    if (m->rc == MG_OK) {
-        char type[MG_NAME_SIZE];
-        mg_str_copy(type, sizeof(type), m->type);
-        take_kept_answer(r, m->status, type, m->body);
-    }
-    else if (m->ran == MG_RAN_NO) {
-        /* the other attempt has released it */
-        claim(r);
-    }
-    else {
-        refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
-    }
-}
-
 /* ---------------------------------------------------------------- dispatch */
 
 static void
 ungrant(mg_request *r, mg_done_result result)
 {
-    tell_done(r, result);
-    wait_for_slot(r);
+    mg_request_tell_done(r, result);
+    mg_request_wait_for_slot(r);
 }
 
 /* everything that allows this write, checked right before it */
@@ -570,7 +395,7 @@
     if (mg_pools_epoch(r->e, r->a.pool) != r->pool_epoch) {
         return "other_scheduler";
     }
-    if (keyed(r) && !r->claimed) {
+    if (mg_request_keyed(r) && !r->claimed) {
         return "no_claim";
     }
     return NULL;
@@ -580,8 +405,8 @@
 on_connected(void *user)
 {
     mg_request *r = user;
-    if (r->dispatched) {
-        return true; /* a resume reads only */
+    if (r->resuming) {
+        return true; /* reads only */
     }
     const char *why = why_not_dispatch(r);
     if (why != NULL) {
@@ -662,7 +487,7 @@
     keep_tail(r, data);
     r->events += count_events(data);
     bool stream = r->a.stream && r->status == 200;
-    if (!stream || (keyed(r) && r->received <= ANSWER_MAX)) {
+    if (!stream || (mg_request_keyed(r) && r->received <= ANSWER_MAX)) {
         mg_buf_put(&r->answer, data.p, data.n);
     }
     if (!stream || r->http == NULL) {
@@ -692,8 +517,13 @@
            " why=%s",
            r->id, r->a.workspace, r->target, r->received, why);
     mg_count(MG_C_CUT, 1);
-    tell_done(r, MG_DONE_CUT);
-    conclude(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+    if (r->nonce != r->id) {
+        /* another attempt's answer: its end is not this one's to record */
+        mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
+        return;
+    }
+    mg_request_tell_done(r, MG_DONE_CUT);
+    mg_request_conclude(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
 }
 
 /* reads on from the offset, over a new connection */
@@ -703,6 +533,10 @@
     int64_t now = now_of(r);
     bool may = r->a.engine && !r->resume_refused &&
                now < r->resume_until_ms;
+    if (r->next_addr != NULL && r->received == 0) {
+        mg_keyed_read_next(r);
+        return;
+    }
     if (!may) {
         answer_cut(r, why);
         return;
@@ -731,8 +565,8 @@
         ungrant(r, MG_DONE_UNREACHED);
         return;
     }
-    tell_done(r, r->status < 500 ? MG_DONE_OK : MG_DONE_FAILED);
-    conclude(r, MG_OK, MG_RAN_YES);
+    mg_request_tell_done(r, r->status < 500 ? MG_DONE_OK : MG_DONE_FAILED);
+    mg_request_conclude(r, MG_OK, MG_RAN_YES);
 }
 
 static void
@@ -761,15 +595,15 @@
     }
 }
 
-static void
-start_call(mg_request *r, bool resume)
+void
+mg_request_start_call(mg_request *r, bool resume)
 {
     char path[MG_TEXT_SIZE];
     char extra[512];
     if (resume) {
         snprintf(path, sizeof(path), "/v1/streams/%" PRIx64
                  "?offset=%" PRIu64,
-                 r->id, r->received);
+                 r->nonce, r->received);
     }
     else {
         snprintf(path, sizeof(path), "%s", r->a.path);
@@ -777,8 +611,8 @@
     snprintf(extra, sizeof(extra),
              "content-type: application/json\r\nx-request-id: %" PRIx64
              "\r\nx-target-epoch: %" PRIu64 "\r\n%s%.200s%s",
-             r->id, r->target_epoch, keyed(r) ? "idempotency-key: " : "",
-             r->a.key, keyed(r) ? "\r\n" : "");
+             r->id, r->target_epoch, mg_request_keyed(r) ? "idempotency-key: " : "",
+             r->a.key, mg_request_keyed(r) ? "\r\n" : "");
     mg_http_call *call = mg_http_call_new(&(mg_http_call_options){
         .loop = r->e->loop,
         .addr = r->target_addr,
@@ -799,10 +633,17 @@
     }
 }
 
+void
+mg_request_connect(mg_request *r)
+{
+    mg_request_enter(r, MG_REQ_CONNECTING);
+    mg_request_start_call(r, false);
+}
+
 void
 mg_request_grant(mg_entry *e, const mg_grant_msg *m)
 {
-    mg_request *r = find_request(e, m->id);
+    mg_request *r = mg_request_find(e, m->id);
     if (r == NULL || r->state != MG_REQ_WAITING ||
         r->attempt != m->attempt || m->epoch != r->pool_epoch) {
         return;
@@ -815,8 +656,12 @@
     r->target_epoch = m->target_epoch;
     r->grant_until_ms = now_of(r) + (int64_t)m->valid_ms;
     r->resume_until_ms = now_of(r) + RESUME_FOR_MS;
-    enter(r, MG_REQ_CONNECTING);
-    start_call(r, false);
+    if (mg_request_keyed(r) && !r->claimed) {
+        mg_keyed_claim(r);
+    }
+    else {
+        mg_request_connect(r);
+    }
 }
 
 /* -------------------------------------------------------- departing callers */
@@ -874,9 +719,9 @@
     if (r->dispatched && r->a.engine) {
         cancel_at_target(r);
     }
-    tell_done(r, r->dispatched ? MG_DONE_CANCELLED : MG_DONE_NOT_DISPATCHED);
+    mg_request_tell_done(r, r->dispatched ? MG_DONE_CANCELLED : MG_DONE_NOT_DISPATCHED);
     r->rc = MG_E_CLOSED;
-    end_request(r);
+    mg_request_end(r);
 }
 
 static void
@@ -890,22 +735,23 @@
     switch (r->state) {
     case MG_REQ_WAITING:
         tell_cancel(r);
-        conclude(r, MG_E_CLOSED, MG_RAN_NO);
+        mg_request_conclude(r, MG_E_CLOSED, MG_RAN_NO);
         break;
-    case MG_REQ_JOINING:
-        r->ran = MG_RAN_UNKNOWN;
-        end_request(r);
+    case MG_REQ_ASKING:
+        mg_keyed_stop_asking(r);
         break;
-    case MG_REQ_CLAIMING:
-        enter(r, MG_REQ_ABANDONED);
+    case MG_REQ_JOINING:
+        mg_keyed_refuse_resend(r, MG_E_CLOSED, MG_RAN_UNKNOWN);
         break;
     case MG_REQ_CONNECTING:
     case MG_REQ_RUNNING:
         /* a keyed request goes on: its caller may ask for the answer again */
-        if (!keyed(r)) {
+        if (!mg_request_keyed(r)) {
             cancel_running(r);
         }
         break;
+    case MG_REQ_CLAIMING:
+    case MG_REQ_REFUSING:
     case MG_REQ_FINAL:
     case MG_REQ_KEPT:
     case MG_REQ_ABANDONED:
@@ -919,19 +765,19 @@
 refuse_late(mg_request *r)
 {
     switch (r->state) {
-    case MG_REQ_CLAIMING:
+    case MG_REQ_ASKING:
         /* without the ledger's word an earlier attempt may have run */
-        r->rc = MG_E_DEADLINE;
-        r->ran = MG_RAN_UNKNOWN;
-        reply_refusal(r);
-        enter(r, MG_REQ_ABANDONED);
+        mg_keyed_stop_asking(r);
+        break;
+    case MG_REQ_CLAIMING:
+        mg_keyed_abandon(r);
         break;
     case MG_REQ_JOINING:
-        refuse_resend(r, MG_E_IN_PROGRESS, MG_RAN_UNKNOWN);
+        mg_keyed_refuse_resend(r, MG_E_IN_PROGRESS, MG_RAN_UNKNOWN);
         break;
     case MG_REQ_WAITING:
         tell_cancel(r);
-        conclude(r, MG_E_DEADLINE, MG_RAN_NO);
+        mg_request_conclude(r, MG_E_DEADLINE, MG_RAN_NO);
         break;
     default:
         break;
@@ -943,28 +789,23 @@
 {
     if (r->resume_at_ms != 0 && now >= r->resume_at_ms) {
         r->resume_at_ms = 0;
-        start_call(r, true);
+        mg_request_start_call(r, true);
     }
-    else if (now >= r->a.deadline_ms &&
-             (r->state == MG_REQ_CLAIMING || r->state == MG_REQ_JOINING ||
-              r->state == MG_REQ_WAITING)) {
+    else if (now >= r->a.deadline_ms && r->state < MG_REQ_CONNECTING) {
         refuse_late(r);
     }
+    else if (r->state == MG_REQ_CLAIMING && now >= r->grant_until_ms) {
+        mg_keyed_give_up_slot(r);
+    }
     else if (r->state == MG_REQ_FINAL && now >= r->final_until_ms) {
-        reply_end(r);
+        mg_request_reply_end(r);
     }
     else if (r->state == MG_REQ_WAITING &&
              now - r->ticket_ms >= TICKET_RESEND_MS) {
         send_ticket(r);
     }
-    else if (r->state == MG_REQ_JOINING &&
-             now - r->join_ms >= JOIN_RETRY_MS) {
-        if (holder_is_lost(r)) {
-            refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
-        }
-        else {
-            ask_holder(r);
-        }
+    else if (r->state == MG_REQ_JOINING) {
+        mg_keyed_tick_join(r, now);
     }
     else if (r->http != NULL && mg_http_unsent(r->http) > UNSENT_MAX) {
         mg_http_req *http = r->http;
@@ -1054,6 +895,7 @@
     mg_request *r = mg_alloc(sizeof(*r));
     r->e = e;
     r->id = mg_random_id();
+    r->nonce = r->id;
     r->http = http;
     r->a = *a;
     r->began_us = uv_hrtime() / 1000;
@@ -1067,11 +909,11 @@
            "id=%" PRIx64 " workspace=%s pool=%s tier=%u prefill=%u decode=%u "
            "keyed=%d left_ms=%" PRId64,
            r->id, a->workspace, a->pool, a->tier, a->prefill, a->decode,
-           keyed(r), a->deadline_ms - now_of(r));
-    if (keyed(r)) {
-        claim(r);
+           mg_request_keyed(r), a->deadline_ms - now_of(r));
+    if (mg_request_keyed(r)) {
+        mg_keyed_ask(r);
     }
     else {
-        wait_for_slot(r);
+        mg_request_wait_for_slot(r);
     }
 }
--- a/src/ledger/claims.c
+++ b/src/ledger/claims.c
@@ -24,6 +24,7 @@
     char *holder;
     uint64_t incarnation;
     uint64_t nonce;
+    uint64_t gen;
     claim_state state;
     uint64_t status;
     mg_buf answer;
@@ -74,7 +75,7 @@
 }
 
 static struct claim *
-find(mg_claims *c, mg_str workspace, mg_str key)
+find(const mg_claims *c, mg_str workspace, mg_str key)
 {
     mg_buf id = {0};
     struct claim *cl;
@@ -143,6 +144,18 @@
     return MG_CLAIM_RELEASED;
 }
 
+static void
+fill_reply(const struct claim *cl, uint64_t nonce, mg_claim_reply *reply)
+{
+    reply->result = state_result(cl, nonce);
+    reply->holder = mg_str_of(cl->holder);
+    reply->incarnation = cl->incarnation;
+    reply->nonce = cl->nonce;
+    reply->gen = cl->gen;
+    reply->status = cl->status;
+    reply->answer = mg_str_buf(&cl->answer);
+}
+
 void
 mg_claims_claim(mg_claims *c, const mg_cmd_claim_msg *cmd,
                 mg_claim_reply *reply)
@@ -161,15 +174,50 @@
         reply->result = MG_CLAIM_MISMATCH;
         return;
     }
-    else if (cl->state == STATE_RELEASED && cl->nonce != cmd->nonce) {
+    else if (cl->state == STATE_RELEASED && cl->nonce != cmd->nonce &&
+             cmd->gen >= cl->gen) {
         hold(cl, cmd->holder, cmd->incarnation, cmd->nonce);
     }
-    reply->result = state_result(cl, cmd->nonce);
-    reply->holder = mg_str_of(cl->holder);
-    reply->incarnation = cl->incarnation;
-    reply->nonce = cl->nonce;
-    reply->status = cl->status;
-    reply->answer = mg_str_buf(&cl->answer);
+    fill_reply(cl, cmd->nonce, reply);
+}
+
+void
+mg_claims_peek(const mg_claims *c, const mg_cmd_claim_msg *cmd,
+               mg_claim_reply *reply)
+{
+    *reply = (mg_claim_reply){.result = MG_CLAIM_RELEASED};
+    const struct claim *cl = find(c, cmd->workspace, cmd->key);
+    if (cl == NULL) {
+        return;
+    }
+    if (mg_str_eq(mg_str_of(cl->digest), cmd->digest)) {
+        fill_reply(cl, cmd->nonce, reply);
+    }
+    else {
+        reply->result = MG_CLAIM_MISMATCH;
+    }
+}
+
+void
+mg_claims_refuse(mg_claims *c, const mg_cmd_refuse_msg *cmd,
+                 mg_claim_reply *reply)
+{
+    *reply = (mg_claim_reply){.result = MG_CLAIM_FULL};
+    struct claim *cl = find(c, cmd->workspace, cmd->key);
+    if (cl == NULL) {
+        if (!make_room(c)) {
+            return;
+        }
+        cl = insert(c, cmd->workspace, cmd->key, cmd->digest);
+    }
+    else if (!mg_str_eq(mg_str_of(cl->digest), cmd->digest)) {
+        reply->result = MG_CLAIM_MISMATCH;
+        return;
+    }
+    if (cl->state == STATE_RELEASED && cmd->gen >= cl->gen) {
+        cl->gen = cmd->gen + 1;
+    }
+    fill_reply(cl, 0, reply);
 }
 
 static claim_state
@@ -202,6 +250,7 @@
     }
     cl->state = to;
     cl->status = cmd->status;
+    cl->gen += to == STATE_RELEASED;
     if (to == STATE_ANSWERED) {
         *first = true;
         if (cmd->answer.n <= MG_CLAIM_ANSWER_MAX) {
@@ -240,6 +289,7 @@
         s->holder = mg_str_of(cl->holder);
         s->incarnation = cl->incarnation;
         s->nonce = cl->nonce;
+        s->gen = cl->gen;
         s->state = cl->state;
         s->status = cl->status;
         s->answer = mg_str_buf(&cl->answer);
@@ -253,6 +303,7 @@
     struct claim *cl = insert(c, m->workspace, m->key, m->digest);
     hold(cl, m->holder, m->incarnation, m->nonce);
     cl->state = (claim_state)m->state;
+    cl->gen = m->gen;
     cl->status = m->status;
     mg_buf_put(&cl->answer, m->answer.p, m->answer.n);
 }
--- a/src/ledger/claims.h
+++ b/src/ledger/claims.h
@@ -1,21 +1,26 @@
 /*
  * claims - which attempt may dispatch a keyed request
  *
- * A request is named by (workspace, idempotency key). Before an entry
+ * A request is named by (workspace, idempotency key). Right before an entry
  * dispatches it, an attempt (a random nonce) claims it in the replicated
- * log; this table is what the log amounts to, and each call is one
+ * log; this table is what the log amounts to, and each call but peek is one
  * committed command.
  *
  * States of a request:
  *
- *     (none) --claim--> HELD --final yes-----> ANSWERED
- *                         |----final unknown-> UNKNOWN
- *                         `----final no------> RELEASED --claim--> HELD
+ *     (none), RELEASED --claim---> HELD --final yes-----> ANSWERED
+ *        |        ^                 |-----final unknown-> UNKNOWN
+ *        `-refuse-+--<--final no----'
+ *
+ * Each refusal and each release begins a new generation. An attempt learns
+ * the generation when it begins (peek) and may claim in that one only: so
+ * once a caller was told "did not run", no attempt of before still runs it.
  *
  * What always holds:
  *  - at most one attempt holds a request at a time, and an attempt that has
  *    released it never holds it again;
  *  - once ANSWERED or UNKNOWN no attempt is granted any more;
+ *  - after a refusal, only an attempt that began later is granted;
  *  - no clock is read: a claim does not expire.
  * An entry dispatches only under a granted claim and at most once for each
  * attempt, and it finalises "no" only for an attempt that it has not
@@ -38,7 +43,7 @@
     MG_CLAIM_ANSWERED, /* status, and the answer when it was kept */
     MG_CLAIM_UNKNOWN,  /* was dispatched, outcome unknown */
     MG_CLAIM_MISMATCH, /* the key was used for a different request */
-    MG_CLAIM_RELEASED, /* this attempt has released it */
+    MG_CLAIM_RELEASED, /* nobody holds it, and it never ran */
     MG_CLAIM_FULL,     /* no room: too many unfinished requests */
 } mg_claim_result;
 
@@ -48,6 +53,7 @@
     mg_str holder;
     uint64_t incarnation;
     uint64_t nonce;
+    uint64_t gen;
     uint64_t status;
     mg_str answer;
 } mg_claim_reply;
@@ -59,6 +65,16 @@
 
 void mg_claims_claim(mg_claims *c, const mg_cmd_claim_msg *cmd,
                      mg_claim_reply *reply);
+/* What a claim would find; changes nothing. */
+void mg_claims_peek(const mg_claims *c, const mg_cmd_claim_msg *cmd,
+                    mg_claim_reply *reply);
+/*
+ * Makes "did not run" final: MG_CLAIM_RELEASED when no attempt holds or has
+ * run the request, and then none that began before may. Else what a claim
+ * would find.
+ */
+void mg_claims_refuse(mg_claims *c, const mg_cmd_refuse_msg *cmd,
+                      mg_claim_reply *reply);
 /*
  * Ends an attempt. MG_OK also when the same end was recorded before;
  * MG_E_NOT_FOUND or MG_E_MISMATCH when this attempt holds nothing.
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -185,7 +185,7 @@
 }
 
 static mg_slot *
-find_slot(mg_sched *s, uint64_t id)
+find_slot(const mg_sched *s, uint64_t id)
 {
     mg_slot *slot;
     HASH_FIND(hh, s->slots, &id, sizeof(id), slot);
@@ -893,6 +893,22 @@
     shed_hopeless(s);
 }
 
+void
+mg_sched_locate(const mg_sched *s, uint64_t id, mg_buf *out)
+{
+    const mg_slot *slot = find_slot(s, id);
+    if (slot != NULL) {
+        mg_buf_printf(out, "%s", slot->target->addr);
+        return;
+    }
+    list_for_each(el, &s->targets) {
+        const mg_target *t = list_entry(el, mg_target, link);
+        if (t->addr[0] != '\0') {
+            mg_buf_printf(out, "%s%s", out->n ? "," : "", t->addr);
+        }
+    }
+}
+
 const char *
 mg_sched_pool(const mg_sched *s)
 {
--- a/src/policy/sched.h
+++ b/src/policy/sched.h
@@ -82,6 +82,11 @@
 void mg_sched_entry_gone(mg_sched *s, const char *entry);
 /* MG_E_STALE for an epoch below the known one. */
 mg_rc mg_sched_announce(mg_sched *s, const mg_announce_msg *m);
+/*
+ * Addresses, by commas, of the targets where a request may run: the one that
+ * it was granted, else all that are known.
+ */
+void mg_sched_locate(const mg_sched *s, uint64_t id, mg_buf *out);
 /* Expiry, shedding and grants. Called after input and every few ms. */
 void mg_sched_run(mg_sched *s);
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -45,7 +45,9 @@
     F(U64, guard_epoch) F(BIN, value)
 #define MG_FIELDS_CMD_CLAIM(F) \
     F(STR, workspace) F(STR, key) F(STR, digest) F(STR, holder) \
-    F(U64, incarnation) F(U64, nonce)
+    F(U64, incarnation) F(U64, nonce) F(U64, gen)
+#define MG_FIELDS_CMD_REFUSE(F) \
+    F(STR, workspace) F(STR, key) F(STR, digest) F(U64, gen)
 #define MG_FIELDS_CMD_FINAL(F) \
     F(STR, workspace) F(STR, key) F(U64, nonce) F(U64, ran) F(U64, status) \
     F(STR, member) F(BIN, answer)
@@ -75,7 +77,8 @@
 #define MG_FIELDS_SNAP_HEAD(F) F(U64, rev) F(U64, claim_order)
 #define MG_FIELDS_SNAP_CLAIM(F) \
     F(STR, workspace) F(STR, key) F(STR, digest) F(STR, holder) \
-    F(U64, incarnation) F(U64, nonce) F(U64, state) F(U64, status) \
+    F(U64, incarnation) F(U64, nonce) F(U64, gen) F(U64, state) \
+    F(U64, status) \
     F(BIN, answer)
 #define MG_FIELDS_SNAP_CREDIT(F) F(STR, member) F(U64, count)
 #define MG_FIELDS_SNAP_BATCH(F) F(STR, holder) F(U64, incarnation) F(U64, seq)
@@ -89,9 +92,10 @@
     F(BIN, records)
 #define MG_FIELDS_NOT_LEADER(F) F(U64, seq) F(STR, leader)
 #define MG_FIELDS_CLAIM(F) F(U64, seq) F(BIN, command)
+#define MG_FIELDS_PEEK(F) F(U64, seq) F(BIN, command)
 #define MG_FIELDS_CLAIM_REP(F) \
     F(U64, seq) F(U64, result) F(STR, holder) F(U64, incarnation) \
-    F(U64, nonce) F(U64, status) F(BIN, answer)
+    F(U64, nonce) F(U64, gen) F(U64, status) F(BIN, answer)
 #define MG_FIELDS_PROPOSE(F) F(U64, seq) F(BIN, command)
 #define MG_FIELDS_PROPOSE_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
 #define MG_FIELDS_OPERATOR(F) \
@@ -134,6 +138,10 @@
     F(U64, seq) F(U64, rc) F(U64, ran) F(U64, status) F(STR, type) \
     F(BIN, body)
 
+/* targets where a request of a lost entry may run; addresses by commas */
+#define MG_FIELDS_LOCATE(F) F(U64, seq) F(STR, pool) F(U64, id)
+#define MG_FIELDS_LOCATE_REP(F) F(U64, seq) F(STR, addrs)
+
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
     M(1, HELLO, hello) \
@@ -153,6 +161,7 @@
     M(25, CMD_CREDITS, cmd_credits) \
     M(26, CMD_READMIT, cmd_readmit) \
     M(27, CREDIT, credit) \
+    M(28, CMD_REFUSE, cmd_refuse) \
     M(30, RECORD, record) \
     M(31, REC_SECTION, rec_section) \
     M(32, SECTION_VERSION, section_version) \
@@ -175,6 +184,7 @@
     M(58, OPERATOR_REP, operator_rep) \
     M(59, FRESH_REQ, fresh_req) \
     M(60, FRESH_REP, fresh_rep) \
+    M(61, PEEK, peek) \
     M(70, ANNOUNCE, announce) \
     M(71, ANNOUNCE_REP, announce_rep) \
     M(72, TICKET, ticket) \
@@ -184,8 +194,10 @@
     M(76, GRANT, grant) \
     M(77, SHED, shed) \
     M(78, DONE, done) \
+    M(79, LOCATE, locate) \
     M(80, JOIN, join) \
-    M(81, JOIN_REP, join_rep)
+    M(81, JOIN_REP, join_rep) \
+    M(82, LOCATE_REP, locate_rep)
 
 typedef enum mg_msg_type {
 #define M(number, NAME, name) MG_MSG_##NAME = number,
