Demo, load tool, relay; an answer that ends by closing is not taken for whole

Cause: the demo's second load (entry killed under streams) gave an answer cut after 3 of 7 tokens as whole: libh2o's client reports the end of a chunked body also when the peer closes between two chunks. Ruled out: the resume by offset, the kept answers, the engine. Change: the call does not ask to close; when the peer has closed at the end of a chunked body the end is MG_HTTP_CLOSED, and its contents must prove it whole (closing event, or JSON that parses). A stream that is given up ends with an error event that says whether it ran.

--- /dev/null
+++ b/bench/load.c
@@ -0,0 +1,563 @@
+/*
+ * marigold-load - sends a seeded workload and says what became of it
+ *
+ * It behaves as a careful caller: it asks the entries which addresses to
+ * use, keeps that answer for its time, sends a keyed request again under the
+ * same key when it got no outcome, and one without a key only when nothing
+ * of it was sent. Each answer is checked against the request: the fake
+ * engine's text is a function of the prompt.
+ *
+ * Exit code: 0, or 1 when an answer was missing, cut or another request's.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <jansson.h>
+#include <uv.h>
+
+#include "base/list.h"
+#include "report.h"
+#include "wire/http.h"
+#include "workload.h"
+
+#define ADDRS_MAX 64
+#define ATTEMPTS_MAX 40
+#define RETRY_MS 150
+#define GRACE_MS 8000
+#define TICK_MS 5
+
+/* one caller's request */
+struct job {
+    struct list_head link; /* retrying */
+    mg_arrival a;
+    char key[64];
+    mg_buf body;
+    uint64_t expected; /* hash of the prompt */
+    uint64_t body_hash;
+    int attempts;
+    int64_t retry_at;
+    int64_t deadline_at;
+    uint64_t began_us;
+    uint64_t first_us;
+    uint64_t last_us;
+    int status;
+    bool sent; /* by any attempt */
+    mg_buf answer;
+    mg_http_call *call;
+};
+
+static struct {
+    uv_loop_t *loop;
+    uv_timer_t timer;
+    mg_workload *workload;
+    mg_workload_options wopts;
+    mg_report report;
+    mg_arrival next;
+    bool more;
+    int64_t start_ms;
+    size_t open;
+    struct list_head retrying;
+    char *seeds[ADDRS_MAX];
+    int seed_count;
+    char addrs[ADDRS_MAX][64];
+    int addr_count;
+    int64_t addrs_until;
+    bool asking;
+    int ask_index;
+    mg_buf ask_answer;
+    int ask_status;
+    uint32_t turn;
+    FILE *results;
+    bool verbose;
+} g;
+
+static int64_t
+now_ms(void)
+{
+    return mg_now(mg_system_clock());
+}
+
+/* ------------------------------------------------------------ addresses */
+
+static void
+on_addrs_head(void *user, int status, mg_str type, bool not_run)
+{
+    (void)user;
+    (void)type;
+    (void)not_run;
+    g.ask_status = status;
+}
+
+static void
+on_addrs_data(void *user, mg_str data)
+{
+    (void)user;
+    mg_buf_put(&g.ask_answer, data.p, data.n);
+}
+
+static void
+take_addrs(void)
+{
+    json_t *j = json_loadb(g.ask_answer.p, g.ask_answer.n, 0, NULL);
+    json_t *list = json_object_get(j, "entries");
+    size_t i;
+    json_t *e;
+    if (json_array_size(list) > 0) {
+        g.addr_count = 0;
+    }
+    json_array_foreach (list, i, e) {
+        const char *addr = json_string_value(json_object_get(e, "addr"));
+        if (addr != NULL && g.addr_count < ADDRS_MAX) {
+            snprintf(g.addrs[g.addr_count++], sizeof(g.addrs[0]), "%s", addr);
+        }
+    }
+    g.addrs_until =
+        now_ms() + json_integer_value(json_object_get(j, "ttl_ms"));
+    json_decref(j);
+}
+
+static void
+on_addrs_end(void *user, mg_http_end end, const char *why)
+{
+    (void)user;
+    (void)why;
+    g.asking = false;
+    if (end == MG_HTTP_WHOLE && g.ask_status == 200) {
+        take_addrs();
+    }
+    else {
+        g.addrs_until = now_ms() + 50;
+    }
+    g.ask_index++;
+}
+
+static void
+refresh_addrs(void)
+{
+    if (g.asking || now_ms() < g.addrs_until) {
+        return;
+    }
+    g.asking = true;
+    g.ask_answer.n = 0;
+    g.ask_status = 0;
+    mg_http_call_new(&(mg_http_call_options){
+        .loop = g.loop,
+        .addr = g.seeds[g.ask_index % g.seed_count],
+        .method = "GET",
+        .path = "/v1/entries",
+        .connect_ms = 300,
+        .silence_ms = 1000,
+        .on_head = on_addrs_head,
+        .on_data = on_addrs_data,
+        .on_end = on_addrs_end,
+    });
+}
+
+/* ----------------------------------------------------------------- ends */
+
+static void
+finish(struct job *j, mg_result result)
+{
+    uint64_t now = uv_hrtime() / 1000;
+    mg_tier_report *t = &g.report.tiers[j->a.caller->tier];
+    bool whole = result == MG_RESULT_GOOD || result == MG_RESULT_LATE;
+    t->results[result]++;
+    if (whole && !j->a.service) {
+        mg_histogram_add(&t->total_us, (int64_t)(now - j->began_us));
+        if (j->a.stream && j->first_us != 0) {
+            mg_histogram_add(&t->first_us,
+                             (int64_t)(j->first_us - j->began_us));
+            if (j->a.decode > 1) {
+                mg_histogram_add(&t->gap_us,
+                                 (int64_t)((j->last_us - j->first_us) /
+                                           (j->a.decode - 1)));
+            }
+        }
+    }
+    if (g.results != NULL) {
+        fprintf(g.results, "%016" PRIx64 " %s %u %s %d %d\n", j->body_hash,
+                j->key[0] ? j->key : "-", j->a.caller->tier,
+                mg_result_name(result), j->attempts, j->status);
+    }
+    if (g.verbose) {
+        printf("%u tier=%u workspace=%s %s status=%d bytes=%zu\n",
+               j->a.number, j->a.caller->tier, j->a.caller->workspace,
+               mg_result_name(result), j->status, j->answer.n);
+    }
+    mg_buf_free(&j->body);
+    mg_buf_free(&j->answer);
+    free(j);
+    g.open--;
+}
+
+static void
+retry(struct job *j)
+{
+    j->retry_at = now_ms() + RETRY_MS;
+    j->answer.n = 0;
+    j->first_us = 0;
+    list_add_tail(&j->link, &g.retrying);
+}
+
+/* words of the fake engine, in order, with the prompt's own hash */
+static bool
+text_is_own(const struct job *j)
+{
+    mg_buf answer = {0};
+    mg_buf_put(&answer, j->answer.p, j->answer.n);
+    mg_buf_put(&answer, "", 1);
+    char *at = answer.p;
+    bool own = true;
+    for (uint32_t i = 0; i < j->a.decode && own; i++) {
+        char word[64];
+        snprintf(word, sizeof(word), "w%u-%08x ", i, (unsigned)j->expected);
+        at = strstr(at, word);
+        own = at != NULL;
+    }
+    mg_buf_free(&answer);
+    return own;
+}
+
+static bool
+refusal(const struct job *j, char *ran, size_t size)
+{
+    json_t *t = json_loadb(j->answer.p ? j->answer.p : "", j->answer.n, 0,
+                           NULL);
+    json_t *e = json_object_get(t, "error");
+    const char *r = json_string_value(json_object_get(e, "ran"));
+    bool found = r != NULL;
+    snprintf(ran, size, "%s", found ? r : "");
+    json_decref(t);
+    return found;
+}
+
+static bool
+may_retry(const struct job *j)
+{
+    return j->attempts < ATTEMPTS_MAX &&
+           now_ms() < j->deadline_at + GRACE_MS;
+}
+
+static void
+whole_answer(struct job *j)
+{
+    char ran[16];
+    if (j->status == 200) {
+        bool own = j->a.service || text_is_own(j);
+        bool late = now_ms() > j->deadline_at;
+        if (!own) {
+            fprintf(stderr, "wrong answer: request %u key %s decode %u "
+                    "attempts %d: %.*s\n",
+                    j->a.number, j->key, j->a.decode, j->attempts,
+                    (int)(j->answer.n < 400 ? j->answer.n : 400),
+                    j->answer.p);
+        }
+        finish(j, !own    ? MG_RESULT_WRONG
+                  : late ? MG_RESULT_LATE
+                         : MG_RESULT_GOOD);
+        return;
+    }
+    if (!refusal(j, ran, sizeof(ran))) {
+        finish(j, MG_RESULT_FAILED);
+        return;
+    }
+    bool again = j->status == 503 || j->status == 502 || j->status == 409;
+    if (strcmp(ran, "no") == 0) {
+        /* it did not run: another entry may take it */
+        if (j->status == 503 && now_ms() < j->deadline_at && may_retry(j)) {
+            retry(j);
+            return;
+        }
+        finish(j, MG_RESULT_REFUSED);
+    }
+    else if (j->a.keyed && again && j->attempts < 3 && may_retry(j)) {
+        retry(j);
+    }
+    else {
+        finish(j, MG_RESULT_UNKNOWN);
+    }
+}
+
+/* the stream's own word on how it ended */
+static bool
+has_error_event(struct job *j)
+{
+    mg_buf_put(&j->answer, "", 1);
+    j->answer.n--;
+    return j->a.stream &&
+           strstr(j->answer.p, "event: error\n") != NULL;
+}
+
+static void
+on_end(void *user, mg_http_end end, const char *why)
+{
+    struct job *j = user;
+    (void)why;
+    j->call = NULL;
+    bool framed = end == MG_HTTP_WHOLE ||
+                  (end == MG_HTTP_CLOSED && !j->a.service &&
+                   text_is_own(j));
+    if (framed) {
+        whole_answer(j);
+    }
+    else if (has_error_event(j)) {
+        finish(j, MG_RESULT_UNKNOWN);
+    }
+    else if ((end == MG_HTTP_NOT_SENT || j->a.keyed) && may_retry(j)) {
+        retry(j);
+    }
+    else if (end == MG_HTTP_NOT_SENT && !j->sent) {
+        finish(j, MG_RESULT_MISSING);
+    }
+    else {
+        finish(j, MG_RESULT_CUT);
+    }
+}
+
+/* ------------------------------------------------------------- requests */
+
+static bool
+on_connected(void *user)
+{
+    ((struct job *)user)->sent = true;
+    return true;
+}
+
+static void
+on_head(void *user, int status, mg_str type, bool not_run)
+{
+    (void)type;
+    (void)not_run;
+    ((struct job *)user)->status = status;
+}
+
+static void
+on_data(void *user, mg_str data)
+{
+    struct job *j = user;
+    uint64_t now = uv_hrtime() / 1000;
+    if (j->first_us == 0) {
+        j->first_us = now;
+    }
+    j->last_us = now;
+    mg_buf_put(&j->answer, data.p, data.n);
+}
+
+static void
+send_job(struct job *j)
+{
+    char extra[512];
+    char path[128] = "/v1/chat/completions";
+    if (g.addr_count == 0) {
+        retry(j);
+        return;
+    }
+    if (j->a.service) {
+        snprintf(path, sizeof(path), "/v1/services/%s/order",
+                 g.wopts.profile->service);
+    }
+    int64_t left = j->deadline_at - now_ms();
+    snprintf(extra, sizeof(extra),
+             "content-type: application/json\r\n"
+             "authorization: Bearer demo-key-%s\r\n"
+             "x-deadline-ms: %" PRId64 "\r\n%s%s%s",
+             j->a.caller->workspace, left > 500 ? left : 500,
+             j->key[0] ? "idempotency-key: " : "", j->key,
+             j->key[0] ? "\r\n" : "");
+    j->attempts++;
+    j->status = 0;
+    j->call = mg_http_call_new(&(mg_http_call_options){
+        .loop = g.loop,
+        .addr = g.addrs[g.turn++ % (uint32_t)g.addr_count],
+        .method = "POST",
+        .path = path,
+        .extra = extra,
+        .body = mg_str_buf(&j->body),
+        .connect_ms = 500,
+        .silence_ms = (left > 0 ? left : 0) + GRACE_MS,
+        .on_connected = on_connected,
+        .on_head = on_head,
+        .on_data = on_data,
+        .on_end = on_end,
+        .user = j,
+    });
+}
+
+static void
+make_body(struct job *j)
+{
+    mg_buf text = {0};
+    mg_workload_prompt(g.workload, &j->a, &text);
+    j->expected = mg_hash(mg_str_buf(&text));
+    json_t *body;
+    if (j->a.service) {
+        body = json_pack("{s:i, s:s%}", "order", (int)j->a.number, "text",
+                         text.p, text.n);
+    }
+    else {
+        body = json_pack("{s:s, s:b, s:i, s:[{s:s, s:s%}]}", "model",
+                         g.wopts.profile->model, "stream", j->a.stream,
+                         "max_tokens", (int)j->a.decode, "messages", "role",
+                         "user", "content", text.p, text.n);
+    }
+    char *out = json_dumps(body, JSON_COMPACT);
+    mg_buf_put(&j->body, out, strlen(out));
+    free(out);
+    json_decref(body);
+    mg_buf_free(&text);
+    j->body_hash = mg_hash(mg_str_buf(&j->body));
+}
+
+static void
+begin_job(void)
+{
+    struct job *j = mg_alloc(sizeof(*j));
+    j->a = g.next;
+    init_list_head(&j->link);
+    make_body(j);
+    if (j->a.keyed) {
+        snprintf(j->key, sizeof(j->key), "load-%" PRIu64 "-%u", g.wopts.seed,
+                 j->a.number);
+    }
+    j->deadline_at = now_ms() + j->a.caller->deadline_ms;
+    j->began_us = uv_hrtime() / 1000;
+    g.report.tiers[j->a.caller->tier].offered++;
+    g.open++;
+    send_job(j);
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    (void)t;
+    int64_t now = now_ms();
+    refresh_addrs();
+    if (g.start_ms == 0) {
+        if (g.addr_count == 0) {
+            return;
+        }
+        g.start_ms = now;
+    }
+    while (g.more && g.start_ms + g.next.at_ms <= now) {
+        begin_job();
+        g.more = mg_workload_next(g.workload, &g.next);
+    }
+    list_for_each_safe(el, el1, &g.retrying) {
+        struct job *j = list_entry(el, struct job, link);
+        if (now >= j->retry_at) {
+            list_del(&j->link);
+            if (now > j->deadline_at + GRACE_MS) {
+                finish(j, MG_RESULT_MISSING);
+            }
+            else {
+                send_job(j);
+            }
+        }
+    }
+    if (!g.more && g.open == 0) {
+        g.report.seconds = (double)(now - g.start_ms) / 1000.0;
+        uv_stop(g.loop);
+    }
+}
+
+/* ----------------------------------------------------------------- main */
+
+static void
+split_seeds(char *list)
+{
+    for (char *a = strtok(list, ","); a != NULL && g.seed_count < ADDRS_MAX;
+         a = strtok(NULL, ",")) {
+        g.seeds[g.seed_count++] = a;
+    }
+}
+
+static int
+read_args(int argc, char **argv, char **json_file)
+{
+    struct arg_str *entries =
+        arg_str1("e", "entries", "LIST", "entries to ask first, by commas");
+    struct arg_str *profile =
+        arg_str0("p", "profile", "NAME", "hanbit (default) or kyushu");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the arrivals (1)");
+    struct arg_dbl *rate = arg_dbl0("r", "rate", "N", "arrivals a second");
+    struct arg_dbl *secs = arg_dbl0("s", "seconds", "S", "of arrivals");
+    struct arg_dbl *keyed =
+        arg_dbl0(NULL, "keyed", "PART", "of model requests with a key (0.5)");
+    struct arg_int *dmin = arg_int0(NULL, "decode-min", "N", "tokens (4)");
+    struct arg_int *dmax = arg_int0(NULL, "decode-max", "N", "tokens (400)");
+    struct arg_int *pmin = arg_int0(NULL, "prompt-min", "N", "bytes (100)");
+    struct arg_int *pmax = arg_int0(NULL, "prompt-max", "N", "bytes (10000)");
+    struct arg_file *results =
+        arg_file0(NULL, "results", "FILE", "one line for each request");
+    struct arg_file *json = arg_file0(NULL, "json", "FILE", "the report");
+    struct arg_lit *verbose = arg_lit0("v", "verbose", "print each request");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {entries, profile, seed, rate,    secs, keyed,   dmin,
+                     dmax,    pmin,    pmax, results, json, verbose, end};
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, "  %-24s %s\n");
+        return 2;
+    }
+    g.wopts = (mg_workload_options){
+        .profile = mg_profile_find(profile->count ? profile->sval[0]
+                                                  : "hanbit"),
+        .seed = (uint64_t)(seed->count ? seed->ival[0] : 1),
+        .rate = rate->count ? rate->dval[0] : 20,
+        .duration_ms = (int64_t)(secs->count ? secs->dval[0] * 1000 : 5000),
+        .keyed = keyed->count ? keyed->dval[0] : 0.5,
+        .decode_min = (uint32_t)(dmin->count ? dmin->ival[0] : 4),
+        .decode_max = (uint32_t)(dmax->count ? dmax->ival[0] : 400),
+        .prompt_min = (uint32_t)(pmin->count ? pmin->ival[0] : 100),
+        .prompt_max = (uint32_t)(pmax->count ? pmax->ival[0] : 10000),
+    };
+    if (g.wopts.profile == NULL || g.wopts.rate <= 0) {
+        fprintf(stderr, "marigold-load: unknown profile, or rate not > 0\n");
+        return 2;
+    }
+    split_seeds(strdup(entries->sval[0]));
+    g.results = results->count ? fopen(results->filename[0], "we") : NULL;
+    *json_file = json->count ? strdup(json->filename[0]) : NULL;
+    g.verbose = verbose->count > 0;
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    char *json_file = NULL;
+    signal(SIGPIPE, SIG_IGN);
+    int rc = read_args(argc, argv, &json_file);
+    if (rc != 0) {
+        return rc;
+    }
+    g.loop = uv_default_loop();
+    init_list_head(&g.retrying);
+    g.workload = mg_workload_new(&g.wopts);
+    g.more = mg_workload_next(g.workload, &g.next);
+    uv_timer_init(g.loop, &g.timer);
+    uv_timer_start(&g.timer, on_tick, 1, TICK_MS);
+    uv_run(g.loop, UV_RUN_DEFAULT);
+    mg_report_print(&g.report, stdout);
+    if (json_file != NULL) {
+        FILE *f = fopen(json_file, "we");
+        if (f != NULL) {
+            mg_report_json(&g.report, f);
+            fclose(f);
+        }
+    }
+    if (g.results != NULL) {
+        fclose(g.results);
+    }
+    uint64_t faults = mg_report_faults(&g.report);
+    if (faults > 0) {
+        fprintf(stderr, "marigold-load: %" PRIu64
+                " answers missing, cut or wrong\n",
+                faults);
+    }
+    return faults > 0;
+}
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -17,6 +17,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "base/counter.h"
 #include "base/event.h"
 #include "ledger/claims.h"
@@ -91,6 +93,19 @@
     }
 }
 
+/* says how it ended, then closes without the closing chunk */
+static void
+abort_stream(const mg_request *r, mg_http_req *http)
+{
+    char event[256];
+    snprintf(event, sizeof(event),
+             "event: error\ndata: {\"error\":{\"code\":\"%s\","
+             "\"ran\":\"%s\"}}\n\n",
+             mg_rc_name(r->rc), mg_ran_name(r->ran));
+    mg_http_write(http, mg_str_of(event));
+    mg_http_abort(http);
+}
+
 static void
 reply_refusal(mg_request *r)
 {
@@ -105,7 +120,7 @@
     mg_http_req *http = r->http;
     leave_caller(r);
     if (r->answer_started) {
-        mg_http_abort(http);
+        abort_stream(r, http);
     }
     else {
         mg_front_refuse(http, r->rc, r->ran, r->retry_ms, NULL);
@@ -295,9 +310,7 @@
             r->first_us ? (r->first_us - r->dispatched_us) / 1000 : 0;
         m.u.done.total_ms = (now - r->dispatched_us) / 1000;
     }
-    if (r->a.engine) {
-        m.u.done.tokens = r->events ? r->events : r->a.decode;
-    }
+    m.u.done.tokens = r->events; /* none, unless it was streamed */
     mg_pools_send(r->e, r->a.pool, &m);
 }
 
@@ -500,11 +513,23 @@
 }
 
 static bool
-answer_is_whole(const mg_request *r)
+parses_as_json(const mg_buf *b)
+{
+    json_t *j = json_loadb(b->p ? b->p : "", b->n, JSON_DECODE_ANY, NULL);
+    json_decref(j);
+    return j != NULL;
+}
+
+static bool
+answer_is_whole(const mg_request *r, mg_http_end end)
 {
     size_t n = strlen(SSE_END);
+    if (end != MG_HTTP_WHOLE && end != MG_HTTP_CLOSED) {
+        return false;
+    }
     if (strncmp(r->type, SSE_TYPE, strlen(SSE_TYPE)) != 0) {
-        return true;
+        /* a part of a JSON object does not parse */
+        return end == MG_HTTP_WHOLE || parses_as_json(&r->answer);
     }
     return memcmp(r->tail + sizeof(r->tail) - n, SSE_END, n) == 0;
 }
@@ -583,11 +608,10 @@
         }
         ungrant(r, unreached ? MG_DONE_UNREACHED : MG_DONE_NOT_DISPATCHED);
     }
-    else if (end == MG_HTTP_WHOLE && !r->resume_refused &&
-             answer_is_whole(r)) {
+    else if (!r->resume_refused && answer_is_whole(r, end)) {
         answer_ended(r);
     }
-    else if (end == MG_HTTP_WHOLE && !r->resume_refused) {
+    else if (!r->resume_refused && end == MG_HTTP_WHOLE) {
         answer_cut(r, "no_closing_event");
     }
     else {
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -683,9 +683,13 @@
     t->unreached = t->unreached || m->result == MG_DONE_UNREACHED;
     bool ran = m->result == MG_DONE_OK || m->result == MG_DONE_FAILED ||
                m->result == MG_DONE_CUT;
-    if (m->result == MG_DONE_OK) {
+    /* an answer in one piece does not tell prefill from decoding */
+    bool tells = m->tokens > 1 || slot->decode <= 1;
+    if (m->result == MG_DONE_OK && tells) {
         mg_target_learn(t, slot->prefill, (double)m->first_ms,
                         (double)m->total_ms, (uint32_t)m->tokens);
+    }
+    if (m->result == MG_DONE_OK) {
         s->window_cost += slot->prefill + (uint64_t)slot->decode * 8 + 1;
     }
     if (s->rollout != NULL) {
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -156,11 +156,9 @@
     h2o_accept(&s->accept_ctx, sock);
 }
 
-/* h2o reads nothing while a request waits: look whether its caller left */
 static bool
-caller_left(mg_http_req *r)
+peer_closed(h2o_socket_t *sock)
 {
-    h2o_socket_t *sock = r->req->conn->callbacks->get_socket(r->req->conn);
     char byte;
     ssize_t n = recv(h2o_socket_get_fd(sock), &byte, 1,
                      MSG_PEEK | MSG_DONTWAIT);
@@ -168,6 +166,13 @@
                       errno != EINTR);
 }
 
+/* h2o reads nothing while a request waits: look whether its caller left */
+static bool
+caller_left(mg_http_req *r)
+{
+    return peer_closed(r->req->conn->callbacks->get_socket(r->req->conn));
+}
+
 static void
 on_peek(uv_timer_t *t)
 {
@@ -412,6 +417,7 @@
     h2o_iovec_t bufs[2];
     bool connected;
     bool framed;
+    bool chunked;
     bool ended;
     bool in_callback; /* h2o closes the client itself when it returns */
 };
@@ -473,6 +479,11 @@
     end_call(c, c->connected ? MG_HTTP_SILENT : MG_HTTP_NOT_SENT, "silence");
 }
 
+/*
+ * h2o also reports the end when the peer closes between two chunks. As the
+ * connection was not asked to close, a peer that has sent its last chunk
+ * still holds it open.
+ */
 static int
 take_body(mg_http_call *c, h2o_http1client_t *client, const char *errstr)
 {
@@ -489,7 +500,8 @@
         return 0;
     }
     if (errstr == h2o_http1client_error_is_eos && c->framed) {
-        end_call(c, MG_HTTP_WHOLE, "end");
+        bool unproven = c->chunked && peer_closed(client->sock);
+        end_call(c, unproven ? MG_HTTP_CLOSED : MG_HTTP_WHOLE, "end");
     }
     else {
         end_call(c, MG_HTTP_CUT, errstr);
@@ -538,6 +550,7 @@
         }
         else if (is_header(&headers[i], "transfer-encoding")) {
             c->framed = true;
+            c->chunked = true;
         }
         else if (is_header(&headers[i], "x-not-run")) {
             not_run = true;
@@ -616,7 +629,7 @@
     mg_buf_put(&c->body, o->body.p, o->body.n);
     mg_buf_printf(&c->head,
                   "%s %s HTTP/1.1\r\nhost: %s\r\ncontent-length: %zu\r\n"
-                  "connection: close\r\n%s\r\n",
+                  "%s\r\n",
                   o->method, o->path, o->addr, o->body.n,
                   o->extra ? o->extra : "");
     const char *colon = strrchr(o->addr, ':');
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -64,10 +64,12 @@
 typedef struct mg_http_call mg_http_call;
 
 typedef enum mg_http_end {
-    MG_HTTP_WHOLE,       /* the answer came to its framed end */
-    MG_HTTP_NOT_SENT,    /* no connection: the peer has seen nothing */
-    MG_HTTP_CUT,         /* ended early, or without framing */
-    MG_HTTP_SILENT,      /* no byte for the allowed time */
+    MG_HTTP_WHOLE,    /* the answer came to its framed end */
+    MG_HTTP_NOT_SENT, /* no connection: the peer has seen nothing */
+    MG_HTTP_CUT,      /* ended early, or without framing */
+    MG_HTTP_CLOSED,   /* the peer closed between two chunks: whole only if
+                         its contents prove it */
+    MG_HTTP_SILENT,   /* no byte for the allowed time */
 } mg_http_end;
 
 typedef struct mg_http_call_options {
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -7,8 +7,8 @@
  * and cancel streams. An answer is a function of the prompt, so that a
  * caller can tell whether it is whole and its own.
  *
- * Every execution is written to the journal, one line "id key", before it
- * starts. Faults are switched on by options.
+ * Every execution is written to the journal before it starts, one line of
+ * request id, hash of the body and idempotency key. Faults are switched on by options.
  */
 #include <inttypes.h>
 #include <signal.h>
@@ -110,10 +110,11 @@
 }
 
 static void
-journal(const char *id, mg_str key)
+journal(const char *id, mg_str key, mg_str body)
 {
     char line[400];
-    int n = snprintf(line, sizeof(line), "%s %.*s\n", id, MG_STR_FMT(key));
+    int n = snprintf(line, sizeof(line), "%s %016" PRIx64 " %.*s\n", id,
+                     mg_hash(body), MG_STR_FMT(key));
     if (g.journal >= 0 && write(g.journal, line, (size_t)n) != n) {
         abort();
     }
@@ -480,7 +481,7 @@
                       mg_str_of("{\"error\":\"other epoch\"}"));
         return;
     }
-    journal(id, mg_http_header(http, "idempotency-key"));
+    journal(id, mg_http_header(http, "idempotency-key"), mg_http_body(http));
     if (opt.service) {
         serve(http, mg_str_of(id));
     }
