--- a/bench/load.c
+++ b/bench/load.c
@@ -108,7 +108,8 @@
     if (json_array_size(list) > 0) {
         g.addr_count = 0;
     }
-    json_array_foreach (list, i, e) {
+    json_array_foreach(list, i, e)
+    {
         const char *addr = json_string_value(json_object_get(e, "addr"));
         if (addr != NULL && g.addr_count < ADDRS_MAX) {
             snprintf(g.addrs[g.addr_count++], sizeof(g.addrs[0]), "%s", addr);
@@ -171,9 +172,9 @@
             mg_histogram_add(&t->first_us,
                              (int64_t)(j->first_us - j->began_us));
             if (j->a.decode > 1) {
-                mg_histogram_add(&t->gap_us,
-                                 (int64_t)((j->last_us - j->first_us) /
-                                           (j->a.decode - 1)));
+                mg_histogram_add(
+                    &t->gap_us,
+                    (int64_t)((j->last_us - j->first_us) / (j->a.decode - 1)));
             }
         }
     }
@@ -183,8 +184,8 @@
                 mg_result_name(result), j->attempts, j->status);
     }
     if (g.verbose) {
-        printf("%u tier=%u workspace=%s %s status=%d bytes=%zu\n",
-               j->a.number, j->a.caller->tier, j->a.caller->workspace,
+        printf("%u tier=%u workspace=%s %s status=%d bytes=%zu\n", j->a.number,
+               j->a.caller->tier, j->a.caller->workspace,
                mg_result_name(result), j->status, j->answer.n);
     }
     mg_buf_free(&j->body);
@@ -224,8 +225,8 @@
 static bool
 refusal(const struct job *j, char *ran, size_t size)
 {
-    json_t *t = json_loadb(j->answer.p ? j->answer.p : "", j->answer.n, 0,
-                           NULL);
+    json_t *t =
+        json_loadb(j->answer.p ? j->answer.p : "", j->answer.n, 0, NULL);
     json_t *e = json_object_get(t, "error");
     const char *r = json_string_value(json_object_get(e, "ran"));
     bool found = r != NULL;
@@ -237,8 +238,7 @@
 static bool
 may_retry(const struct job *j)
 {
-    return j->attempts < ATTEMPTS_MAX &&
-           now_ms() < j->deadline_at + GRACE_MS;
+    return j->attempts < ATTEMPTS_MAX && now_ms() < j->deadline_at + GRACE_MS;
 }
 
 static void
@@ -249,13 +249,13 @@
         bool own = j->a.service || text_is_own(j);
         bool late = now_ms() > j->deadline_at;
         if (!own) {
-            fprintf(stderr, "wrong answer: request %u key %s decode %u "
+            fprintf(stderr,
+                    "wrong answer: request %u key %s decode %u "
                     "attempts %d: %.*s\n",
                     j->a.number, j->key, j->a.decode, j->attempts,
-                    (int)(j->answer.n < 400 ? j->answer.n : 400),
-                    j->answer.p);
+                    (int)(j->answer.n < 400 ? j->answer.n : 400), j->answer.p);
         }
-        finish(j, !own    ? MG_RESULT_WRONG
+        finish(j, !own   ? MG_RESULT_WRONG
                   : late ? MG_RESULT_LATE
                          : MG_RESULT_GOOD);
         return;
@@ -287,8 +287,7 @@
 {
     mg_buf_put(&j->answer, "", 1);
     j->answer.n--;
-    return j->a.stream &&
-           strstr(j->answer.p, "event: error\n") != NULL;
+    return j->a.stream && strstr(j->answer.p, "event: error\n") != NULL;
 }
 
 static void
@@ -298,8 +297,7 @@
     (void)why;
     j->call = NULL;
     bool framed = end == MG_HTTP_WHOLE ||
-                  (end == MG_HTTP_CLOSED && !j->a.service &&
-                   text_is_own(j));
+                  (end == MG_HTTP_CLOSED && !j->a.service && text_is_own(j));
     if (framed) {
         whole_answer(j);
     }
@@ -445,7 +443,8 @@
         begin_job();
         g.more = mg_workload_next(g.workload, &g.next);
     }
-    list_for_each_safe(el, el1, &g.retrying) {
+    list_for_each_safe(el, el1, &g.retrying)
+    {
         struct job *j = list_entry(el, struct job, link);
         if (now >= j->retry_at) {
             list_del(&j->link);
@@ -503,8 +502,8 @@
         return 2;
     }
     g.wopts = (mg_workload_options){
-        .profile = mg_profile_find(profile->count ? profile->sval[0]
-                                                  : "hanbit"),
+        .profile =
+            mg_profile_find(profile->count ? profile->sval[0] : "hanbit"),
         .seed = (uint64_t)(seed->count ? seed->ival[0] : 1),
         .rate = rate->count ? rate->dval[0] : 20,
         .duration_ms = (int64_t)(secs->count ? secs->dval[0] * 1000 : 5000),
@@ -555,8 +554,8 @@
     }
     uint64_t faults = mg_report_faults(&g.report);
     if (faults > 0) {
-        fprintf(stderr, "marigold-load: %" PRIu64
-                " answers missing, cut or wrong\n",
+        fprintf(stderr,
+                "marigold-load: %" PRIu64 " answers missing, cut or wrong\n",
                 faults);
     }
     return faults > 0;
--- a/bench/report.c
+++ b/bench/report.c
@@ -27,8 +27,8 @@
     for (int k = 0; k < MG_RESULTS; k++) {
         fprintf(out, " %8s", names[k]);
     }
-    fprintf(out, " %9s %9s %9s %9s %9s\n", "goodput", "first p50",
-            "first p95", "gap p95", "total p95");
+    fprintf(out, " %9s %9s %9s %9s %9s\n", "goodput", "first p50", "first p95",
+            "gap p95", "total p95");
     for (int i = 0; i < MG_REPORT_TIERS; i++) {
         const mg_tier_report *t = &r->tiers[i];
         fprintf(out, "%-5d %8" PRIu64, i, t->offered);
@@ -57,11 +57,11 @@
     json_t *tiers = json_array();
     for (int i = 0; i < MG_REPORT_TIERS; i++) {
         const mg_tier_report *t = &r->tiers[i];
-        json_t *j = json_pack(
-            "{s:i, s:I, s:o, s:o, s:o}", "tier", i, "offered",
-            (json_int_t)t->offered, "first_ms", quantiles(&t->first_us),
-            "gap_ms", quantiles(&t->gap_us), "total_ms",
-            quantiles(&t->total_us));
+        json_t *j =
+            json_pack("{s:i, s:I, s:o, s:o, s:o}", "tier", i, "offered",
+                      (json_int_t)t->offered, "first_ms",
+                      quantiles(&t->first_us), "gap_ms", quantiles(&t->gap_us),
+                      "total_ms", quantiles(&t->total_us));
         for (int k = 0; k < MG_RESULTS; k++) {
             json_object_set_new(j, names[k],
                                 json_integer((json_int_t)t->results[k]));
--- a/bench/report.h
+++ b/bench/report.h
@@ -36,10 +36,14 @@
     double seconds;
 } mg_report;
 
-const char *mg_result_name(mg_result r);
-void mg_report_print(const mg_report *r, FILE *out);
-void mg_report_json(const mg_report *r, FILE *out);
+const char *
+mg_result_name(mg_result r);
+void
+mg_report_print(const mg_report *r, FILE *out);
+void
+mg_report_json(const mg_report *r, FILE *out);
 /* Answers that a correct system never gives. */
-uint64_t mg_report_faults(const mg_report *r);
+uint64_t
+mg_report_faults(const mg_report *r);
 
 #endif
--- a/bench/workload.c
+++ b/bench/workload.c
@@ -29,8 +29,7 @@
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 
 static const mg_profile profiles[] = {
-    {"hanbit", "grain-llm", "yard-app", hanbit_callers,
-     COUNT(hanbit_callers)},
+    {"hanbit", "grain-llm", "yard-app", hanbit_callers, COUNT(hanbit_callers)},
     {"kyushu", "column-llm", "sales-desk", kyushu_callers,
      COUNT(kyushu_callers)},
 };
@@ -102,10 +101,8 @@
     a->service = mg_rng_unit(&w->rng) < a->caller->services;
     a->stream = mg_rng_unit(&w->rng) < 0.8;
     a->keyed = mg_rng_unit(&w->rng) < w->opts.keyed || a->service;
-    a->decode =
-        log_uniform(&w->rng, w->opts.decode_min, w->opts.decode_max);
-    a->prompt =
-        log_uniform(&w->rng, w->opts.prompt_min, w->opts.prompt_max);
+    a->decode = log_uniform(&w->rng, w->opts.decode_min, w->opts.decode_max);
+    a->prompt = log_uniform(&w->rng, w->opts.prompt_min, w->opts.prompt_max);
     a->prefix = mg_rng_below(&w->rng, PREFIXES);
     return true;
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -14,7 +14,7 @@
 typedef struct mg_caller_kind {
     const char *workspace;
     unsigned tier;
-    double share; /* of the arrivals */
+    double share;    /* of the arrivals */
     double services; /* part of them that call the plain service */
     int64_t deadline_ms;
 } mg_caller_kind;
@@ -54,13 +54,17 @@
 typedef struct mg_workload mg_workload;
 
 /* NULL when no profile has the name. */
-const mg_profile *mg_profile_find(const char *name);
-mg_workload *mg_workload_new(const mg_workload_options *opts);
-void mg_workload_free(mg_workload *w);
+const mg_profile *
+mg_profile_find(const char *name);
+mg_workload *
+mg_workload_new(const mg_workload_options *opts);
+void
+mg_workload_free(mg_workload *w);
 /* false when the duration is over */
-bool mg_workload_next(mg_workload *w, mg_arrival *a);
+bool
+mg_workload_next(mg_workload *w, mg_arrival *a);
 /* The prompt's text, unique to the arrival behind its shared prefix. */
-void mg_workload_prompt(const mg_workload *w, const mg_arrival *a,
-                        mg_buf *out);
+void
+mg_workload_prompt(const mg_workload *w, const mg_arrival *a, mg_buf *out);
 
 #endif
--- a/daemons/client.h
+++ b/daemons/client.h
@@ -19,6 +19,7 @@
  * Runs the loop until the answer is whole. MG_E_CLOSED when there was none.
  * The caller frees out.
  */
-mg_rc mg_client_exchange(const mg_exchange *x, int *status, mg_buf *out);
+mg_rc
+mg_client_exchange(const mg_exchange *x, int *status, mg_buf *out);
 
 #endif
--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -63,8 +63,8 @@
 
 /* asks one member after the other until one answers for the leader */
 static int
-ask(const struct options *o, const char *method, const char *path,
-    mg_str body, mg_buf *out)
+ask(const struct options *o, const char *method, const char *path, mg_str body,
+    mg_buf *out)
 {
     char extra[MG_TEXT_SIZE + 32];
     snprintf(extra, sizeof(extra), "x-owner-key: %s\r\n", o->key);
@@ -141,11 +141,13 @@
 {
     size_t i;
     json_t *row;
-    json_array_foreach (rows, i, row) {
+    json_array_foreach(rows, i, row)
+    {
         const char *key;
         json_t *v;
         printf("%s:", title);
-        json_object_foreach (row, key, v) {
+        json_object_foreach(row, key, v)
+        {
             printf(" %s=", key);
             print_value(v);
         }
@@ -158,14 +160,16 @@
 {
     const char *key;
     json_t *v;
-    json_object_foreach (body, key, v) {
+    json_object_foreach(body, key, v)
+    {
         if (json_is_array(v)) {
             print_rows(key, v);
         }
         else if (json_is_object(v)) {
             const char *k;
             json_t *item;
-            json_object_foreach (v, k, item) {
+            json_object_foreach(v, k, item)
+            {
                 printf("%s: %s=", key, k);
                 print_value(item);
                 printf("\n");
@@ -284,8 +288,7 @@
         code = check_text(file, mg_str_buf(&text), true);
     }
     if (code == EXIT_DONE) {
-        int status =
-            ask(o, "POST", "/v1/document", mg_str_buf(&text), &out);
+        int status = ask(o, "POST", "/v1/document", mg_str_buf(&text), &out);
         code = report(o, status, &out);
     }
     mg_buf_free(&text);
--- a/daemons/daemon.c
+++ b/daemons/daemon.c
@@ -23,8 +23,9 @@
 {
     struct arg_lit *help = arg_lit0(NULL, "help", "print this and exit");
     struct arg_lit *init =
-        arg_lit0(NULL, "init", "make the data folder of a new group's member "
-                               "and exit");
+        arg_lit0(NULL, "init",
+                 "make the data folder of a new group's member "
+                 "and exit");
     struct arg_file *file =
         arg_file0("s", "settings", "FILE", "settings of this process");
     struct arg_end *end = arg_end(8);
--- a/daemons/daemon.h
+++ b/daemons/daemon.h
@@ -23,11 +23,14 @@
 } mg_daemon_args;
 
 /* Reads the command line; returns an exit code. */
-int mg_daemon_args_read(int argc, char **argv, bool with_init,
-                        mg_daemon_args *args);
+int
+mg_daemon_args_read(int argc, char **argv, bool with_init,
+                    mg_daemon_args *args);
 /* Reads settings, opens the log, ignores SIGPIPE; returns an exit code. */
-int mg_daemon_start(const char *file, mg_settings *s);
+int
+mg_daemon_start(const char *file, mg_settings *s);
 /* Calls f on SIGTERM and SIGINT. */
-void mg_daemon_on_signal(uv_loop_t *loop, void (*f)(void *user), void *user);
+void
+mg_daemon_on_signal(uv_loop_t *loop, void (*f)(void *user), void *user);
 
 #endif
--- a/src/base/bytes.h
+++ b/src/base/bytes.h
@@ -24,31 +24,46 @@
 
 #define MG_STR_FMT(s) (int)(s).n, (s).p ? (s).p : ""
 
-mg_str mg_str_of(const char *s);
-mg_str mg_str_buf(const mg_buf *b);
-bool mg_str_eq(mg_str a, mg_str b);
-bool mg_str_is(mg_str a, const char *s);
+mg_str
+mg_str_of(const char *s);
+mg_str
+mg_str_buf(const mg_buf *b);
+bool
+mg_str_eq(mg_str a, mg_str b);
+bool
+mg_str_is(mg_str a, const char *s);
 /* NUL-terminated copy, owned by the caller. */
-char *mg_str_dup(mg_str s);
+char *
+mg_str_dup(mg_str s);
 /* Copies into dst[cap], cut to fit, always NUL-terminated. */
-void mg_str_copy(char *dst, size_t cap, mg_str s);
+void
+mg_str_copy(char *dst, size_t cap, mg_str s);
 /* Equal contents, in time that depends on the lengths only. */
-bool mg_str_same_secret(mg_str a, mg_str b);
+bool
+mg_str_same_secret(mg_str a, mg_str b);
 /* Splits "a|b" at the first sep; the tail is empty when there is none. */
-mg_str mg_str_cut(mg_str s, char sep, mg_str *tail);
+mg_str
+mg_str_cut(mg_str s, char sep, mg_str *tail);
 
-void mg_buf_put(mg_buf *b, const void *p, size_t n);
-void mg_buf_printf(mg_buf *b, const char *fmt, ...)
+void
+mg_buf_put(mg_buf *b, const void *p, size_t n);
+void
+mg_buf_printf(mg_buf *b, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 /* Drops the first n bytes. */
-void mg_buf_skip(mg_buf *b, size_t n);
-void mg_buf_free(mg_buf *b);
+void
+mg_buf_skip(mg_buf *b, size_t n);
+void
+mg_buf_free(mg_buf *b);
 
 /* SHA-256 as 64 lower-case hexadecimal digits and a NUL. */
 #define MG_HEX_SHA256_SIZE 65
-void mg_sha256_hex(mg_str s, char out[MG_HEX_SHA256_SIZE]);
+void
+mg_sha256_hex(mg_str s, char out[MG_HEX_SHA256_SIZE]);
 /* XXH3, 64 bits; not for secrets. */
-uint64_t mg_hash(mg_str s);
-uint64_t mg_hash2(mg_str a, mg_str b);
+uint64_t
+mg_hash(mg_str s);
+uint64_t
+mg_hash2(mg_str a, mg_str b);
 
 #endif
--- a/src/base/check.c
+++ b/src/base/check.c
@@ -168,8 +168,7 @@
 }
 
 static void
-read_number(mg_checker *c, json_t *v, json_t *pos, const mg_key *k,
-            char *dst)
+read_number(mg_checker *c, json_t *v, json_t *pos, const mg_key *k, char *dst)
 {
     bool whole = k->type == MG_KEY_INT;
     if (whole ? !json_is_integer(v) : !json_is_number(v)) {
@@ -207,8 +206,7 @@
 }
 
 static void
-read_tables(mg_checker *c, json_t *v, json_t *pos, const mg_key *k,
-            void *out)
+read_tables(mg_checker *c, json_t *v, json_t *pos, const mg_key *k, void *out)
 {
     if (!json_is_array(v)) {
         mg_check_error(c, pos, k->name, "expected tables, [[%s]]", k->name);
@@ -301,7 +299,8 @@
 {
     const char *name;
     json_t *v;
-    json_object_foreach (tree, name, v) {
+    json_object_foreach(tree, name, v)
+    {
         const mg_key *k = find_key(keys, name);
         if (k == NULL) {
             report_unknown(c, pos, keys, name);
--- a/src/base/check.h
+++ b/src/base/check.h
@@ -52,22 +52,27 @@
     void *user;
 };
 
-void mg_checker_init(mg_checker *c, const char *file);
-void mg_checker_free(mg_checker *c);
+void
+mg_checker_init(mg_checker *c, const char *file);
+void
+mg_checker_free(mg_checker *c);
 
 /* Adds an error at a position (may be NULL). */
-void mg_check_error(mg_checker *c, json_t *pos, const char *key,
-                    const char *fmt, ...)
-    __attribute__((format(printf, 4, 5)));
+void
+mg_check_error(mg_checker *c, json_t *pos, const char *key, const char *fmt,
+               ...) __attribute__((format(printf, 4, 5)));
 /* Reads tree into out by the table keys, which ends with a NULL name. */
-void mg_check_table(mg_checker *c, json_t *tree, json_t *pos,
-                    const mg_key *keys, void *out);
+void
+mg_check_table(mg_checker *c, json_t *tree, json_t *pos, const mg_key *keys,
+               void *out);
 /* Position of one key in a table's position, or NULL. */
-json_t *mg_pos_of(json_t *pos, const char *key);
+json_t *
+mg_pos_of(json_t *pos, const char *key);
 /* RFC 3339 in UTC ("2026-12-05T06:00:00Z") to ms since 1970. */
-mg_rc mg_parse_time(const char *text, int64_t *ms);
+mg_rc
+mg_parse_time(const char *text, int64_t *ms);
 /* Name among names[n] with the fewest edits from name, or NULL. */
-const char *mg_nearest_name(const char *name, const char *const *names,
-                            size_t n);
+const char *
+mg_nearest_name(const char *name, const char *const *names, size_t n);
 
 #endif
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -36,8 +36,10 @@
 }
 
 /* The host's clock; shared, never freed. */
-mg_clock *mg_system_clock(void);
-void mg_manual_clock_init(mg_manual_clock *c);
+mg_clock *
+mg_system_clock(void);
+void
+mg_manual_clock_init(mg_manual_clock *c);
 
 /*
  * Random source: the 48-bit generator of the C library with its own state,
@@ -47,12 +49,16 @@
     unsigned short state[3];
 } mg_rng;
 
-void mg_rng_init(mg_rng *r, uint64_t seed);
+void
+mg_rng_init(mg_rng *r, uint64_t seed);
 /* Uniform in [0, n); n > 0 and below 2^31. */
-uint32_t mg_rng_below(mg_rng *r, uint32_t n);
+uint32_t
+mg_rng_below(mg_rng *r, uint32_t n);
 /* Uniform in [0, 1). */
-double mg_rng_unit(mg_rng *r);
+double
+mg_rng_unit(mg_rng *r);
 /* 64 unpredictable bits from the system, for identities. */
-uint64_t mg_random_id(void);
+uint64_t
+mg_random_id(void);
 
 #endif
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -9,26 +9,26 @@
 
 #include "base/bytes.h"
 
-#define MG_COUNTER_LIST(X) \
-    X(REQUESTS, "requests_total") \
-    X(ANSWERED, "answered_total") \
-    X(CUT, "cut_total") \
-    X(REFUSED, "refused_total") \
-    X(CANCELLED, "cancelled_total") \
-    X(DISPATCHED, "dispatched_total") \
+#define MG_COUNTER_LIST(X)                    \
+    X(REQUESTS, "requests_total")             \
+    X(ANSWERED, "answered_total")             \
+    X(CUT, "cut_total")                       \
+    X(REFUSED, "refused_total")               \
+    X(CANCELLED, "cancelled_total")           \
+    X(DISPATCHED, "dispatched_total")         \
     X(CONNECT_FAILED, "connect_failed_total") \
-    X(GRANTS, "grants_total") \
-    X(SHED, "shed_total") \
-    X(STALE_GRANTS, "stale_grants_total") \
-    X(CLAIMS, "claims_total") \
-    X(RESENDS, "resends_total") \
-    X(BAD_INPUT, "bad_input_total") \
-    X(LINKS_OPENED, "links_opened_total") \
-    X(LINKS_LOST, "links_lost_total") \
-    X(LINK_BYTES_IN, "link_bytes_in_total") \
+    X(GRANTS, "grants_total")                 \
+    X(SHED, "shed_total")                     \
+    X(STALE_GRANTS, "stale_grants_total")     \
+    X(CLAIMS, "claims_total")                 \
+    X(RESENDS, "resends_total")               \
+    X(BAD_INPUT, "bad_input_total")           \
+    X(LINKS_OPENED, "links_opened_total")     \
+    X(LINKS_LOST, "links_lost_total")         \
+    X(LINK_BYTES_IN, "link_bytes_in_total")   \
     X(LINK_BYTES_OUT, "link_bytes_out_total") \
-    X(RAFT_ENTRIES, "raft_entries_total") \
-    X(RAFT_SYNCS, "raft_syncs_total") \
+    X(RAFT_ENTRIES, "raft_entries_total")     \
+    X(RAFT_SYNCS, "raft_syncs_total")         \
     X(RAFT_ELECTIONS, "raft_elections_total") \
     X(CONFIG_APPLIED, "config_applied_total")
 
@@ -36,10 +36,10 @@
 #define X(id, name) MG_C_##id,
     MG_COUNTER_LIST(X)
 #undef X
-    MG_COUNTERS
+        MG_COUNTERS
 } mg_counter;
 
-#define MG_HISTOGRAM_LIST(X) \
+#define MG_HISTOGRAM_LIST(X)       \
     X(CLAIM_WAIT, "claim_wait_us") \
     X(GRANT_WAIT, "grant_wait_us") \
     X(FIRST_BYTE, "first_byte_us") \
@@ -49,11 +49,13 @@
 #define X(id, name) MG_H_##id,
     MG_HISTOGRAM_LIST(X)
 #undef X
-    MG_HISTOGRAMS
+        MG_HISTOGRAMS
 } mg_histogram_id;
 
-void mg_count(mg_counter c, uint64_t n);
-uint64_t mg_counter_value(mg_counter c);
+void
+mg_count(mg_counter c, uint64_t n);
+uint64_t
+mg_counter_value(mg_counter c);
 
 /*
  * Log-linear buckets: 16 to each power of two, so that a quantile is at most
@@ -66,11 +68,15 @@
     uint64_t bucket[MG_HISTOGRAM_BUCKETS];
 } mg_histogram;
 
-void mg_histogram_add(mg_histogram *h, int64_t value);
+void
+mg_histogram_add(mg_histogram *h, int64_t value);
 /* Upper edge of the bucket that holds quantile q in (0, 1]; 0 when empty. */
-int64_t mg_histogram_quantile(const mg_histogram *h, double q);
+int64_t
+mg_histogram_quantile(const mg_histogram *h, double q);
 
-void mg_observe(mg_histogram_id id, int64_t value);
-void mg_metrics_print(mg_buf *out);
+void
+mg_observe(mg_histogram_id id, int64_t value);
+void
+mg_metrics_print(mg_buf *out);
 
 #endif
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -26,8 +26,7 @@
 };
 
 static const char *
-format_line(const log4c_layout_t *layout,
-            const log4c_logging_event_t *event)
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
 {
     static char line[EVENT_LINE_MAX + 128];
     struct timespec ts;
--- a/src/base/list.h
+++ b/src/base/list.h
@@ -22,9 +22,9 @@
     for (struct list_head *el = (head)->next; el != (head); el = el->next)
 
 /* the current node may be unlinked in the body */
-#define list_for_each_safe(el, el1, head) \
-    for (struct list_head *el = (head)->next, *el1 = el->next; \
-         el != (head); el = el1, el1 = el->next)
+#define list_for_each_safe(el, el1, head)                                    \
+    for (struct list_head *el = (head)->next, *el1 = el->next; el != (head); \
+         el = el1, el1 = el->next)
 
 static inline void
 init_list_head(struct list_head *head)
--- a/src/base/toml.cc
+++ b/src/base/toml.cc
@@ -10,8 +10,7 @@
 
 #include <toml++/toml.h>
 
-namespace
-{
+namespace {
 
 constexpr int max_depth = 16;
 
@@ -33,7 +32,8 @@
     return json_string(text.str().c_str());
 }
 
-json_t *convert(const toml::node &n, json_t **pos, int depth);
+json_t *
+convert(const toml::node &n, json_t **pos, int depth);
 
 json_t *
 convert_table(const toml::table &t, json_t **pos, int depth)
@@ -45,8 +45,7 @@
         std::string name(key.str());
         json_object_set_new(tree, name.c_str(),
                             convert(value, &sub, depth + 1));
-        json_object_set_new(sub, "l",
-                            json_integer(key.source().begin.line));
+        json_object_set_new(sub, "l", json_integer(key.source().begin.line));
         json_object_set_new(keys, name.c_str(), sub);
     }
     *pos = position_of(t);
@@ -125,13 +124,11 @@
                                     std::string_view(file));
         out->tree = convert(t, &out->positions, 0);
         return MG_OK;
-    }
-    catch (const toml::parse_error &e) {
+    } catch (const toml::parse_error &e) {
         return mg_fail(err, MG_E_INPUT, "%s:%u:%u: %s", file,
                        e.source().begin.line, e.source().begin.column,
                        std::string(e.description()).c_str());
-    }
-    catch (const std::exception &e) {
+    } catch (const std::exception &e) {
         return mg_fail(err, MG_E_INPUT, "%s: %s", file, e.what());
     }
 }
--- a/src/base/toml.h
+++ b/src/base/toml.h
@@ -25,9 +25,11 @@
 } mg_toml;
 
 /* text_max bounds the text; err names file, line and column. */
-mg_rc mg_toml_parse(mg_str text, const char *file, size_t text_max,
-                    mg_toml *out, mg_error *err);
-void mg_toml_free(mg_toml *t);
+mg_rc
+mg_toml_parse(mg_str text, const char *file, size_t text_max, mg_toml *out,
+              mg_error *err);
+void
+mg_toml_free(mg_toml *t);
 
 #ifdef __cplusplus
 }
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -133,11 +133,9 @@
 }
 
 static mg_rc
-host_save_snapshot(mg_raft_host *h, uint64_t index, uint64_t term,
-                   mg_str data)
+host_save_snapshot(mg_raft_host *h, uint64_t index, uint64_t term, mg_str data)
 {
-    mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64
-           " bytes=%zu",
+    mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64 " bytes=%zu",
            index, term, data.n);
     return mg_store_save_snapshot(control_of(h)->store, index, term, data);
 }
@@ -181,7 +179,8 @@
     struct waiting *w;
     struct waiting *w1;
     mg_apply_reply reply = {.rc = MG_E_NO_LEADER};
-    HASH_ITER(hh, c->waiting, w, w1) {
+    HASH_ITER(hh, c->waiting, w, w1)
+    {
         finish_waiting(c, w, &reply);
     }
 }
@@ -189,7 +188,8 @@
 static void
 drop_renewals(mg_control *c)
 {
-    list_for_each_safe(el, el1, &c->renewals) {
+    list_for_each_safe(el, el1, &c->renewals)
+    {
         struct renewal *r = list_entry(el, struct renewal, link);
         list_del(&r->link);
         free(r);
@@ -312,8 +312,8 @@
 }
 
 mg_lease_state
-mg_control_member(const mg_control *c, const char *node,
-                  uint64_t incarnation, uint64_t *rev)
+mg_control_member(const mg_control *c, const char *node, uint64_t incarnation,
+                  uint64_t *rev)
 {
     struct entry_view *v;
     HASH_FIND_STR(c->entries, node, v);
@@ -418,8 +418,8 @@
     mg_str value;
     uint64_t rev;
     mg_msg old;
-    bool known = mg_state_get(c->state, MG_KIND_MEMBER, mg_str_of(node),
-                              &value, &rev);
+    bool known =
+        mg_state_get(c->state, MG_KIND_MEMBER, mg_str_of(node), &value, &rev);
     if (known && mg_msg_decode(value, &old) == MG_OK) {
         const mg_rec_member_msg *o = &old.u.rec_member;
         /* an operator's order to drain stands until the entry follows it */
@@ -482,9 +482,8 @@
 static bool
 may_hold_lease(mg_control *c, const struct renewal *r)
 {
-    return !r->probe &&
-           (r->rev >= mg_state_document_rev(c->state) ||
-            mg_now(c->clock) - c->document_at < APPLY_WITHIN_MS);
+    return !r->probe && (r->rev >= mg_state_document_rev(c->state) ||
+                         mg_now(c->clock) - c->document_at < APPLY_WITHIN_MS);
 }
 
 static void
@@ -511,7 +510,8 @@
 answer_confirmed_renewals(mg_control *c)
 {
     uint64_t confirmed = mg_raft_confirmed_round(c->raft);
-    list_for_each_safe(el, el1, &c->renewals) {
+    list_for_each_safe(el, el1, &c->renewals)
+    {
         struct renewal *r = list_entry(el, struct renewal, link);
         if (r->round > confirmed) {
             break;
@@ -618,8 +618,7 @@
 {
     mg_msg m;
     mg_claim_reply reply;
-    if (mg_msg_decode(q->command, &m) != MG_OK ||
-        m.type != MG_MSG_CMD_CLAIM) {
+    if (mg_msg_decode(q->command, &m) != MG_OK || m.type != MG_MSG_CMD_CLAIM) {
         mg_count(MG_C_BAD_INPUT, 1);
     }
     else if (!mg_raft_ready(c->raft)) {
@@ -730,9 +729,9 @@
     put.u.cmd_put.value = mg_str_buf(&data);
     mg_control_propose(c, &put, pool_recorded, NULL);
     mg_buf_free(&data);
-    mg_log(MG_EV_POOL_ASSIGNED, "pool=%s holder=%s epoch=%" PRIu64
-           " candidates=%zu why=%s",
-           pool, l->candidates[i].node, epoch + 1, l->candidate_count,
+    mg_log(MG_EV_POOL_ASSIGNED,
+           "pool=%s holder=%s epoch=%" PRIu64 " candidates=%zu why=%s", pool,
+           l->candidates[i].node, epoch + 1, l->candidate_count,
            epoch ? "former_holder_gone" : "new_pool");
 }
 
@@ -755,7 +754,8 @@
     json_t *tree = json_loadb(text.p, text.n, 0, NULL);
     size_t i;
     json_t *pool;
-    json_array_foreach (json_object_get(tree, "pool"), i, pool) {
+    json_array_foreach(json_object_get(tree, "pool"), i, pool)
+    {
         const char *name = json_string_value(json_object_get(pool, "name"));
         if (name != NULL && p->count < POOLS_MAX) {
             mg_str_copy(p->names[p->count++], MG_NAME_SIZE, mg_str_of(name));
@@ -787,9 +787,9 @@
     uint64_t rev = l.document_rev;
     if (!l.behind && rev > c->in_force) {
         c->in_force = rev;
-        mg_log(MG_EV_DOC_IN_FORCE, "rev=%" PRIu64 " entries=%zu after_ms=%"
-               PRId64,
-               rev, l.live, mg_now(c->clock) - c->document_at);
+        mg_log(MG_EV_DOC_IN_FORCE,
+               "rev=%" PRIu64 " entries=%zu after_ms=%" PRId64, rev, l.live,
+               mg_now(c->clock) - c->document_at);
     }
     watch_quorum(c, &l);
     const struct pool_names *pools = document_pools(c);
@@ -862,8 +862,7 @@
         mg_operator_forwarded(c->operator_, &m->u.operator_rep);
         break;
     default:
-        mg_log(MG_EV_BAD_INPUT, "peer=%s what=%s", peer,
-               mg_msg_name(m->type));
+        mg_log(MG_EV_BAD_INPUT, "peer=%s what=%s", peer, mg_msg_name(m->type));
         mg_count(MG_C_BAD_INPUT, 1);
     }
 }
@@ -892,8 +891,7 @@
 static void
 compact_if_long(mg_control *c)
 {
-    if (mg_raft_log_length(c->raft) <
-        (size_t)c->settings.snapshot_entries) {
+    if (mg_raft_log_length(c->raft) < (size_t)c->settings.snapshot_entries) {
         return;
     }
     mg_buf data = {0};
@@ -920,8 +918,8 @@
 open_raft(mg_control *c, mg_error *err)
 {
     mg_store_image image;
-    mg_rc rc = mg_store_open(&c->store, c->settings.data_dir, false, &image,
-                             err);
+    mg_rc rc =
+        mg_store_open(&c->store, c->settings.data_dir, false, &image, err);
     if (rc != MG_OK) {
         return rc;
     }
@@ -933,10 +931,9 @@
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
     c->host = (mg_raft_host){
-        host_send,          host_save_meta, host_append,
-        host_truncate,      host_sync,      host_save_snapshot,
-        host_apply,         host_restore,   host_role_changed,
-        host_failed,
+        host_send,         host_save_meta,     host_append, host_truncate,
+        host_sync,         host_save_snapshot, host_apply,  host_restore,
+        host_role_changed, host_failed,
     };
     c->raft = mg_raft_new(&(mg_raft_options){
         .id = c->id,
@@ -992,8 +989,8 @@
 }
 
 mg_rc
-mg_control_open(mg_control **out, uv_loop_t *loop,
-                const mg_settings *settings, mg_error *err)
+mg_control_open(mg_control **out, uv_loop_t *loop, const mg_settings *settings,
+                mg_error *err)
 {
     unsigned id = mg_settings_control_id(settings, settings->node);
     if (id == 0) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -32,36 +32,49 @@
 typedef struct mg_control mg_control;
 
 /* MG_E_IO, MG_E_CORRUPT: the data folder can't be used; err says why. */
-mg_rc mg_control_open(mg_control **out, uv_loop_t *loop,
-                      const mg_settings *settings, mg_error *err);
+mg_rc
+mg_control_open(mg_control **out, uv_loop_t *loop, const mg_settings *settings,
+                mg_error *err);
 /* Makes the data folder of a voter of a new group; it must not exist. */
-mg_rc mg_control_init_folder(const char *dir, mg_error *err);
-void mg_control_stop(mg_control *c);
+mg_rc
+mg_control_init_folder(const char *dir, mg_error *err);
+void
+mg_control_stop(mg_control *c);
 /* The data folder failed and the loop was stopped for it. */
-bool mg_control_failed(const mg_control *c);
+bool
+mg_control_failed(const mg_control *c);
 
 /* for control/operator.c */
 
 typedef void (*mg_apply_done)(void *user, const mg_apply_reply *reply);
 
-const mg_settings *mg_control_settings(const mg_control *c);
-const mg_state *mg_control_state(const mg_control *c);
-const mg_raft *mg_control_raft(const mg_control *c);
-const char *mg_control_leader(const mg_control *c);
+const mg_settings *
+mg_control_settings(const mg_control *c);
+const mg_state *
+mg_control_state(const mg_control *c);
+const mg_raft *
+mg_control_raft(const mg_control *c);
+const char *
+mg_control_leader(const mg_control *c);
 /*
  * Proposes a command; done is called when it was applied, with
  * MG_E_NO_LEADER when this member ceased to lead before.
  */
-mg_rc mg_control_propose(mg_control *c, const mg_msg *command,
-                         mg_apply_done done, void *user);
+mg_rc
+mg_control_propose(mg_control *c, const mg_msg *command, mg_apply_done done,
+                   void *user);
 /* Entries that count, and those of them with a live lease. */
-void mg_control_count_members(mg_control *c, size_t *members, size_t *live);
+void
+mg_control_count_members(mg_control *c, size_t *members, size_t *live);
 /* Revision of the document that is in force at every leased entry. */
-uint64_t mg_control_in_force(const mg_control *c);
+uint64_t
+mg_control_in_force(const mg_control *c);
 /* Applied revision and lease of an entry, for status. */
-mg_lease_state mg_control_member(const mg_control *c, const char *node,
-                                 uint64_t incarnation, uint64_t *rev);
+mg_lease_state
+mg_control_member(const mg_control *c, const char *node, uint64_t incarnation,
+                  uint64_t *rev);
 /* Sends an operator's request to the leader; MG_E_NO_LEADER. */
-mg_rc mg_control_forward(mg_control *c, const mg_msg *request);
+mg_rc
+mg_control_forward(mg_control *c, const mg_msg *request);
 
 #endif
--- a/src/control/operator.c
+++ b/src/control/operator.c
@@ -95,8 +95,7 @@
     mg_str value;
     uint64_t rev;
     mg_msg m;
-    if (!mg_state_get(state, MG_KIND_SECTION, mg_str_of(name), &value,
-                      &rev) ||
+    if (!mg_state_get(state, MG_KIND_SECTION, mg_str_of(name), &value, &rev) ||
         mg_msg_decode(value, &m) != MG_OK) {
         return false;
     }
@@ -241,7 +240,8 @@
     mg_config_free(b.config);
 }
 
-static void apply_result(void *user, const mg_apply_reply *reply);
+static void
+apply_result(void *user, const mg_apply_reply *reply);
 
 static void
 encode_sections(const mg_document *doc, mg_buf *out)
@@ -320,9 +320,9 @@
     }
     mg_log(MG_EV_DOC_ACCEPTED, "rev=%" PRIu64 " sections=%zu", reply->rev,
            op->doc.count);
-    reply_json(op->reply, op->user, 200,
-               json_pack("{s:s, s:I}", "code", "ok", "rev",
-                         (json_int_t)reply->rev));
+    reply_json(
+        op->reply, op->user, 200,
+        json_pack("{s:s, s:I}", "code", "ok", "rev", (json_int_t)reply->rev));
     end_apply(op);
 }
 
@@ -405,11 +405,11 @@
     mg_lease_state state =
         mg_control_member(l->o->c, node, r->incarnation, &applied);
     json_array_append_new(
-        l->out, json_pack("{s:s, s:o, s:o, s:s, s:s, s:I}", "node", node,
-                          "http_addr", json_of(r->http_addr), "domain",
-                          json_of(r->domain), "lease", leases[state], "drain",
-                          drains[r->draining & 3], "rev",
-                          (json_int_t)applied));
+        l->out,
+        json_pack("{s:s, s:o, s:o, s:s, s:s, s:I}", "node", node, "http_addr",
+                  json_of(r->http_addr), "domain", json_of(r->domain), "lease",
+                  leases[state], "drain", drains[r->draining & 3], "rev",
+                  (json_int_t)applied));
 }
 
 static void
@@ -435,13 +435,12 @@
     if (mg_msg_decode(value, &m) == MG_OK) {
         const mg_rec_move_msg *r = &m.u.rec_move;
         json_array_append_new(
-            l->out,
-            json_pack("{s:o, s:o, s:s, s:I, s:I, s:o}", "move", json_of(key),
-                      "pool", json_of(r->pool), "state",
-                      mg_move_state_name((mg_move_state)r->state),
-                      "share_permille", (json_int_t)r->share_permille,
-                      "changed_wall_ms", (json_int_t)r->wall_ms, "reason",
-                      json_of(r->reason)));
+            l->out, json_pack("{s:o, s:o, s:s, s:I, s:I, s:o}", "move",
+                              json_of(key), "pool", json_of(r->pool), "state",
+                              mg_move_state_name((mg_move_state)r->state),
+                              "share_permille", (json_int_t)r->share_permille,
+                              "changed_wall_ms", (json_int_t)r->wall_ms,
+                              "reason", json_of(r->reason)));
     }
 }
 
@@ -467,10 +466,9 @@
     const mg_state *s = mg_control_state(o->c);
     return json_pack(
         "{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o}", "leader",
-        mg_control_leader(o->c), "term", (json_int_t)mg_raft_term(r),
-        "commit", (json_int_t)mg_raft_commit(r), "rev",
-        (json_int_t)mg_state_rev(s), "document_rev",
-        (json_int_t)mg_state_document_rev(s), "in_force_rev",
+        mg_control_leader(o->c), "term", (json_int_t)mg_raft_term(r), "commit",
+        (json_int_t)mg_raft_commit(r), "rev", (json_int_t)mg_state_rev(s),
+        "document_rev", (json_int_t)mg_state_document_rev(s), "in_force_rev",
         (json_int_t)mg_control_in_force(o->c), "claims",
         (json_int_t)mg_state_claim_count(s), "sections",
         list_kind(o, MG_KIND_SECTION, list_section), "entries",
@@ -590,8 +588,7 @@
     else if (!get && mg_str_is(path, "/v1/document")) {
         handle_document(o, owner, body, reply, user);
     }
-    else if (!get &&
-             cut_around(path, "/v1/members/", "/remove", &node)) {
+    else if (!get && cut_around(path, "/v1/members/", "/remove", &node)) {
         set_draining(o, node, MG_DRAIN_REMOVED, reply, user);
     }
     else if (!get && cut_around(path, "/v1/members/", "/drain", &node)) {
@@ -636,7 +633,8 @@
     static const char text[] = "{\"code\": \"no_leader\", \"text\": "
                                "\"the leader did not answer; the change may "
                                "have been accepted, send it again\"}";
-    HASH_ITER(hh, o->pending, p, p1) {
+    HASH_ITER(hh, o->pending, p, p1)
+    {
         if (p->until_ms != 0 && now >= p->until_ms) {
             finish_pending(p, mg_rc_http(MG_E_NO_LEADER), mg_str_of(text));
         }
--- a/src/control/operator.h
+++ b/src/control/operator.h
@@ -20,17 +20,22 @@
 
 typedef void (*mg_operator_reply)(void *user, int status, mg_str body);
 
-mg_operator *mg_operator_new(mg_control *c);
-void mg_operator_free(mg_operator *o);
+mg_operator *
+mg_operator_new(mg_control *c);
+void
+mg_operator_free(mg_operator *o);
 /* Answers on this member; only the leader may be asked. */
-void mg_operator_handle(mg_operator *o, mg_str method, mg_str path,
-                        mg_str key, mg_str body, mg_operator_reply reply,
-                        void *user);
+void
+mg_operator_handle(mg_operator *o, mg_str method, mg_str path, mg_str key,
+                   mg_str body, mg_operator_reply reply, void *user);
 /* Answers requests that the leader left unanswered for too long. */
-void mg_operator_tick(mg_operator *o);
+void
+mg_operator_tick(mg_operator *o);
 /* An HTTP request of this member's port. */
-void mg_operator_http(void *operator_, mg_http_req *req);
+void
+mg_operator_http(void *operator_, mg_http_req *req);
 /* The leader's answer to a request that was passed on. */
-void mg_operator_forwarded(mg_operator *o, const mg_operator_rep_msg *m);
+void
+mg_operator_forwarded(mg_operator *o, const mg_operator_rep_msg *m);
 
 #endif
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -30,16 +30,16 @@
     mg_raft_meta meta;
     mg_raft_role role;
     unsigned leader;
-    int64_t election_at;    /* when to stand for election */
-    int64_t leader_heard;   /* last contact with the leader */
-    int64_t heartbeat_at;   /* leader: next heartbeat */
+    int64_t election_at;  /* when to stand for election */
+    int64_t leader_heard; /* last contact with the leader */
+    int64_t heartbeat_at; /* leader: next heartbeat */
     uint64_t round;
     uint64_t commit;
     uint64_t applied;
-    uint64_t synced;      /* own entries known to be on disk */
-    uint64_t lead_index;  /* first entry of the leader's own term */
-    bool dirty;           /* entries appended or cut since the last sync */
-    bool reply_due;       /* follower owes an acknowledgement */
+    uint64_t synced;     /* own entries known to be on disk */
+    uint64_t lead_index; /* first entry of the leader's own term */
+    bool dirty;          /* entries appended or cut since the last sync */
+    bool reply_due;      /* follower owes an acknowledgement */
     uint64_t reply_round;
     uint64_t reply_match; /* what the leader's last append proved */
     bool stopped;
@@ -53,8 +53,10 @@
     struct peer peers[MG_RAFT_MAX_MEMBERS + 1];
 };
 
-static void become_leader(mg_raft *r);
-static void start_election(mg_raft *r, bool pre);
+static void
+become_leader(mg_raft *r);
+static void
+start_election(mg_raft *r, bool pre);
 
 static unsigned
 majority(const mg_raft *r)
@@ -219,7 +221,7 @@
     uint64_t sorted[MG_RAFT_MAX_MEMBERS];
     unsigned k = 0;
     for (unsigned i = 1; i <= r->n; i++) {
-        uint64_t v = i == r->id           ? (r->meta.voter ? own : 0)
+        uint64_t v = i == r->id          ? (r->meta.voter ? own : 0)
                      : r->peers[i].voter ? value(&r->peers[i])
                                          : 0;
         unsigned at = k++;
@@ -421,9 +423,9 @@
     }
     if (q->pre) {
         /* a member that hears a leader does not help to replace it */
-        bool hears = r->role == MG_RAFT_LEADER ||
-                     mg_now(r->clock) - r->leader_heard <
-                         MG_RAFT_ELECTION_MIN_MS;
+        bool hears =
+            r->role == MG_RAFT_LEADER ||
+            mg_now(r->clock) - r->leader_heard < MG_RAFT_ELECTION_MIN_MS;
         return q->term > r->meta.term && !hears;
     }
     return q->term == r->meta.term &&
@@ -560,14 +562,12 @@
     hear_leader(r, from, s->term);
     if (s->last_index > r->commit && !r->stopped) {
         if (!check_storage(r, r->host->save_snapshot(r->host, s->last_index,
-                                                     s->last_term,
-                                                     s->data))) {
+                                                     s->last_term, s->data))) {
             return;
         }
         drop_log(r);
         /* the stored log may hold entries behind it that never agreed */
-        if (!check_storage(r, r->host->truncate(r->host,
-                                                s->last_index + 1))) {
+        if (!check_storage(r, r->host->truncate(r->host, s->last_index + 1))) {
             return;
         }
         r->dirty = true;
@@ -651,8 +651,8 @@
 {
     unsigned n = 1;
     for (unsigned i = 1; i <= r->n; i++) {
-        n += i != r->id &&
-             now - r->peers[i].heard_at < MG_RAFT_ELECTION_MAX_MS;
+        n +=
+            i != r->id && now - r->peers[i].heard_at < MG_RAFT_ELECTION_MAX_MS;
     }
     return n >= majority(r);
 }
@@ -785,8 +785,8 @@
     if (index <= r->snap_index || r->stopped) {
         return;
     }
-    if (!check_storage(r, r->host->save_snapshot(r->host, index, term,
-                                                 state))) {
+    if (!check_storage(r,
+                       r->host->save_snapshot(r->host, index, term, state))) {
         return;
     }
     size_t drop = (size_t)(index - r->snap_index);
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -93,45 +93,62 @@
     size_t entry_count;
 } mg_raft_options;
 
-mg_raft *mg_raft_new(const mg_raft_options *opts);
-void mg_raft_free(mg_raft *r);
+mg_raft *
+mg_raft_new(const mg_raft_options *opts);
+void
+mg_raft_free(mg_raft *r);
 
-void mg_raft_tick(mg_raft *r);
-void mg_raft_receive(mg_raft *r, unsigned from, const mg_msg *m);
+void
+mg_raft_tick(mg_raft *r);
+void
+mg_raft_receive(mg_raft *r, unsigned from, const mg_msg *m);
 /*
  * Adds a command to the log. MG_E_NO_LEADER unless this member leads. On
  * MG_OK *index and *term tell where it will be applied if it is committed;
  * another term applied at that index means that it was lost.
  */
-mg_rc mg_raft_propose(mg_raft *r, mg_str data, uint64_t *index,
-                      uint64_t *term);
+mg_rc
+mg_raft_propose(mg_raft *r, mg_str data, uint64_t *index, uint64_t *term);
 /* Syncs what was appended, then sends what waits for that. */
-void mg_raft_flush(mg_raft *r);
+void
+mg_raft_flush(mg_raft *r);
 /*
  * Keeps state as the snapshot at the last applied index and drops the log
  * up to there.
  */
-void mg_raft_compact(mg_raft *r, mg_str state);
+void
+mg_raft_compact(mg_raft *r, mg_str state);
 
 /*
  * Starts a round of contact with the members and returns its number. When
  * mg_raft_confirmed_round() has reached it, this member was the leader after
  * the call (a read or a lease granted before the call is valid).
  */
-uint64_t mg_raft_start_round(mg_raft *r);
-uint64_t mg_raft_confirmed_round(const mg_raft *r);
+uint64_t
+mg_raft_start_round(mg_raft *r);
+uint64_t
+mg_raft_confirmed_round(const mg_raft *r);
 
-mg_raft_role mg_raft_get_role(const mg_raft *r);
+mg_raft_role
+mg_raft_get_role(const mg_raft *r);
 /* member that leads as far as known, 0 for none */
-unsigned mg_raft_leader(const mg_raft *r);
-uint64_t mg_raft_term(const mg_raft *r);
-uint64_t mg_raft_applied(const mg_raft *r);
-uint64_t mg_raft_commit(const mg_raft *r);
-uint64_t mg_raft_last_index(const mg_raft *r);
+unsigned
+mg_raft_leader(const mg_raft *r);
+uint64_t
+mg_raft_term(const mg_raft *r);
+uint64_t
+mg_raft_applied(const mg_raft *r);
+uint64_t
+mg_raft_commit(const mg_raft *r);
+uint64_t
+mg_raft_last_index(const mg_raft *r);
 /* entries since the snapshot */
-size_t mg_raft_log_length(const mg_raft *r);
-bool mg_raft_is_voter(const mg_raft *r);
+size_t
+mg_raft_log_length(const mg_raft *r);
+bool
+mg_raft_is_voter(const mg_raft *r);
 /* the leader has applied an entry of its own term */
-bool mg_raft_ready(const mg_raft *r);
+bool
+mg_raft_ready(const mg_raft *r);
 
 #endif
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -56,7 +56,8 @@
 static void
 clear(mg_state *s)
 {
-    list_for_each_safe(el, el1, &s->changes) {
+    list_for_each_safe(el, el1, &s->changes)
+    {
         struct record *r = list_entry(el, struct record, link);
         HASH_DEL(s->records, r);
         list_del(&r->link);
@@ -66,14 +67,16 @@
     }
     struct credit *c;
     struct credit *c1;
-    HASH_ITER(hh, s->credits, c, c1) {
+    HASH_ITER(hh, s->credits, c, c1)
+    {
         HASH_DEL(s->credits, c);
         free(c->member);
         free(c);
     }
     struct batch *b;
     struct batch *b1;
-    HASH_ITER(hh, s->batches, b, b1) {
+    HASH_ITER(hh, s->batches, b, b1)
+    {
         HASH_DEL(s->batches, b);
         free(b->holder);
         free(b);
@@ -113,8 +116,7 @@
 }
 
 static void
-put_record(mg_state *s, uint64_t kind, mg_str key, uint64_t rev,
-           mg_str value)
+put_record(mg_state *s, uint64_t kind, mg_str key, uint64_t rev, mg_str value)
 {
     struct record *r = find_record(s, kind, key);
     if (r == NULL) {
@@ -355,8 +357,7 @@
 
 /* a batch is counted once: seq grows by one within an incarnation */
 static void
-apply_credits(mg_state *s, const mg_cmd_credits_msg *c,
-              mg_apply_reply *reply)
+apply_credits(mg_state *s, const mg_cmd_credits_msg *c, mg_apply_reply *reply)
 {
     struct batch *b = find_batch(s, c->holder);
     if (c->incarnation < b->incarnation ||
@@ -366,8 +367,7 @@
     mg_msg m;
     mg_str rest = c->credits;
     mg_rc rc;
-    while ((rc = mg_msg_next(&rest, &m)) == MG_OK &&
-           m.type == MG_MSG_CREDIT) {
+    while ((rc = mg_msg_next(&rest, &m)) == MG_OK && m.type == MG_MSG_CREDIT) {
     }
     if (rc != MG_E_CLOSED) {
         reply->rc = MG_E_INPUT;
@@ -449,8 +449,8 @@
 }
 
 bool
-mg_state_get(const mg_state *s, mg_record_kind kind, mg_str key,
-             mg_str *value, uint64_t *rev)
+mg_state_get(const mg_state *s, mg_record_kind kind, mg_str key, mg_str *value,
+             uint64_t *rev)
 {
     struct record *r = find_record(s, kind, key);
     if (r == NULL) {
@@ -467,7 +467,8 @@
               void (*f)(void *user, mg_str key, mg_str value, uint64_t rev),
               void *user)
 {
-    list_for_each(el, &s->changes) {
+    list_for_each(el, &s->changes)
+    {
         const struct record *r = list_entry(el, struct record, link);
         if (kind_of(r) == kind) {
             f(user, key_of(r), mg_str_buf(&r->value), r->rev);
@@ -509,8 +510,7 @@
 
 void
 mg_state_each_credit(const mg_state *s,
-                     void (*f)(void *user, const char *member,
-                               uint64_t count),
+                     void (*f)(void *user, const char *member, uint64_t count),
                      void *user)
 {
     for (struct credit *c = s->credits; c != NULL; c = c->hh.next) {
@@ -533,7 +533,8 @@
     m.u.snap_head.rev = s->rev;
     m.u.snap_head.claim_order = 0;
     mg_msg_encode(&m, out);
-    list_for_each(el, &s->changes) {
+    list_for_each(el, &s->changes)
+    {
         put_record_msg(list_entry(el, struct record, link), out);
     }
     mg_claims_save(s->claims, out);
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -38,39 +38,49 @@
     char text[256]; /* why, for people */
 } mg_apply_reply;
 
-mg_state *mg_state_new(size_t claims_max);
-void mg_state_free(mg_state *s);
+mg_state *
+mg_state_new(size_t claims_max);
+void
+mg_state_free(mg_state *s);
 /* Malformed commands are MG_E_INPUT and change nothing. */
-void mg_state_apply(mg_state *s, mg_str command, mg_apply_reply *reply);
+void
+mg_state_apply(mg_state *s, mg_str command, mg_apply_reply *reply);
 /* What a claim would find now; changes nothing. */
-void mg_state_peek(const mg_state *s, const mg_cmd_claim_msg *cmd,
-                   mg_claim_reply *reply);
+void
+mg_state_peek(const mg_state *s, const mg_cmd_claim_msg *cmd,
+              mg_claim_reply *reply);
 
-uint64_t mg_state_rev(const mg_state *s);
+uint64_t
+mg_state_rev(const mg_state *s);
 /* revision of the last change to a section */
-uint64_t mg_state_document_rev(const mg_state *s);
+uint64_t
+mg_state_document_rev(const mg_state *s);
 /* Value borrowed until the next change; false when there is none. */
-bool mg_state_get(const mg_state *s, mg_record_kind kind, mg_str key,
-                  mg_str *value, uint64_t *rev);
+bool
+mg_state_get(const mg_state *s, mg_record_kind kind, mg_str key, mg_str *value,
+             uint64_t *rev);
 /* Calls f for each record of a kind, oldest change first. */
-void mg_state_each(const mg_state *s, mg_record_kind kind,
-                   void (*f)(void *user, mg_str key, mg_str value,
-                             uint64_t rev),
-                   void *user);
+void
+mg_state_each(const mg_state *s, mg_record_kind kind,
+              void (*f)(void *user, mg_str key, mg_str value, uint64_t rev),
+              void *user);
 /*
  * Appends RECORD messages changed after rev, oldest change first, up to
  * about max bytes. Returns the revision that the reader then has.
  */
-uint64_t mg_state_changes(const mg_state *s, uint64_t rev, size_t max,
-                          mg_buf *out);
-void mg_state_each_credit(const mg_state *s,
-                          void (*f)(void *user, const char *member,
-                                    uint64_t count),
-                          void *user);
-size_t mg_state_claim_count(const mg_state *s);
+uint64_t
+mg_state_changes(const mg_state *s, uint64_t rev, size_t max, mg_buf *out);
+void
+mg_state_each_credit(const mg_state *s,
+                     void (*f)(void *user, const char *member, uint64_t count),
+                     void *user);
+size_t
+mg_state_claim_count(const mg_state *s);
 
-void mg_state_save(const mg_state *s, mg_buf *out);
+void
+mg_state_save(const mg_state *s, mg_buf *out);
 /* Replaces the whole state; MG_E_CORRUPT leaves it empty. */
-mg_rc mg_state_load(mg_state *s, mg_str snapshot);
+mg_rc
+mg_state_load(mg_state *s, mg_str snapshot);
 
 #endif
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -87,8 +87,8 @@
 {
     char tmp[64];
     snprintf(tmp, sizeof(tmp), "%s.new", name);
-    int fd = openat(s->dir_fd, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-                    0600);
+    int fd =
+        openat(s->dir_fd, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (fd < 0) {
         return MG_E_IO;
     }
@@ -125,8 +125,8 @@
     }
     memcpy(h, in->p, sizeof(*h));
     uint64_t seed = XXH3_64bits(&h->a, 32);
-    uint64_t sum = XXH3_64bits_withSeed(in->p + sizeof(*h),
-                                        in->n - sizeof(*h), seed);
+    uint64_t sum =
+        XXH3_64bits_withSeed(in->p + sizeof(*h), in->n - sizeof(*h), seed);
     return h->magic == magic && h->sum == sum ? MG_OK : MG_E_CORRUPT;
 }
 
@@ -309,8 +309,7 @@
 static mg_rc
 lock_folder(mg_store *s)
 {
-    s->lock_fd = openat(s->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC,
-                        0600);
+    s->lock_fd = openat(s->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (s->lock_fd < 0 || flock(s->lock_fd, LOCK_EX | LOCK_NB) != 0) {
         return MG_E_IO;
     }
@@ -478,8 +477,7 @@
 }
 
 mg_rc
-mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term,
-                       mg_str data)
+mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term, mg_str data)
 {
     mg_buf b = {0};
     uint64_t v[4] = {index, term, 0, 0};
--- a/src/control/store.h
+++ b/src/control/store.h
@@ -40,16 +40,24 @@
  * made, with a new identity; its member votes only when voter is set, that
  * is, for the first start of a new group.
  */
-mg_rc mg_store_open(mg_store **out, const char *dir, bool voter,
-                    mg_store_image *image, mg_error *err);
-void mg_store_image_free(mg_store_image *image);
-void mg_store_close(mg_store *s);
+mg_rc
+mg_store_open(mg_store **out, const char *dir, bool voter,
+              mg_store_image *image, mg_error *err);
+void
+mg_store_image_free(mg_store_image *image);
+void
+mg_store_close(mg_store *s);
 
-mg_rc mg_store_save_meta(mg_store *s, const mg_raft_meta *meta);
-mg_rc mg_store_append(mg_store *s, const mg_raft_entry *e);
-mg_rc mg_store_truncate(mg_store *s, uint64_t index);
-mg_rc mg_store_sync(mg_store *s);
-mg_rc mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term,
-                             mg_str data);
+mg_rc
+mg_store_save_meta(mg_store *s, const mg_raft_meta *meta);
+mg_rc
+mg_store_append(mg_store *s, const mg_raft_entry *e);
+mg_rc
+mg_store_truncate(mg_store *s, uint64_t index);
+mg_rc
+mg_store_sync(mg_store *s);
+mg_rc
+mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term,
+                       mg_str data);
 
 #endif
--- a/src/entry/clink.c
+++ b/src/entry/clink.c
@@ -62,7 +62,8 @@
 {
     struct call *c;
     struct call *c1;
-    HASH_ITER(hh, l->calls, c, c1) {
+    HASH_ITER(hh, l->calls, c, c1)
+    {
         free_call(l, c);
     }
     free(l);
@@ -291,8 +292,8 @@
     bool leased = mg_clink_leased(l);
     if (leased != l->was_leased) {
         l->was_leased = leased;
-        mg_log(leased ? MG_EV_ENTRY_LEASED : MG_EV_ENTRY_UNLEASED,
-               "node=%s", l->opts.settings->node);
+        mg_log(leased ? MG_EV_ENTRY_LEASED : MG_EV_ENTRY_UNLEASED, "node=%s",
+               l->opts.settings->node);
         if (!leased) {
             /* from here on with probes, until a leader answers */
             l->probing = true;
--- a/src/entry/clink.h
+++ b/src/entry/clink.h
@@ -34,28 +34,39 @@
     void *user;
 } mg_clink_options;
 
-mg_clink *mg_clink_new(const mg_clink_options *opts);
-void mg_clink_free(mg_clink *l);
+mg_clink *
+mg_clink_new(const mg_clink_options *opts);
+void
+mg_clink_free(mg_clink *l);
 /* Renewals, and commands that were not answered. Every few ms. */
-void mg_clink_tick(mg_clink *l);
+void
+mg_clink_tick(mg_clink *l);
 /* Renews at once, for example when the entry starts to drain. */
-void mg_clink_renew_now(mg_clink *l);
+void
+mg_clink_renew_now(mg_clink *l);
 /* Replies of the control group; other messages are left alone. */
-void mg_clink_receive(mg_clink *l, const char *peer, const mg_msg *m);
+void
+mg_clink_receive(mg_clink *l, const char *peer, const mg_msg *m);
 /*
  * Sends a CMD_ message through the log. done comes once, at the latest at
  * the deadline (monotonic ms; 0: none). Returns a number to cancel with.
  */
-uint64_t mg_clink_call(mg_clink *l, const mg_msg *command,
-                       int64_t deadline_ms, mg_clink_done done, void *user);
+uint64_t
+mg_clink_call(mg_clink *l, const mg_msg *command, int64_t deadline_ms,
+              mg_clink_done done, void *user);
 /* Asks what a CMD_CLAIM would find, without the log. */
-uint64_t mg_clink_peek(mg_clink *l, const mg_msg *command,
-                       int64_t deadline_ms, mg_clink_done done, void *user);
+uint64_t
+mg_clink_peek(mg_clink *l, const mg_msg *command, int64_t deadline_ms,
+              mg_clink_done done, void *user);
 /* done will not be called; the command may still be applied. */
-void mg_clink_forget(mg_clink *l, uint64_t seq);
-bool mg_clink_leased(const mg_clink *l);
+void
+mg_clink_forget(mg_clink *l, uint64_t seq);
+bool
+mg_clink_leased(const mg_clink *l);
 /* No leader can believe that this entry holds a lease. */
-bool mg_clink_lease_given_up(const mg_clink *l);
-size_t mg_clink_pending(const mg_clink *l);
+bool
+mg_clink_lease_given_up(const mg_clink *l);
+size_t
+mg_clink_pending(const mg_clink *l);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -16,8 +16,7 @@
 bool
 mg_entry_serving(const mg_entry *e)
 {
-    return mg_clink_leased(e->clink) ||
-           mg_now(e->clock) < e->fresh_until_ms;
+    return mg_clink_leased(e->clink) || mg_now(e->clock) < e->fresh_until_ms;
 }
 
 mg_peer *
@@ -59,9 +58,8 @@
                        : m->draining == 0 && mg_net_up(e->net, m->node);
         if (up) {
             json_array_append_new(list,
-                                  json_pack("{s:s, s:s}", "addr",
-                                            m->http_addr, "domain",
-                                            m->domain));
+                                  json_pack("{s:s, s:s}", "addr", m->http_addr,
+                                            "domain", m->domain));
         }
     }
     json_t *body = json_pack("{s:o, s:I}", "entries", list, "ttl_ms",
@@ -103,7 +101,8 @@
     mg_buf list = {0};
     mg_credit *c;
     mg_credit *c1;
-    HASH_ITER(hh, e->credits, c, c1) {
+    HASH_ITER(hh, e->credits, c, c1)
+    {
         mg_msg m = {.type = MG_MSG_CREDIT};
         m.u.credit.member = mg_str_of(c->member);
         m.u.credit.count = c->count;
@@ -130,7 +129,8 @@
     }
 }
 
-/* ------------------------------------------------------------- control link */
+/* ------------------------------------------------------------- control link
+ */
 
 static void
 describe(void *user, mg_renew_msg *m)
@@ -172,8 +172,8 @@
     }
     mg_rc rc = mg_view_apply(e->view, m->records, m->rev, &err);
     if (rc != MG_OK) {
-        mg_log(MG_EV_CONFIG_BAD, "rev=%llu why=%s",
-               (unsigned long long)m->rev, err.text);
+        mg_log(MG_EV_CONFIG_BAD, "rev=%llu why=%s", (unsigned long long)m->rev,
+               err.text);
         return rc;
     }
     mg_log(MG_EV_CONFIG_APPLIED, "rev=%llu from=%llu bytes=%zu",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -16,13 +16,15 @@
 
 typedef struct mg_entry mg_entry;
 
-mg_rc mg_entry_open(mg_entry **out, uv_loop_t *loop,
-                    const mg_settings *settings, mg_error *err);
+mg_rc
+mg_entry_open(mg_entry **out, uv_loop_t *loop, const mg_settings *settings,
+              mg_error *err);
 /*
  * Graceful shutdown: leaves the addresses, serves until callers' kept
  * answers have run out, hands its schedulers over, finishes what is in
  * flight, then stops the loop.
  */
-void mg_entry_drain(mg_entry *e);
+void
+mg_entry_drain(mg_entry *e);
 
 #endif
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -100,8 +100,8 @@
     uint64_t holder_nonce;
     int64_t join_ms;
     bool slot_given_up; /* the claim took longer than the grant was valid */
-    char *addrs;     /* targets still to be asked for the answer; owned */
-    char *next_addr; /* in addrs */
+    char *addrs;        /* targets still to be asked for the answer; owned */
+    char *next_addr;    /* in addrs */
     int64_t kept_until_ms;
     uint64_t began_us;
     uint64_t dispatched_us;
@@ -187,48 +187,76 @@
 };
 
 /* entry.c */
-bool mg_entry_serving(const mg_entry *e);
-void mg_entry_send(mg_entry *e, const char *node, const mg_msg *m);
-void mg_entry_credit(mg_entry *e, const char *member);
-mg_str mg_entry_addresses(mg_entry *e, mg_buf *out);
+bool
+mg_entry_serving(const mg_entry *e);
+void
+mg_entry_send(mg_entry *e, const char *node, const mg_msg *m);
+void
+mg_entry_credit(mg_entry *e, const char *member);
+mg_str
+mg_entry_addresses(mg_entry *e, mg_buf *out);
 
-mg_peer *mg_entry_peer(mg_entry *e, const char *node);
+mg_peer *
+mg_entry_peer(mg_entry *e, const char *node);
 
 /* front.c */
-void mg_front_http(void *entry, mg_http_req *http);
-void mg_front_announce_rep(mg_entry *e, const mg_announce_rep_msg *m);
-void mg_front_tick(mg_entry *e);
-void mg_front_refuse(mg_http_req *http, mg_rc rc, mg_ran ran,
-                     int64_t retry_ms, const char *text);
+void
+mg_front_http(void *entry, mg_http_req *http);
+void
+mg_front_announce_rep(mg_entry *e, const mg_announce_rep_msg *m);
+void
+mg_front_tick(mg_entry *e);
+void
+mg_front_refuse(mg_http_req *http, mg_rc rc, mg_ran ran, int64_t retry_ms,
+                const char *text);
 
 /* request.c */
-void mg_request_begin(mg_entry *e, mg_http_req *http, const mg_admission *a);
-void mg_request_grant(mg_entry *e, const mg_grant_msg *m);
+void
+mg_request_begin(mg_entry *e, mg_http_req *http, const mg_admission *a);
+void
+mg_request_grant(mg_entry *e, const mg_grant_msg *m);
 /* Sheds a waiting request of a lower tier; false when there is none. */
-bool mg_request_displace(mg_entry *e, unsigned tier);
-void mg_request_shed(mg_entry *e, const mg_shed_msg *m);
-void mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m);
-void mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m);
-void mg_request_locate_rep(mg_entry *e, const mg_locate_rep_msg *m);
-void mg_request_tick(mg_entry *e);
+bool
+mg_request_displace(mg_entry *e, unsigned tier);
+void
+mg_request_shed(mg_entry *e, const mg_shed_msg *m);
+void
+mg_request_join(mg_entry *e, const char *peer, const mg_join_msg *m);
+void
+mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m);
+void
+mg_request_locate_rep(mg_entry *e, const mg_locate_rep_msg *m);
+void
+mg_request_tick(mg_entry *e);
 /* The pool has another holder or epoch: tickets and held grants go there. */
-void mg_request_resync(mg_entry *e, const char *pool);
+void
+mg_request_resync(mg_entry *e, const char *pool);
 
 /* pools.c */
-void mg_pools_init(mg_entry *e);
-void mg_pools_view_changed(mg_entry *e);
-void mg_pools_receive(mg_entry *e, const char *peer, const mg_msg *m);
-void mg_pools_tick(mg_entry *e);
-void mg_pools_run_dirty(mg_entry *e);
-void mg_pools_stop(mg_entry *e);
+void
+mg_pools_init(mg_entry *e);
+void
+mg_pools_view_changed(mg_entry *e);
+void
+mg_pools_receive(mg_entry *e, const char *peer, const mg_msg *m);
+void
+mg_pools_tick(mg_entry *e);
+void
+mg_pools_run_dirty(mg_entry *e);
+void
+mg_pools_stop(mg_entry *e);
 /* Sends to the scheduler of a pool; MG_E_NO_LEASE when none is known. */
-mg_rc mg_pools_send(mg_entry *e, const char *pool, const mg_msg *m);
-uint64_t mg_pools_epoch(const mg_entry *e, const char *pool);
+mg_rc
+mg_pools_send(mg_entry *e, const char *pool, const mg_msg *m);
+uint64_t
+mg_pools_epoch(const mg_entry *e, const char *pool);
 
 /* fresh.c */
-void mg_fresh_tick(mg_entry *e);
-void mg_fresh_request(mg_entry *e, const char *peer,
-                      const mg_fresh_req_msg *m);
-void mg_fresh_reply(mg_entry *e, const char *peer, const mg_fresh_rep_msg *m);
+void
+mg_fresh_tick(mg_entry *e);
+void
+mg_fresh_request(mg_entry *e, const char *peer, const mg_fresh_req_msg *m);
+void
+mg_fresh_reply(mg_entry *e, const char *peer, const mg_fresh_rep_msg *m);
 
 #endif
--- a/src/entry/front.c
+++ b/src/entry/front.c
@@ -30,8 +30,8 @@
                 const char *text)
 {
     char extra[64] = "";
-    json_t *body = json_pack("{s:{s:s, s:s}}", "error", "code",
-                             mg_rc_name(rc), "ran", mg_ran_name(ran));
+    json_t *body = json_pack("{s:{s:s, s:s}}", "error", "code", mg_rc_name(rc),
+                             "ran", mg_ran_name(ran));
     if (text != NULL) {
         json_object_set_new(json_object_get(body, "error"), "text",
                             json_string(text));
@@ -161,12 +161,14 @@
         mg_buf_put(out, json_string_value(v), json_string_length(v));
     }
     else if (json_is_array(v)) {
-        json_array_foreach (v, i, item) {
+        json_array_foreach(v, i, item)
+        {
             add_text(item, out);
         }
     }
     else if (json_is_object(v)) {
-        json_object_foreach (v, key, item) {
+        json_object_foreach(v, key, item)
+        {
             if (strcmp(key, "content") == 0 || strcmp(key, "text") == 0) {
                 add_text(item, out);
             }
@@ -182,8 +184,8 @@
     add_text(json_object_get(body, "prompt"), &text);
     a->prefill = (uint32_t)(text.n / TOKENS_PER_BYTE_INVERSE + 1);
     if (text.n >= PREFIX_BYTES) {
-        a->prefix = mg_hash2(mg_str_of(a->workspace),
-                             (mg_str){text.p, PREFIX_BYTES});
+        a->prefix =
+            mg_hash2(mg_str_of(a->workspace), (mg_str){text.p, PREFIX_BYTES});
     }
     mg_buf_free(&text);
     json_t *max = json_object_get(body, "max_tokens");
@@ -228,8 +230,8 @@
     mg_str path = mg_http_path(http);
     size_t head = strlen(SERVICES);
     mg_str rest;
-    mg_str name = mg_str_cut((mg_str){path.p + head, path.n - head}, '/',
-                             &rest);
+    mg_str name =
+        mg_str_cut((mg_str){path.p + head, path.n - head}, '/', &rest);
     if (name.n == 0 || name.n >= MG_NAME_SIZE) {
         return "path: expected /v1/services/NAME";
     }
@@ -251,8 +253,8 @@
         return MG_E_NOT_FOUND;
     }
     a->engine = !service;
-    bool non_idempotent = !p->repeatable ||
-                          mg_http_header(http, "x-non-idempotent").n > 0;
+    bool non_idempotent =
+        !p->repeatable || mg_http_header(http, "x-non-idempotent").n > 0;
     if (non_idempotent && a->key[0] == '\0') {
         *why = "a request that may not be repeated needs the header "
                "idempotency-key";
@@ -282,8 +284,8 @@
 has_room(mg_entry *e, unsigned tier)
 {
     size_t max = (size_t)e->settings.requests_max;
-    if (e->open_requests < max * (2 * MG_TIER_MAX - tier) /
-                               (2 * MG_TIER_MAX)) {
+    if (e->open_requests <
+        max * (2 * MG_TIER_MAX - tier) / (2 * MG_TIER_MAX)) {
         return true;
     }
     return mg_request_displace(e, tier);
@@ -376,7 +378,8 @@
     int64_t now = mg_now(e->clock);
     mg_announcement *an;
     mg_announcement *an1;
-    HASH_ITER(hh, e->announcements, an, an1) {
+    HASH_ITER(hh, e->announcements, an, an1)
+    {
         if (now >= an->until_ms) {
             finish_announcement(an, MG_E_NO_LEASE, 0);
         }
@@ -401,24 +404,24 @@
 static const mg_key announce_keys[] = {
     {"pool", MG_KEY_NAME, true, offsetof(struct announce_text, pool), 0, 0,
      NULL},
-    {"target", MG_KEY_NAME, true, offsetof(struct announce_text, target), 0,
-     0, NULL},
+    {"target", MG_KEY_NAME, true, offsetof(struct announce_text, target), 0, 0,
+     NULL},
     {"addr", MG_KEY_ADDR, true, offsetof(struct announce_text, addr), 0, 0,
      NULL},
-    {"version", MG_KEY_NAME, true, offsetof(struct announce_text, version),
-     0, 0, NULL},
+    {"version", MG_KEY_NAME, true, offsetof(struct announce_text, version), 0,
+     0, NULL},
     {"domain", MG_KEY_NAME, false, offsetof(struct announce_text, domain), 0,
      0, NULL},
-    {"epoch", MG_KEY_INT, true, offsetof(struct announce_text, epoch), 1,
-     9e15, NULL},
+    {"epoch", MG_KEY_INT, true, offsetof(struct announce_text, epoch), 1, 9e15,
+     NULL},
     {"slots", MG_KEY_INT, true, offsetof(struct announce_text, slots), 1,
      SLOTS_LIMIT, NULL},
     {"tokens_max", MG_KEY_INT, false,
      offsetof(struct announce_text, tokens_max), 0, 1e9, NULL},
-    {"leaving", MG_KEY_BOOL, false, offsetof(struct announce_text, leaving),
-     0, 0, NULL},
-    {"running", MG_KEY_INT, false, offsetof(struct announce_text, running),
-     0, 1e6, NULL},
+    {"leaving", MG_KEY_BOOL, false, offsetof(struct announce_text, leaving), 0,
+     0, NULL},
+    {"running", MG_KEY_INT, false, offsetof(struct announce_text, running), 0,
+     1e6, NULL},
     {"queued", MG_KEY_INT, false, offsetof(struct announce_text, queued), 0,
      1e6, NULL},
     {"report_age_ms", MG_KEY_INT, false,
@@ -513,16 +516,16 @@
 sched_json(const mg_sched *s)
 {
     json_t *targets = json_array();
-    list_for_each(el, mg_sched_targets(s)) {
+    list_for_each(el, mg_sched_targets(s))
+    {
         const mg_target *t = list_entry(el, mg_target, link);
         json_array_append_new(
-            targets,
-            json_pack("{s:s, s:s, s:I, s:i, s:i, s:b, s:f, s:f}", "target",
-                      t->name, "version", t->version, "epoch",
-                      (json_int_t)t->epoch, "running", (int)t->running,
-                      "slots", (int)t->slots_max, "leaving", t->leaving,
-                      "first_per_token_ms", t->first_per_token, "gap_ms",
-                      t->gap_ms));
+            targets, json_pack("{s:s, s:s, s:I, s:i, s:i, s:b, s:f, s:f}",
+                               "target", t->name, "version", t->version,
+                               "epoch", (json_int_t)t->epoch, "running",
+                               (int)t->running, "slots", (int)t->slots_max,
+                               "leaving", t->leaving, "first_per_token_ms",
+                               t->first_per_token, "gap_ms", t->gap_ms));
     }
     return json_pack("{s:s, s:I, s:I, s:I, s:b, s:o}", "pool",
                      mg_sched_pool(s), "epoch", (json_int_t)mg_sched_epoch(s),
--- a/src/entry/keyed.c
+++ b/src/entry/keyed.c
@@ -99,8 +99,7 @@
 }
 
 static void
-take_kept_answer(mg_request *r, uint64_t status, const char *type,
-                 mg_str body)
+take_kept_answer(mg_request *r, uint64_t status, const char *type, mg_str body)
 {
     r->status = (int)status;
     mg_str_copy(r->type, sizeof(r->type), mg_str_of(type));
@@ -119,7 +118,8 @@
     if (r == NULL || r->state != MG_REQ_JOINING || r->addrs != NULL) {
         return;
     }
-    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " found=lost_holder holder=%s "
+    mg_log(MG_EV_REQ_RESEND,
+           "id=%" PRIx64 " found=lost_holder holder=%s "
            "targets=%.*s",
            r->id, r->holder, MG_STR_FMT(m->addrs));
     r->addrs = mg_str_dup(m->addrs);
@@ -178,8 +178,7 @@
 mg_request_join_rep(mg_entry *e, const mg_join_rep_msg *m)
 {
     mg_request *r = mg_request_find(e, m->seq);
-    if (r == NULL || r->state != MG_REQ_JOINING ||
-        m->rc == MG_E_IN_PROGRESS) {
+    if (r == NULL || r->state != MG_REQ_JOINING || m->rc == MG_E_IN_PROGRESS) {
         return;
     }
     if (m->rc == MG_OK) {
@@ -196,7 +195,8 @@
     }
 }
 
-/* ------------------------------------------------------ asking and claiming */
+/* ------------------------------------------------------ asking and claiming
+ */
 
 static void
 make_claim(const mg_request *r, mg_msg *m)
@@ -216,7 +216,8 @@
 follow_other(mg_request *r, const mg_claim_rep_msg *m)
 {
     mg_claim_result result = (mg_claim_result)m->result;
-    mg_log(MG_EV_REQ_RESEND, "id=%" PRIx64 " workspace=%s found=%s holder="
+    mg_log(MG_EV_REQ_RESEND,
+           "id=%" PRIx64 " workspace=%s found=%s holder="
            "%.*s",
            r->id, r->a.workspace, mg_claim_result_name(result),
            MG_STR_FMT(m->holder));
@@ -372,6 +373,6 @@
     m.u.cmd_refuse.digest = mg_str_of(r->a.digest);
     m.u.cmd_refuse.gen = r->gen;
     mg_request_enter(r, MG_REQ_REFUSING);
-    r->call_seq = mg_clink_call(r->e->clink, &m, now_of(r) + REFUSE_WAIT_MS,
-                                refused, r);
+    r->call_seq =
+        mg_clink_call(r->e->clink, &m, now_of(r) + REFUSE_WAIT_MS, refused, r);
 }
--- a/src/entry/pools.c
+++ b/src/entry/pools.c
@@ -57,8 +57,8 @@
 }
 
 static void
-host_put_record(mg_sched_host *h, mg_sched *s, unsigned kind,
-                const char *key, const mg_msg *value)
+host_put_record(mg_sched_host *h, mg_sched *s, unsigned kind, const char *key,
+                const mg_msg *value)
 {
     mg_entry *e = (mg_entry *)h;
     mg_str old;
@@ -138,8 +138,8 @@
     });
     HASH_ADD_STR(e->scheds, pool, ls);
     configure(e, ls);
-    mg_log(MG_EV_SCHED_START, "pool=%s epoch=%" PRIu64 " entries=%zu",
-           h->pool, h->epoch, n);
+    mg_log(MG_EV_SCHED_START, "pool=%s epoch=%" PRIu64 " entries=%zu", h->pool,
+           h->epoch, n);
 }
 
 static void
@@ -165,7 +165,8 @@
 {
     mg_local_sched *ls;
     mg_local_sched *ls1;
-    HASH_ITER(hh, e->scheds, ls, ls1) {
+    HASH_ITER(hh, e->scheds, ls, ls1)
+    {
         stop_sched(e, ls, "drain");
     }
 }
@@ -174,7 +175,8 @@
 update_pool(mg_entry *e, const mg_holder *h)
 {
     mg_local_sched *ls = find_local(e, h->pool);
-    if (ls != NULL && (!holds(e, h) || mg_sched_epoch(ls->sched) != h->epoch)) {
+    if (ls != NULL &&
+        (!holds(e, h) || mg_sched_epoch(ls->sched) != h->epoch)) {
         stop_sched(e, ls, "other_holder");
         ls = NULL;
     }
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -110,8 +110,8 @@
 reply_refusal(mg_request *r)
 {
     mg_log(MG_EV_REQ_REFUSED,
-           "id=%" PRIx64 " workspace=%s pool=%s tier=%u code=%s ran=%s",
-           r->id, r->a.workspace, r->a.pool, r->a.tier, mg_rc_name(r->rc),
+           "id=%" PRIx64 " workspace=%s pool=%s tier=%u code=%s ran=%s", r->id,
+           r->a.workspace, r->a.pool, r->a.tier, mg_rc_name(r->rc),
            mg_ran_name(r->ran));
     mg_count(MG_C_REFUSED, 1);
     if (r->http == NULL) {
@@ -167,13 +167,15 @@
     mg_request_reply_answer(r);
 }
 
-/* ---------------------------------------------------------- keeping answers */
+/* ---------------------------------------------------------- keeping answers
+ */
 
 static void
 forget_old_answers(mg_entry *e)
 {
     int64_t now = mg_now(e->clock);
-    list_for_each_safe(el, el1, &e->kept) {
+    list_for_each_safe(el, el1, &e->kept)
+    {
         mg_request *r = list_entry(el, mg_request, link);
         if (r->kept_until_ms > now && e->kept_bytes <= KEPT_BYTES_MAX) {
             break;
@@ -371,7 +373,8 @@
 mg_request_displace(mg_entry *e, unsigned tier)
 {
     mg_request *victim = NULL;
-    list_for_each(el, &e->waiting) {
+    list_for_each(el, &e->waiting)
+    {
         mg_request *r = list_entry(el, mg_request, link);
         if (r->state == MG_REQ_WAITING && r->a.tier > tier &&
             (victim == NULL || r->a.tier > victim->a.tier)) {
@@ -538,8 +541,7 @@
 answer_cut(mg_request *r, const char *why)
 {
     mg_log(MG_EV_REQ_CUT,
-           "id=%" PRIx64 " workspace=%s target=%s received=%" PRIu64
-           " why=%s",
+           "id=%" PRIx64 " workspace=%s target=%s received=%" PRIu64 " why=%s",
            r->id, r->a.workspace, r->target, r->received, why);
     mg_count(MG_C_CUT, 1);
     if (r->nonce != r->id) {
@@ -556,8 +558,7 @@
 resume_later(mg_request *r, const char *why)
 {
     int64_t now = now_of(r);
-    bool may = r->a.engine && !r->resume_refused &&
-               now < r->resume_until_ms;
+    bool may = r->a.engine && !r->resume_refused && now < r->resume_until_ms;
     if (r->next_addr != NULL && r->received == 0) {
         mg_keyed_read_next(r);
         return;
@@ -625,8 +626,7 @@
     char path[MG_TEXT_SIZE];
     char extra[512];
     if (resume) {
-        snprintf(path, sizeof(path), "/v1/streams/%" PRIx64
-                 "?offset=%" PRIu64,
+        snprintf(path, sizeof(path), "/v1/streams/%" PRIx64 "?offset=%" PRIu64,
                  r->nonce, r->received);
     }
     else {
@@ -635,8 +635,9 @@
     snprintf(extra, sizeof(extra),
              "content-type: application/json\r\nx-request-id: %" PRIx64
              "\r\nx-target-epoch: %" PRIu64 "\r\n%s%.200s%s",
-             r->id, r->target_epoch, mg_request_keyed(r) ? "idempotency-key: " : "",
-             r->a.key, mg_request_keyed(r) ? "\r\n" : "");
+             r->id, r->target_epoch,
+             mg_request_keyed(r) ? "idempotency-key: " : "", r->a.key,
+             mg_request_keyed(r) ? "\r\n" : "");
     mg_http_call *call = mg_http_call_new(&(mg_http_call_options){
         .loop = r->e->loop,
         .addr = r->target_addr,
@@ -668,12 +669,11 @@
 mg_request_grant(mg_entry *e, const mg_grant_msg *m)
 {
     mg_request *r = mg_request_find(e, m->id);
-    if (r == NULL || r->state != MG_REQ_WAITING ||
-        r->attempt != m->attempt || m->epoch != r->pool_epoch) {
+    if (r == NULL || r->state != MG_REQ_WAITING || r->attempt != m->attempt ||
+        m->epoch != r->pool_epoch) {
         return;
     }
-    mg_observe(MG_H_GRANT_WAIT,
-               (int64_t)(uv_hrtime() / 1000 - r->began_us));
+    mg_observe(MG_H_GRANT_WAIT, (int64_t)(uv_hrtime() / 1000 - r->began_us));
     mg_str_copy(r->target, sizeof(r->target), m->target);
     mg_str_copy(r->target_addr, sizeof(r->target_addr), m->addr);
     mg_str_copy(r->version, sizeof(r->version), m->version);
@@ -688,7 +688,8 @@
     }
 }
 
-/* -------------------------------------------------------- departing callers */
+/* -------------------------------------------------------- departing callers
+ */
 
 /* the engine stops generating; best effort */
 static void
@@ -743,7 +744,8 @@
     if (r->dispatched && r->a.engine) {
         cancel_at_target(r);
     }
-    mg_request_tell_done(r, r->dispatched ? MG_DONE_CANCELLED : MG_DONE_NOT_DISPATCHED);
+    mg_request_tell_done(r, r->dispatched ? MG_DONE_CANCELLED
+                                          : MG_DONE_NOT_DISPATCHED);
     r->rc = MG_E_CLOSED;
     mg_request_end(r);
 }
@@ -843,7 +845,8 @@
 mg_request_tick(mg_entry *e)
 {
     int64_t now = mg_now(e->clock);
-    list_for_each_safe(el, el1, &e->waiting) {
+    list_for_each_safe(el, el1, &e->waiting)
+    {
         tick_request(list_entry(el, mg_request, link), now);
     }
     forget_old_answers(e);
@@ -893,7 +896,8 @@
         return;
     }
     sync->epoch = epoch;
-    list_for_each_safe(el, el1, &e->waiting) {
+    list_for_each_safe(el, el1, &e->waiting)
+    {
         mg_request *r = list_entry(el, mg_request, link);
         if (strcmp(r->a.pool, pool) == 0 && r->state == MG_REQ_RUNNING) {
             send_held(r, epoch);
@@ -903,7 +907,8 @@
     m.u.synced.pool = mg_str_of(pool);
     m.u.synced.epoch = epoch;
     mg_pools_send(e, pool, &m);
-    list_for_each_safe(el2, el3, &e->waiting) {
+    list_for_each_safe(el2, el3, &e->waiting)
+    {
         mg_request *r = list_entry(el2, mg_request, link);
         if (strcmp(r->a.pool, pool) == 0 && r->state == MG_REQ_WAITING) {
             send_ticket(r);
--- a/src/entry/view.c
+++ b/src/entry/view.c
@@ -25,19 +25,22 @@
 {
     mg_member *m;
     mg_member *m1;
-    HASH_ITER(hh, v->members, m, m1) {
+    HASH_ITER(hh, v->members, m, m1)
+    {
         HASH_DEL(v->members, m);
         free(m);
     }
     mg_holder *h;
     mg_holder *h1;
-    HASH_ITER(hh, v->holders, h, h1) {
+    HASH_ITER(hh, v->holders, h, h1)
+    {
         HASH_DEL(v->holders, h);
         free(h);
     }
     mg_kept_record *r;
     mg_kept_record *r1;
-    HASH_ITER(hh, v->records, r, r1) {
+    HASH_ITER(hh, v->records, r, r1)
+    {
         HASH_DEL(v->records, r);
         mg_buf_free(&r->value);
         free(r);
@@ -253,8 +256,7 @@
 }
 
 uint64_t
-mg_view_record(const mg_view *v, unsigned kind, const char *key,
-               mg_str *value)
+mg_view_record(const mg_view *v, unsigned kind, const char *key, mg_str *value)
 {
     const mg_kept_record *r = find_record(v, kind, mg_str_of(key));
     if (r == NULL) {
--- a/src/ledger/claims.c
+++ b/src/ledger/claims.c
@@ -60,7 +60,8 @@
 void
 mg_claims_free(mg_claims *c)
 {
-    list_for_each_safe(el, el1, &c->order) {
+    list_for_each_safe(el, el1, &c->order)
+    {
         forget(c, list_entry(el, struct claim, link));
     }
     free(c);
@@ -118,7 +119,8 @@
     if (HASH_COUNT(c->table) < c->max) {
         return true;
     }
-    list_for_each(el, &c->order) {
+    list_for_each(el, &c->order)
+    {
         struct claim *cl = list_entry(el, struct claim, link);
         if (cl->state != STATE_HELD) {
             forget(c, cl);
@@ -269,8 +271,8 @@
 const char *
 mg_claim_result_name(mg_claim_result r)
 {
-    static const char *const names[] = {"granted",  "running",  "answered",
-                                        "unknown",  "mismatch", "released",
+    static const char *const names[] = {"granted", "running",  "answered",
+                                        "unknown", "mismatch", "released",
                                         "full"};
     return names[r];
 }
@@ -278,7 +280,8 @@
 void
 mg_claims_save(const mg_claims *c, mg_buf *out)
 {
-    list_for_each(el, &c->order) {
+    list_for_each(el, &c->order)
+    {
         const struct claim *cl = list_entry(el, struct claim, link);
         mg_msg m = {.type = MG_MSG_SNAP_CLAIM};
         mg_snap_claim_msg *s = &m.u.snap_claim;
--- a/src/ledger/claims.h
+++ b/src/ledger/claims.h
@@ -60,34 +60,43 @@
 
 typedef struct mg_claims mg_claims;
 
-mg_claims *mg_claims_new(size_t max);
-void mg_claims_free(mg_claims *c);
+mg_claims *
+mg_claims_new(size_t max);
+void
+mg_claims_free(mg_claims *c);
 
-void mg_claims_claim(mg_claims *c, const mg_cmd_claim_msg *cmd,
-                     mg_claim_reply *reply);
+void
+mg_claims_claim(mg_claims *c, const mg_cmd_claim_msg *cmd,
+                mg_claim_reply *reply);
 /* What a claim would find; changes nothing. */
-void mg_claims_peek(const mg_claims *c, const mg_cmd_claim_msg *cmd,
-                    mg_claim_reply *reply);
+void
+mg_claims_peek(const mg_claims *c, const mg_cmd_claim_msg *cmd,
+               mg_claim_reply *reply);
 /*
  * Makes "did not run" final: MG_CLAIM_RELEASED when no attempt holds or has
  * run the request, and then none that began before may. Else what a claim
  * would find.
  */
-void mg_claims_refuse(mg_claims *c, const mg_cmd_refuse_msg *cmd,
-                      mg_claim_reply *reply);
+void
+mg_claims_refuse(mg_claims *c, const mg_cmd_refuse_msg *cmd,
+                 mg_claim_reply *reply);
 /*
  * Ends an attempt. MG_OK also when the same end was recorded before;
  * MG_E_NOT_FOUND or MG_E_MISMATCH when this attempt holds nothing.
  * *first is set when this call recorded the answer, so that it is credited
  * once.
  */
-mg_rc mg_claims_final(mg_claims *c, const mg_cmd_final_msg *cmd,
-                      bool *first);
-size_t mg_claims_count(const mg_claims *c);
-const char *mg_claim_result_name(mg_claim_result r);
+mg_rc
+mg_claims_final(mg_claims *c, const mg_cmd_final_msg *cmd, bool *first);
+size_t
+mg_claims_count(const mg_claims *c);
+const char *
+mg_claim_result_name(mg_claim_result r);
 
 /* Appends SNAP_CLAIM messages, oldest first. */
-void mg_claims_save(const mg_claims *c, mg_buf *out);
-void mg_claims_load(mg_claims *c, const mg_snap_claim_msg *m);
+void
+mg_claims_save(const mg_claims *c, mg_buf *out);
+void
+mg_claims_load(mg_claims *c, const mg_snap_claim_msg *m);
 
 #endif
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -27,7 +27,8 @@
 {
     struct mark *m;
     struct mark *m1;
-    HASH_ITER(hh, q->marks, m, m1) {
+    HASH_ITER(hh, q->marks, m, m1)
+    {
         HASH_DEL(q->marks, m);
         free(m);
     }
@@ -55,9 +56,8 @@
 }
 
 unsigned
-mg_quarantine_mark(mg_quarantine *q, uint64_t fingerprint,
-                   const char *target, uint64_t target_epoch,
-                   int64_t wall_ms)
+mg_quarantine_mark(mg_quarantine *q, uint64_t fingerprint, const char *target,
+                   uint64_t target_epoch, int64_t wall_ms)
 {
     struct mark *m = find_or_add(q, fingerprint);
     mg_str epoch = {(const char *)&target_epoch, sizeof(target_epoch)};
@@ -99,7 +99,8 @@
 {
     struct mark *m;
     struct mark *m1;
-    HASH_ITER(hh, q->marks, m, m1) {
+    HASH_ITER(hh, q->marks, m, m1)
+    {
         if (m->until_wall_ms <= wall_ms) {
             HASH_DEL(q->marks, m);
             free(m);
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -20,22 +20,27 @@
 
 typedef struct mg_quarantine mg_quarantine;
 
-mg_quarantine *mg_quarantine_new(void);
-void mg_quarantine_free(mg_quarantine *q);
+mg_quarantine *
+mg_quarantine_new(void);
+void
+mg_quarantine_free(mg_quarantine *q);
 /*
  * Adds a mark for the death of a target's epoch; the same death marks once.
  * Returns the marks that the fingerprint then has.
  */
-unsigned mg_quarantine_mark(mg_quarantine *q, uint64_t fingerprint,
-                            const char *target, uint64_t target_epoch,
-                            int64_t wall_ms);
+unsigned
+mg_quarantine_mark(mg_quarantine *q, uint64_t fingerprint, const char *target,
+                   uint64_t target_epoch, int64_t wall_ms);
 /* Takes a record of the control log; it never lowers the marks. */
-void mg_quarantine_load(mg_quarantine *q, uint64_t fingerprint,
-                        unsigned marks, int64_t until_wall_ms);
+void
+mg_quarantine_load(mg_quarantine *q, uint64_t fingerprint, unsigned marks,
+                   int64_t until_wall_ms);
 /* Marks that have not expired. */
-unsigned mg_quarantine_marks(const mg_quarantine *q, uint64_t fingerprint,
-                             int64_t wall_ms);
+unsigned
+mg_quarantine_marks(const mg_quarantine *q, uint64_t fingerprint,
+                    int64_t wall_ms);
 /* Forgets expired marks. */
-void mg_quarantine_expire(mg_quarantine *q, int64_t wall_ms);
+void
+mg_quarantine_expire(mg_quarantine *q, int64_t wall_ms);
 
 #endif
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -113,8 +113,7 @@
 {
     double share = (double)r->granted_all * r->canary_percent / 100.0;
     uint64_t budget = (uint64_t)share;
-    return budget > MG_ROLLOUT_CANARY_FLOOR ? budget
-                                            : MG_ROLLOUT_CANARY_FLOOR;
+    return budget > MG_ROLLOUT_CANARY_FLOOR ? budget : MG_ROLLOUT_CANARY_FLOOR;
 }
 
 bool
@@ -226,8 +225,8 @@
     }
     r->condemned = true;
     snprintf(r->verdict, sizeof(r->verdict),
-             "%s route=%s log_odds=%.1f answers=%llu", what, route->name,
-             odds, (unsigned long long)route->new_samples);
+             "%s route=%s log_odds=%.1f answers=%llu", what, route->name, odds,
+             (unsigned long long)route->new_samples);
 }
 
 static void
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -74,33 +74,48 @@
     char reason[160];
 } mg_rollout_change;
 
-mg_rollout *mg_rollout_new(const mg_rollout_options *opts);
-void mg_rollout_free(mg_rollout *r);
+mg_rollout *
+mg_rollout_new(const mg_rollout_options *opts);
+void
+mg_rollout_free(mg_rollout *r);
 
 /* Whether the next grant may go to the new version. */
-bool mg_rollout_may_use_new(const mg_rollout *r);
+bool
+mg_rollout_may_use_new(const mg_rollout *r);
 /* Whether it may go to the old one; false once the move is done. */
-bool mg_rollout_may_use_old(const mg_rollout *r);
+bool
+mg_rollout_may_use_old(const mg_rollout *r);
 /* Whether the new version is behind its share and should be preferred. */
-bool mg_rollout_prefers_new(const mg_rollout *r);
-void mg_rollout_granted(mg_rollout *r, bool is_new);
+bool
+mg_rollout_prefers_new(const mg_rollout *r);
+void
+mg_rollout_granted(mg_rollout *r, bool is_new);
 /* A grant that was withdrawn before dispatch. */
-void mg_rollout_ungranted(mg_rollout *r, bool is_new);
-void mg_rollout_sample(mg_rollout *r, const mg_sample *s);
+void
+mg_rollout_ungranted(mg_rollout *r, bool is_new);
+void
+mg_rollout_sample(mg_rollout *r, const mg_sample *s);
 /*
  * Whether a change is due; asked often. has_targets: the new version has
  * live targets. old_targets: the old one still has.
  */
-bool mg_rollout_due(mg_rollout *r, bool has_targets, mg_rollout_change *c);
+bool
+mg_rollout_due(mg_rollout *r, bool has_targets, mg_rollout_change *c);
 /* The control log has taken a change. */
-void mg_rollout_committed(mg_rollout *r, mg_move_state state,
-                          uint32_t share_permille, uint64_t reserved);
+void
+mg_rollout_committed(mg_rollout *r, mg_move_state state,
+                     uint32_t share_permille, uint64_t reserved);
 
-mg_move_state mg_rollout_state(const mg_rollout *r);
-uint32_t mg_rollout_share(const mg_rollout *r);
-const char *mg_move_state_name(mg_move_state s);
-bool mg_rollout_is_new(const mg_rollout *r, const char *version);
+mg_move_state
+mg_rollout_state(const mg_rollout *r);
+uint32_t
+mg_rollout_share(const mg_rollout *r);
+const char *
+mg_move_state_name(mg_move_state s);
+bool
+mg_rollout_is_new(const mg_rollout *r, const char *version);
 /* Least time from start to done; a shorter plan is refused at apply. */
-int64_t mg_rollout_least_ms(void);
+int64_t
+mg_rollout_least_ms(void);
 
 #endif
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -33,10 +33,10 @@
     char version[MG_NAME_SIZE];
     size_t queue_max;
     mg_tierq *queue;
-    mg_ticket *tickets;      /* by id, waiting and set aside */
-    struct list_head aside;  /* suspects that no target can take now */
+    mg_ticket *tickets;     /* by id, waiting and set aside */
+    struct list_head aside; /* suspects that no target can take now */
     size_t aside_count;
-    mg_slot *slots;          /* by id */
+    mg_slot *slots; /* by id */
     struct list_head targets;
     mg_quarantine *quarantine;
     mg_rollout *rollout;
@@ -104,18 +104,22 @@
 {
     mg_ticket *t;
     mg_ticket *t1;
-    HASH_ITER(hh, s->tickets, t, t1) {
+    HASH_ITER(hh, s->tickets, t, t1)
+    {
         free_ticket(s, t);
     }
     mg_slot *slot;
     mg_slot *slot1;
-    HASH_ITER(hh, s->slots, slot, slot1) {
+    HASH_ITER(hh, s->slots, slot, slot1)
+    {
         free_slot(s, slot);
     }
-    list_for_each_safe(el, el1, &s->targets) {
+    list_for_each_safe(el, el1, &s->targets)
+    {
         free(list_entry(el, mg_target, link));
     }
-    list_for_each_safe(el2, el3, &s->awaited) {
+    list_for_each_safe(el2, el3, &s->awaited)
+    {
         free(list_entry(el2, struct awaited_entry, link));
     }
     mg_tierq_free(s->queue);
@@ -132,8 +136,7 @@
 }
 
 void
-mg_sched_set_move(mg_sched *s, const mg_move *move,
-                  const mg_rec_move_msg *rec)
+mg_sched_set_move(mg_sched *s, const mg_move *move, const mg_rec_move_msg *rec)
 {
     if (move == NULL) {
         mg_rollout_free(s->rollout);
@@ -297,10 +300,11 @@
 target_died(mg_sched *s, mg_target *t, const char *why)
 {
     int64_t wall = mg_wall(s->clock);
-    mg_log(MG_EV_TARGET_DOWN, "pool=%s target=%s epoch=%" PRIu64
-           " why=%s running=%u",
-           s->pool, t->name, t->epoch, why, t->running);
-    list_for_each_safe(el, el1, &t->slots) {
+    mg_log(MG_EV_TARGET_DOWN,
+           "pool=%s target=%s epoch=%" PRIu64 " why=%s running=%u", s->pool,
+           t->name, t->epoch, why, t->running);
+    list_for_each_safe(el, el1, &t->slots)
+    {
         mg_slot *slot = list_entry(el, mg_slot, link);
         if (slot->fingerprint != 0) {
             unsigned marks = mg_quarantine_mark(
@@ -321,7 +325,8 @@
 static mg_target *
 find_target(mg_sched *s, mg_str name)
 {
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         mg_target *t = list_entry(el, mg_target, link);
         if (mg_str_is(name, t->name)) {
             return t;
@@ -349,7 +354,8 @@
         target_died(s, t, "new_epoch");
     }
     else {
-        list_for_each_safe(el, el1, &t->slots) {
+        list_for_each_safe(el, el1, &t->slots)
+        {
             free_slot(s, list_entry(el, mg_slot, link));
         }
     }
@@ -446,16 +452,16 @@
 {
     struct choice best = {NULL};
     int64_t now = mg_now(s->clock);
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         mg_target *t = list_entry(el, mg_target, link);
         if (!mg_target_usable(t, now) || !has_room(t, k) ||
             !version_allowed(s, t) || (suspect && t->suspects > 0)) {
             continue;
         }
-        struct choice c = {t,
-                           mg_target_estimate(t, k->prefill, k->decode,
-                                              k->prefix, now),
-                           is_new_version(s, t)};
+        struct choice c = {
+            t, mg_target_estimate(t, k->prefill, k->decode, k->prefix, now),
+            is_new_version(s, t)};
         if (better(&best, &c, suspect)) {
             best = c;
         }
@@ -536,8 +542,7 @@
     if (left <= 0) {
         return true;
     }
-    return c->target != NULL &&
-           c->target->samples >= ESTIMATE_MIN_SAMPLES &&
+    return c->target != NULL && c->target->samples >= ESTIMATE_MIN_SAMPLES &&
            c->estimate.total_ms * ESTIMATE_TRUST > (double)left;
 }
 
@@ -551,8 +556,8 @@
 static attempt
 try_ticket(mg_sched *s, mg_ticket *k)
 {
-    unsigned marks = mg_quarantine_marks(s->quarantine, k->fingerprint,
-                                         mg_wall(s->clock));
+    unsigned marks =
+        mg_quarantine_marks(s->quarantine, k->fingerprint, mg_wall(s->clock));
     if (marks >= MG_QUARANTINE_MARKS) {
         shed(s, k, MG_E_QUARANTINED, 0);
         return ATTEMPT_ENDED;
@@ -580,7 +585,8 @@
 static void
 grant_all(mg_sched *s)
 {
-    list_for_each_safe(el, el1, &s->aside) {
+    list_for_each_safe(el, el1, &s->aside)
+    {
         try_ticket(s, list_entry(el, mg_ticket, link));
     }
     mg_ticket *k;
@@ -643,8 +649,8 @@
     }
     double rate = (double)s->window_cost / (double)span;
     if (s->window_busy && rate > 0) {
-        s->rate = s->rate > 0 ? s->rate + (rate - s->rate) * RATE_WEIGHT
-                              : rate;
+        s->rate =
+            s->rate > 0 ? s->rate + (rate - s->rate) * RATE_WEIGHT : rate;
     }
     else if (rate > s->rate && s->rate > 0) {
         s->rate = rate;
@@ -714,7 +720,8 @@
 static struct awaited_entry *
 find_awaited(mg_sched *s, const char *entry)
 {
-    list_for_each(el, &s->awaited) {
+    list_for_each(el, &s->awaited)
+    {
         struct awaited_entry *a = list_entry(el, struct awaited_entry, link);
         if (strcmp(a->entry, entry) == 0) {
             return a;
@@ -768,14 +775,16 @@
     drop_awaited(s, entry);
     mg_ticket *t;
     mg_ticket *t1;
-    HASH_ITER(hh, s->tickets, t, t1) {
+    HASH_ITER(hh, s->tickets, t, t1)
+    {
         if (strcmp(t->entry, entry) == 0) {
             free_ticket(s, t);
         }
     }
     mg_slot *slot;
     mg_slot *slot1;
-    HASH_ITER(hh, s->slots, slot, slot1) {
+    HASH_ITER(hh, s->slots, slot, slot1)
+    {
         if (strcmp(slot->entry, entry) == 0) {
             free_slot(s, slot);
         }
@@ -803,7 +812,8 @@
 expire_targets(mg_sched *s)
 {
     int64_t now = mg_now(s->clock);
-    list_for_each_safe(el, el1, &s->targets) {
+    list_for_each_safe(el, el1, &s->targets)
+    {
         mg_target *t = list_entry(el, mg_target, link);
         if (now < t->lease_until_ms) {
             continue;
@@ -829,10 +839,12 @@
 clear_ended_slots(mg_sched *s)
 {
     int64_t now = mg_now(s->clock);
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         mg_target *t = list_entry(el, mg_target, link);
         int64_t heard = t->lease_until_ms - MG_TARGET_LEASE_MS;
-        list_for_each_safe(e2, e3, &t->slots) {
+        list_for_each_safe(e2, e3, &t->slots)
+        {
             mg_slot *slot = list_entry(e2, mg_slot, link);
             if (slot->ended && heard > slot->ended_ms &&
                 now < t->lease_until_ms) {
@@ -845,10 +857,10 @@
 static bool
 new_version_has_targets(const mg_sched *s)
 {
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         const mg_target *t = list_entry(el, mg_target, link);
-        if (is_new_version(s, t) &&
-            mg_target_usable(t, mg_now(s->clock))) {
+        if (is_new_version(s, t) && mg_target_usable(t, mg_now(s->clock))) {
             return true;
         }
     }
@@ -905,7 +917,8 @@
         mg_buf_printf(out, "%s", slot->target->addr);
         return;
     }
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         const mg_target *t = list_entry(el, mg_target, link);
         if (t->addr[0] != '\0') {
             mg_buf_printf(out, "%s%s", out->n ? "," : "", t->addr);
--- a/src/policy/sched.h
+++ b/src/policy/sched.h
@@ -63,40 +63,61 @@
     size_t entry_count;
 } mg_sched_options;
 
-mg_sched *mg_sched_new(const mg_sched_options *opts);
-void mg_sched_free(mg_sched *s);
+mg_sched *
+mg_sched_new(const mg_sched_options *opts);
+void
+mg_sched_free(mg_sched *s);
 
 /* The pool's part of the document; copied. */
-void mg_sched_configure(mg_sched *s, const mg_pool *pool);
+void
+mg_sched_configure(mg_sched *s, const mg_pool *pool);
 /* The pool's move (NULL: none) and its record (NULL: none yet). */
-void mg_sched_set_move(mg_sched *s, const mg_move *move,
-                       const mg_rec_move_msg *rec);
-void mg_sched_load_mark(mg_sched *s, const mg_rec_quarantine_msg *rec);
+void
+mg_sched_set_move(mg_sched *s, const mg_move *move,
+                  const mg_rec_move_msg *rec);
+void
+mg_sched_load_mark(mg_sched *s, const mg_rec_quarantine_msg *rec);
 
-void mg_sched_ticket(mg_sched *s, const char *entry, const mg_ticket_msg *m);
-void mg_sched_cancel(mg_sched *s, const char *entry, uint64_t id);
-void mg_sched_done(mg_sched *s, const char *entry, const mg_done_msg *m);
-void mg_sched_held(mg_sched *s, const char *entry, const mg_held_msg *m);
-void mg_sched_synced(mg_sched *s, const char *entry);
+void
+mg_sched_ticket(mg_sched *s, const char *entry, const mg_ticket_msg *m);
+void
+mg_sched_cancel(mg_sched *s, const char *entry, uint64_t id);
+void
+mg_sched_done(mg_sched *s, const char *entry, const mg_done_msg *m);
+void
+mg_sched_held(mg_sched *s, const char *entry, const mg_held_msg *m);
+void
+mg_sched_synced(mg_sched *s, const char *entry);
 /* Drops the tickets and slots of an entry that holds no lease any more. */
-void mg_sched_entry_gone(mg_sched *s, const char *entry);
+void
+mg_sched_entry_gone(mg_sched *s, const char *entry);
 /* MG_E_STALE for an epoch below the known one. */
-mg_rc mg_sched_announce(mg_sched *s, const mg_announce_msg *m);
+mg_rc
+mg_sched_announce(mg_sched *s, const mg_announce_msg *m);
 /*
  * Addresses, by commas, of the targets where a request may run: the one that
  * it was granted, else all that are known.
  */
-void mg_sched_locate(const mg_sched *s, uint64_t id, mg_buf *out);
+void
+mg_sched_locate(const mg_sched *s, uint64_t id, mg_buf *out);
 /* Expiry, shedding and grants. Called after input and every few ms. */
-void mg_sched_run(mg_sched *s);
+void
+mg_sched_run(mg_sched *s);
 
-const char *mg_sched_pool(const mg_sched *s);
-uint64_t mg_sched_epoch(const mg_sched *s);
-size_t mg_sched_waiting(const mg_sched *s);
-size_t mg_sched_running(const mg_sched *s);
-bool mg_sched_rebuilding(const mg_sched *s);
+const char *
+mg_sched_pool(const mg_sched *s);
+uint64_t
+mg_sched_epoch(const mg_sched *s);
+size_t
+mg_sched_waiting(const mg_sched *s);
+size_t
+mg_sched_running(const mg_sched *s);
+bool
+mg_sched_rebuilding(const mg_sched *s);
 /* NULL when the pool has no move. */
-const mg_rollout *mg_sched_rollout(const mg_sched *s);
-const struct list_head *mg_sched_targets(const mg_sched *s);
+const mg_rollout *
+mg_sched_rollout(const mg_sched *s);
+const struct list_head *
+mg_sched_targets(const mg_sched *s);
 
 #endif
--- a/src/policy/tierq.c
+++ b/src/policy/tierq.c
@@ -46,7 +46,8 @@
     for (size_t i = 0; i < MG_TIER_MAX; i++) {
         mg_share *s;
         mg_share *s1;
-        HASH_ITER(hh, q->tiers[i].shares, s, s1) {
+        HASH_ITER(hh, q->tiers[i].shares, s, s1)
+        {
             HASH_DEL(q->tiers[i].shares, s);
             free(s);
         }
@@ -100,8 +101,7 @@
         list_add_tail(&s->link, &tier->waiting);
     }
     struct list_head *at = s->tickets.prev;
-    while (at != &s->tickets &&
-           before(t, list_entry(at, mg_ticket, link))) {
+    while (at != &s->tickets && before(t, list_entry(at, mg_ticket, link))) {
         at = at->prev;
     }
     list_add_before(&t->link, at->next);
@@ -139,7 +139,8 @@
 {
     mg_share *s;
     mg_share *s1;
-    HASH_ITER(hh, tier->shares, s, s1) {
+    HASH_ITER(hh, tier->shares, s, s1)
+    {
         if (s->count == 0 && s->vtime <= tier->vtime) {
             HASH_DEL(tier->shares, s);
             free(s);
@@ -178,7 +179,8 @@
 next_of_tier(const struct tier *tier)
 {
     mg_ticket *best = NULL;
-    list_for_each(el, &tier->waiting) {
+    list_for_each(el, &tier->waiting)
+    {
         mg_ticket *t = first_ticket(list_entry(el, mg_share, link));
         if (best == NULL || t->share->vtime < best->share->vtime ||
             (t->share->vtime == best->share->vtime && before(t, best))) {
@@ -201,7 +203,8 @@
 {
     mg_ticket *worst = NULL;
     double worst_end = 0;
-    list_for_each(el, &tier->waiting) {
+    list_for_each(el, &tier->waiting)
+    {
         mg_ticket *t = last_ticket(list_entry(el, mg_share, link));
         double end = share_end(t);
         if (worst == NULL || end > worst_end ||
@@ -272,7 +275,8 @@
 mg_tierq_each(mg_tierq *q, void (*f)(void *user, mg_ticket *t), void *user)
 {
     for (size_t i = 0; i < MG_TIER_MAX; i++) {
-        list_for_each_safe(el, el1, &q->tiers[i].waiting) {
+        list_for_each_safe(el, el1, &q->tiers[i].waiting)
+        {
             mg_share *s = list_entry(el, mg_share, link);
             size_t left = s->count;
             struct list_head *at = s->tickets.next;
--- a/src/policy/tierq.h
+++ b/src/policy/tierq.h
@@ -9,8 +9,8 @@
  *
  * mg_tierq_head() is the next to be served. mg_tierq_victim() is the next to
  * be shed: of the lowest tier that waits, from the workspace whose last ticket
- * would be served last, the latest deadline. So no ticket is a victim while one of a
- * lower tier waits.
+ * would be served last, the latest deadline. So no ticket is a victim while
+ * one of a lower tier waits.
  *
  * The queue links tickets and does not own them.
  */
@@ -45,28 +45,40 @@
 
 typedef struct mg_tierq mg_tierq;
 
-mg_tierq *mg_tierq_new(void);
+mg_tierq *
+mg_tierq_new(void);
 /* Tickets are left to their owner. */
-void mg_tierq_free(mg_tierq *q);
+void
+mg_tierq_free(mg_tierq *q);
 
-void mg_tierq_add(mg_tierq *q, mg_ticket *t);
-void mg_tierq_remove(mg_tierq *q, mg_ticket *t);
+void
+mg_tierq_add(mg_tierq *q, mg_ticket *t);
+void
+mg_tierq_remove(mg_tierq *q, mg_ticket *t);
 /* Takes the ticket out and charges its cost to its workspace. */
-void mg_tierq_serve(mg_tierq *q, mg_ticket *t);
+void
+mg_tierq_serve(mg_tierq *q, mg_ticket *t);
 
-mg_ticket *mg_tierq_head(const mg_tierq *q);
-mg_ticket *mg_tierq_victim(const mg_tierq *q);
+mg_ticket *
+mg_tierq_head(const mg_tierq *q);
+mg_ticket *
+mg_tierq_victim(const mg_tierq *q);
 
-size_t mg_tierq_count(const mg_tierq *q);
-size_t mg_tierq_tier_count(const mg_tierq *q, unsigned tier);
+size_t
+mg_tierq_count(const mg_tierq *q);
+size_t
+mg_tierq_tier_count(const mg_tierq *q, unsigned tier);
 /* Lowest tier (greatest rank) with a waiting ticket, -1 when none waits. */
-int mg_tierq_lowest(const mg_tierq *q);
+int
+mg_tierq_lowest(const mg_tierq *q);
 /* Predicted cost of the tickets that wait in tiers up to this rank. */
-uint64_t mg_tierq_cost_up_to(const mg_tierq *q, unsigned tier);
+uint64_t
+mg_tierq_cost_up_to(const mg_tierq *q, unsigned tier);
 /* Cost of a ticket in tokens, decoding weighed as it occupies an engine. */
-uint64_t mg_ticket_cost(const mg_ticket *t);
+uint64_t
+mg_ticket_cost(const mg_ticket *t);
 /* Calls f for each waiting ticket; f may remove the ticket it is given. */
-void mg_tierq_each(mg_tierq *q, void (*f)(void *user, mg_ticket *t),
-                   void *user);
+void
+mg_tierq_each(mg_tierq *q, void (*f)(void *user, mg_ticket *t), void *user);
 
 #endif
--- a/src/topology/config.c
+++ b/src/topology/config.c
@@ -68,8 +68,7 @@
 {
     static const mg_key keys[] = {
         {"name", MG_KEY_NAME, true, offsetof(mg_tier, name), 0, 0, NULL},
-        {"rank", MG_KEY_INT, true, offsetof(mg_tier, rank), 0, RANK_MAX,
-         NULL},
+        {"rank", MG_KEY_INT, true, offsetof(mg_tier, rank), 0, RANK_MAX, NULL},
         {"deadline_ms", MG_KEY_INT, true, offsetof(mg_tier, deadline_ms), 1,
          DEADLINE_MAX_MS, NULL},
         {0}};
@@ -87,8 +86,8 @@
         {"kind", MG_KEY_NAME, true, offsetof(mg_pool, kind), 0, 0, NULL},
         {"version", MG_KEY_NAME, false, offsetof(mg_pool, version), 0, 0,
          NULL},
-        {"repeatable", MG_KEY_BOOL, false, offsetof(mg_pool, repeatable), 0,
-         0, NULL},
+        {"repeatable", MG_KEY_BOOL, false, offsetof(mg_pool, repeatable), 0, 0,
+         NULL},
         {"queue_max", MG_KEY_INT, false, offsetof(mg_pool, queue_max), 1,
          QUEUE_MAX, NULL},
         {0}};
@@ -183,7 +182,8 @@
 static bool
 add_tiers(mg_config *c, struct section *s, mg_checker *ck)
 {
-    list_for_each(el, &s->tiers) {
+    list_for_each(el, &s->tiers)
+    {
         mg_tier *t = &list_entry(el, struct tier_item, link)->tier;
         if (mg_config_tier(c, t->name) != NULL) {
             mg_check_error(ck, NULL, "tier", "\"%s\" stands twice", t->name);
@@ -197,7 +197,8 @@
 static bool
 add_pools(mg_config *c, struct section *s, mg_checker *ck)
 {
-    list_for_each(el, &s->pools) {
+    list_for_each(el, &s->pools)
+    {
         mg_pool *p = &list_entry(el, struct pool_item, link)->pool;
         if (mg_config_pool(c, mg_str_of(p->name)) != NULL) {
             mg_check_error(ck, NULL, "pool", "\"%s\" stands twice", p->name);
@@ -211,7 +212,8 @@
 static bool
 add_workspaces(mg_config *c, struct section *s, mg_checker *ck)
 {
-    list_for_each(el, &s->workspaces) {
+    list_for_each(el, &s->workspaces)
+    {
         struct workspace_item *it =
             list_entry(el, struct workspace_item, link);
         mg_workspace *w = &it->ws;
@@ -239,7 +241,8 @@
 static bool
 add_moves(mg_config *c, struct section *s, mg_checker *ck)
 {
-    list_for_each(el, &s->moves) {
+    list_for_each(el, &s->moves)
+    {
         mg_move *m = &list_entry(el, struct move_item, link)->move;
         if (mg_config_move(c, m->pool) != NULL) {
             mg_check_error(ck, NULL, "move",
@@ -255,21 +258,24 @@
 static void
 drop_section(mg_config *c, struct section *s)
 {
-    list_for_each_safe(e0, e0n, &s->tiers) {
+    list_for_each_safe(e0, e0n, &s->tiers)
+    {
         struct tier_item *it = list_entry(e0, struct tier_item, link);
         if (mg_config_tier(c, it->tier.name) == &it->tier) {
             HASH_DEL(c->tiers, &it->tier);
         }
         free(it);
     }
-    list_for_each_safe(e1, e1n, &s->pools) {
+    list_for_each_safe(e1, e1n, &s->pools)
+    {
         struct pool_item *it = list_entry(e1, struct pool_item, link);
         if (mg_config_pool(c, mg_str_of(it->pool.name)) == &it->pool) {
             HASH_DEL(c->pools, &it->pool);
         }
         free(it);
     }
-    list_for_each_safe(e2, e2n, &s->workspaces) {
+    list_for_each_safe(e2, e2n, &s->workspaces)
+    {
         struct workspace_item *it =
             list_entry(e2, struct workspace_item, link);
         if (mg_config_workspace(c, it->ws.name) == &it->ws) {
@@ -281,7 +287,8 @@
         free(it->ws.tier);
         free(it);
     }
-    list_for_each_safe(e3, e3n, &s->moves) {
+    list_for_each_safe(e3, e3n, &s->moves)
+    {
         struct move_item *it = list_entry(e3, struct move_item, link);
         if (mg_config_move(c, it->move.pool) == &it->move) {
             HASH_DEL(c->moves, &it->move);
@@ -353,8 +360,7 @@
 }
 
 mg_rc
-mg_config_set_text(mg_config *c, const char *name, mg_str text,
-                   mg_checker *ck)
+mg_config_set_text(mg_config *c, const char *name, mg_str text, mg_checker *ck)
 {
     json_error_t je;
     json_t *tree = json_loadb(text.p, text.n, 0, &je);
@@ -375,7 +381,8 @@
     }
     struct section *s;
     struct section *s1;
-    HASH_ITER(hh, c->sections, s, s1) {
+    HASH_ITER(hh, c->sections, s, s1)
+    {
         HASH_DEL(c->sections, s);
         drop_section(c, s);
     }
@@ -502,8 +509,8 @@
 static void
 add_document_section(mg_document *doc, const char *name, json_t *tree)
 {
-    doc->sections = mg_realloc(doc->sections,
-                               (doc->count + 1) * sizeof(mg_section));
+    doc->sections =
+        mg_realloc(doc->sections, (doc->count + 1) * sizeof(mg_section));
     mg_section *s = &doc->sections[doc->count++];
     memset(s, 0, sizeof(*s));
     mg_str_copy(s->name, sizeof(s->name), mg_str_of(name));
@@ -530,7 +537,8 @@
     mg_config *c = mg_config_new();
     const char *name;
     json_t *tree;
-    json_object_foreach (t.tree, name, tree) {
+    json_object_foreach(t.tree, name, tree)
+    {
         json_t *pos = mg_pos_of(t.positions, name);
         if (strlen(name) >= MG_NAME_SIZE) {
             mg_check_error(ck, pos, NULL, "section name is too long");
--- a/src/topology/config.h
+++ b/src/topology/config.h
@@ -24,7 +24,7 @@
 typedef struct mg_tier {
     UT_hash_handle hh;
     char name[MG_NAME_SIZE];
-    int64_t rank; /* 0 is the highest and is shed last */
+    int64_t rank;        /* 0 is the highest and is shed last */
     int64_t deadline_ms; /* when the caller names none */
 } mg_tier;
 
@@ -32,10 +32,10 @@
 typedef struct mg_pool {
     UT_hash_handle hh;
     char name[MG_NAME_SIZE];
-    char kind[MG_NAME_SIZE]; /* "engine" or "service" */
+    char kind[MG_NAME_SIZE];    /* "engine" or "service" */
     char version[MG_NAME_SIZE]; /* empty: any version is served */
-    bool repeatable; /* false: every call is non-idempotent */
-    int64_t queue_max; /* waiting tickets */
+    bool repeatable;            /* false: every call is non-idempotent */
+    int64_t queue_max;          /* waiting tickets */
 } mg_pool;
 
 typedef struct mg_workspace {
@@ -74,38 +74,54 @@
     size_t count;
 } mg_document;
 
-mg_config *mg_config_new(void);
-void mg_config_free(mg_config *c);
+mg_config *
+mg_config_new(void);
+void
+mg_config_free(mg_config *c);
 /*
  * Replaces or adds a section. Errors go to the checker, with positions when
  * pos is given; the section then is left out.
  */
-mg_rc mg_config_set_section(mg_config *c, const char *name, json_t *tree,
-                            json_t *pos, mg_checker *ck);
+mg_rc
+mg_config_set_section(mg_config *c, const char *name, json_t *tree,
+                      json_t *pos, mg_checker *ck);
 /* Same from canonical JSON. */
-mg_rc mg_config_set_text(mg_config *c, const char *name, mg_str text,
-                         mg_checker *ck);
-void mg_config_remove_section(mg_config *c, const char *name);
+mg_rc
+mg_config_set_text(mg_config *c, const char *name, mg_str text,
+                   mg_checker *ck);
+void
+mg_config_remove_section(mg_config *c, const char *name);
 /* References between sections: tiers of workspaces, pools of moves. */
-void mg_config_verify(const mg_config *c, mg_checker *ck);
+void
+mg_config_verify(const mg_config *c, mg_checker *ck);
 
-const mg_tier *mg_config_tier(const mg_config *c, const char *name);
-const mg_pool *mg_config_pool(const mg_config *c, mg_str name);
-const mg_workspace *mg_config_workspace(const mg_config *c, const char *name);
+const mg_tier *
+mg_config_tier(const mg_config *c, const char *name);
+const mg_pool *
+mg_config_pool(const mg_config *c, mg_str name);
+const mg_workspace *
+mg_config_workspace(const mg_config *c, const char *name);
 /* By the SHA-256 of the caller's key, compared as a whole hash. */
-const mg_workspace *mg_config_by_key(const mg_config *c, mg_str key);
+const mg_workspace *
+mg_config_by_key(const mg_config *c, mg_str key);
 /* The move of a pool, or NULL. At most one of them is planned at a time. */
-const mg_move *mg_config_move(const mg_config *c, const char *pool);
-const mg_pool *mg_config_first_pool(const mg_config *c);
-const mg_move *mg_config_first_move(const mg_config *c);
-size_t mg_config_workspace_count(const mg_config *c);
+const mg_move *
+mg_config_move(const mg_config *c, const char *pool);
+const mg_pool *
+mg_config_first_pool(const mg_config *c);
+const mg_move *
+mg_config_first_move(const mg_config *c);
+size_t
+mg_config_workspace_count(const mg_config *c);
 
 /*
  * Parses and checks a whole document; all errors go to the checker. On
  * MG_OK the caller frees doc.
  */
-mg_rc mg_document_parse(mg_str text, const char *file, mg_document *doc,
-                        mg_checker *ck);
-void mg_document_free(mg_document *doc);
+mg_rc
+mg_document_parse(mg_str text, const char *file, mg_document *doc,
+                  mg_checker *ck);
+void
+mg_document_free(mg_document *doc);
 
 #endif
--- a/src/topology/lease.c
+++ b/src/topology/lease.c
@@ -48,7 +48,8 @@
 {
     struct grant *g;
     struct grant *g1;
-    HASH_ITER(hh, l->grants, g, g1) {
+    HASH_ITER(hh, l->grants, g, g1)
+    {
         HASH_DEL(l->grants, g);
         free(g);
     }
@@ -89,7 +90,8 @@
 {
     struct grant *g;
     struct grant *g1;
-    HASH_ITER(hh, l->grants, g, g1) {
+    HASH_ITER(hh, l->grants, g, g1)
+    {
         if (mg_now(l->clock) >= g->until_ms) {
             HASH_DEL(l->grants, g);
             free(g);
--- a/src/topology/lease.h
+++ b/src/topology/lease.h
@@ -29,8 +29,10 @@
 } mg_lease;
 
 /* A renewal asked for at sent_ms was granted for lease_ms. */
-void mg_lease_renewed(mg_lease *l, int64_t sent_ms, int64_t lease_ms);
-bool mg_lease_valid(const mg_lease *l, int64_t now);
+void
+mg_lease_renewed(mg_lease *l, int64_t sent_ms, int64_t lease_ms);
+bool
+mg_lease_valid(const mg_lease *l, int64_t now);
 
 /* grantor's side */
 typedef struct mg_leases mg_leases;
@@ -41,13 +43,17 @@
     MG_LEASE_LIVE,
 } mg_lease_state;
 
-mg_leases *mg_leases_new(mg_clock *clock);
-void mg_leases_free(mg_leases *l);
+mg_leases *
+mg_leases_new(mg_clock *clock);
+void
+mg_leases_free(mg_leases *l);
 /* Forgets all grants and waits out those of a predecessor. */
-void mg_leases_take_over(mg_leases *l);
+void
+mg_leases_take_over(mg_leases *l);
 /* Grants from now on; the same holder's earlier grant is extended. */
-void mg_leases_grant(mg_leases *l, const char *holder, uint64_t incarnation);
-mg_lease_state mg_leases_state(const mg_leases *l, const char *holder,
-                               uint64_t incarnation);
+void
+mg_leases_grant(mg_leases *l, const char *holder, uint64_t incarnation);
+mg_lease_state
+mg_leases_state(const mg_leases *l, const char *holder, uint64_t incarnation);
 
 #endif
--- a/src/topology/settings.c
+++ b/src/topology/settings.c
@@ -18,8 +18,8 @@
          NULL},
         {"link_addr", MG_KEY_ADDR, true, offsetof(mg_control_addr, link_addr),
          0, 0, NULL},
-        {"http_addr", MG_KEY_ADDR, false,
-         offsetof(mg_control_addr, http_addr), 0, 0, NULL},
+        {"http_addr", MG_KEY_ADDR, false, offsetof(mg_control_addr, http_addr),
+         0, 0, NULL},
         {0}};
     mg_settings *s = out;
     if (s->control_count == MG_CONTROL_MAX) {
@@ -35,8 +35,8 @@
 {
     static const mg_key keys[] = {
         {"name", MG_KEY_NAME, true, offsetof(mg_owner, name), 0, 0, NULL},
-        {"key_sha256", MG_KEY_TEXT, true, offsetof(mg_owner, key_sha256), 0,
-         0, NULL},
+        {"key_sha256", MG_KEY_TEXT, true, offsetof(mg_owner, key_sha256), 0, 0,
+         NULL},
         {0}};
     mg_settings *s = out;
     if (s->owner_count == MG_OWNERS_MAX) {
@@ -56,8 +56,8 @@
      NULL},
     {"link_key", MG_KEY_TEXT, true, offsetof(mg_settings, link_key), 0, 0,
      NULL},
-    {"target_key", MG_KEY_TEXT, false, offsetof(mg_settings, target_key), 0,
-     0, NULL},
+    {"target_key", MG_KEY_TEXT, false, offsetof(mg_settings, target_key), 0, 0,
+     NULL},
     {"log_level", MG_KEY_NAME, false, offsetof(mg_settings, log_level), 0, 0,
      NULL},
     {"data_dir", MG_KEY_TEXT, false, offsetof(mg_settings, data_dir), 0, 0,
@@ -70,8 +70,8 @@
      offsetof(mg_settings, entries_ttl_ms), 100, TTL_MAX_MS, NULL},
     {"body_max", MG_KEY_INT, false, offsetof(mg_settings, body_max), 1024,
      BODY_LIMIT, NULL},
-    {"requests_max", MG_KEY_INT, false, offsetof(mg_settings, requests_max),
-     1, COUNT_LIMIT, NULL},
+    {"requests_max", MG_KEY_INT, false, offsetof(mg_settings, requests_max), 1,
+     COUNT_LIMIT, NULL},
     {"control", MG_KEY_TABLES, true, 0, 0, 0, read_control},
     {"owner", MG_KEY_TABLES, false, 0, 0, 0, read_owner},
     {0}};
@@ -99,8 +99,7 @@
     for (size_t i = 0; i < s->control_count; i++) {
         for (size_t k = 0; k < i; k++) {
             if (strcmp(s->control[i].node, s->control[k].node) == 0) {
-                mg_check_error(c, NULL, "control",
-                               "node \"%s\" stands twice",
+                mg_check_error(c, NULL, "control", "node \"%s\" stands twice",
                                s->control[i].node);
             }
         }
@@ -140,8 +139,7 @@
     set_defaults(s);
     mg_rc rc = mg_read_file(file, MG_SETTINGS_MAX, &text, &err);
     if (rc == MG_OK) {
-        rc = mg_toml_parse(mg_str_buf(&text), file, MG_SETTINGS_MAX, &t,
-                           &err);
+        rc = mg_toml_parse(mg_str_buf(&text), file, MG_SETTINGS_MAX, &t, &err);
     }
     mg_buf_free(&text);
     if (rc != MG_OK) {
--- a/src/topology/target.c
+++ b/src/topology/target.c
@@ -65,8 +65,7 @@
 {
     blend(&t->first_per_token, first_ms / (prefill + 1.0), t->samples);
     if (tokens > 1) {
-        blend(&t->gap_ms, (total_ms - first_ms) / (tokens - 1.0),
-              t->samples);
+        blend(&t->gap_ms, (total_ms - first_ms) / (tokens - 1.0), t->samples);
     }
     t->samples++;
 }
@@ -90,7 +89,8 @@
 prefill_backlog(const mg_target *t, int64_t now)
 {
     double backlog = 0;
-    list_for_each(el, &t->slots) {
+    list_for_each(el, &t->slots)
+    {
         const mg_slot *s = list_entry(el, mg_slot, link);
         double done = (double)(now - s->granted_ms) / t->first_per_token;
         double left = s->prefill - done;
--- a/src/topology/target.h
+++ b/src/topology/target.h
@@ -63,15 +63,22 @@
 } mg_target;
 
 /* Takes an announcement of the target's present epoch. */
-void mg_target_announce(mg_target *t, const mg_announce_msg *a, int64_t now);
-bool mg_target_usable(const mg_target *t, int64_t now);
-void mg_target_add_slot(mg_target *t, mg_slot *s);
-void mg_target_remove_slot(mg_target *t, mg_slot *s);
+void
+mg_target_announce(mg_target *t, const mg_announce_msg *a, int64_t now);
+bool
+mg_target_usable(const mg_target *t, int64_t now);
+void
+mg_target_add_slot(mg_target *t, mg_slot *s);
+void
+mg_target_remove_slot(mg_target *t, mg_slot *s);
 /* Learns from a request that took first_ms and total_ms for tokens. */
-void mg_target_learn(mg_target *t, uint32_t prefill, double first_ms,
-                     double total_ms, uint32_t tokens);
-bool mg_target_has_prefix(const mg_target *t, uint64_t prefix);
-void mg_target_note_prefix(mg_target *t, uint64_t prefix);
+void
+mg_target_learn(mg_target *t, uint32_t prefill, double first_ms,
+                double total_ms, uint32_t tokens);
+bool
+mg_target_has_prefix(const mg_target *t, uint64_t prefix);
+void
+mg_target_note_prefix(mg_target *t, uint64_t prefix);
 
 /* Predicted times of a request that is placed now. */
 typedef struct mg_estimate {
@@ -80,8 +87,8 @@
     bool prefix_hit;
 } mg_estimate;
 
-mg_estimate mg_target_estimate(const mg_target *t, uint32_t prefill,
-                               uint32_t decode, uint64_t prefix,
-                               int64_t now);
+mg_estimate
+mg_target_estimate(const mg_target *t, uint32_t prefill, uint32_t decode,
+                   uint64_t prefix, int64_t now);
 
 #endif
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -160,8 +160,8 @@
 peer_closed(h2o_socket_t *sock)
 {
     char byte;
-    ssize_t n = recv(h2o_socket_get_fd(sock), &byte, 1,
-                     MSG_PEEK | MSG_DONTWAIT);
+    ssize_t n =
+        recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
                       errno != EINTR);
 }
@@ -177,7 +177,8 @@
 on_peek(uv_timer_t *t)
 {
     mg_http_server *s = t->data;
-    list_for_each_safe(el, el1, &s->requests) {
+    list_for_each_safe(el, el1, &s->requests)
+    {
         mg_http_req *r = list_entry(el, mg_http_req, link);
         if (!r->started && r->on_gone != NULL && caller_left(r)) {
             report_gone(r);
@@ -200,8 +201,7 @@
 }
 
 mg_rc
-mg_http_open(mg_http_server **out, const mg_http_options *opts,
-             mg_error *err)
+mg_http_open(mg_http_server **out, const mg_http_options *opts, mg_error *err)
 {
     struct sockaddr_in sin;
     if (parse_addr(opts->listen_addr, &sin) != MG_OK) {
@@ -346,8 +346,8 @@
 }
 
 void
-mg_http_reply(mg_http_req *r, int status, const char *type,
-              const char *extra, mg_str body)
+mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
+              mg_str body)
 {
     set_head(r, status, type, extra);
     r->req->res.content_length = body.n;
@@ -360,8 +360,7 @@
 }
 
 void
-mg_http_start(mg_http_req *r, int status, const char *type,
-              const char *extra)
+mg_http_start(mg_http_req *r, int status, const char *type, const char *extra)
 {
     set_head(r, status, type, extra);
     r->started = true;
@@ -545,8 +544,8 @@
         }
         else if (is_header(&headers[i], "content-length")) {
             c->framed = true;
-            no_body = headers[i].value.len == 1 &&
-                      headers[i].value.base[0] == '0';
+            no_body =
+                headers[i].value.len == 1 && headers[i].value.base[0] == '0';
         }
         else if (is_header(&headers[i], "transfer-encoding")) {
             c->framed = true;
@@ -571,8 +570,7 @@
 
 static h2o_http1client_body_cb
 on_head(h2o_http1client_t *client, const char *errstr, int minor_version,
-        int status, h2o_iovec_t msg, h2o_header_t *headers, size_t n,
-        int rlen)
+        int status, h2o_iovec_t msg, h2o_header_t *headers, size_t n, int rlen)
 {
     mg_http_call *c = client->data;
     (void)minor_version;
@@ -588,8 +586,8 @@
 }
 
 static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *client, const char *errstr,
-           h2o_iovec_t **bufs, size_t *count, int *is_head)
+on_connect(h2o_http1client_t *client, const char *errstr, h2o_iovec_t **bufs,
+           size_t *count, int *is_head)
 {
     mg_http_call *c = client->data;
     if (c->ended) {
@@ -600,8 +598,8 @@
         return NULL;
     }
     c->in_callback = true;
-    bool go_on = c->opts.on_connected == NULL ||
-                 c->opts.on_connected(c->opts.user);
+    bool go_on =
+        c->opts.on_connected == NULL || c->opts.on_connected(c->opts.user);
     c->in_callback = false;
     if (c->ended) {
         return NULL;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -33,33 +33,47 @@
     void *user;
 } mg_http_options;
 
-mg_rc mg_http_open(mg_http_server **out, const mg_http_options *opts,
-                   mg_error *err);
+mg_rc
+mg_http_open(mg_http_server **out, const mg_http_options *opts, mg_error *err);
 /* Stops listening; open connections go on. */
-void mg_http_stop_listening(mg_http_server *s);
+void
+mg_http_stop_listening(mg_http_server *s);
 /* Answers from now on ask the callers to close their connections. */
-void mg_http_drain(mg_http_server *s);
-size_t mg_http_open_requests(const mg_http_server *s);
+void
+mg_http_drain(mg_http_server *s);
+size_t
+mg_http_open_requests(const mg_http_server *s);
 
-mg_str mg_http_method(const mg_http_req *r);
-mg_str mg_http_path(const mg_http_req *r);
+mg_str
+mg_http_method(const mg_http_req *r);
+mg_str
+mg_http_path(const mg_http_req *r);
 /* behind the '?', empty when there is none */
-mg_str mg_http_query(const mg_http_req *r);
-mg_str mg_http_body(const mg_http_req *r);
+mg_str
+mg_http_query(const mg_http_req *r);
+mg_str
+mg_http_body(const mg_http_req *r);
 /* name in lower case; an empty string when the header is missing */
-mg_str mg_http_header(const mg_http_req *r, const char *name);
-void mg_http_on_gone(mg_http_req *r, void (*f)(void *user), void *user);
+mg_str
+mg_http_header(const mg_http_req *r, const char *name);
+void
+mg_http_on_gone(mg_http_req *r, void (*f)(void *user), void *user);
 
 /* extra: lines "name: value\n", may be NULL */
-void mg_http_reply(mg_http_req *r, int status, const char *type,
-                   const char *extra, mg_str body);
-void mg_http_start(mg_http_req *r, int status, const char *type,
-                   const char *extra);
-void mg_http_write(mg_http_req *r, mg_str data);
-void mg_http_finish(mg_http_req *r);
-void mg_http_abort(mg_http_req *r);
+void
+mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
+              mg_str body);
+void
+mg_http_start(mg_http_req *r, int status, const char *type, const char *extra);
+void
+mg_http_write(mg_http_req *r, mg_str data);
+void
+mg_http_finish(mg_http_req *r);
+void
+mg_http_abort(mg_http_req *r);
 /* bytes written and not yet taken by the connection */
-size_t mg_http_unsent(const mg_http_req *r);
+size_t
+mg_http_unsent(const mg_http_req *r);
 
 typedef struct mg_http_call mg_http_call;
 
@@ -92,8 +106,10 @@
 } mg_http_call_options;
 
 /* NULL when the call ended at once; on_end was called then. */
-mg_http_call *mg_http_call_new(const mg_http_call_options *opts);
+mg_http_call *
+mg_http_call_new(const mg_http_call_options *opts);
 /* Ends the call without on_end. */
-void mg_http_call_cancel(mg_http_call *c);
+void
+mg_http_call_cancel(mg_http_call *c);
 
 #endif
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -114,8 +114,7 @@
     }
     if (c->dial != NULL) {
         c->dial->conn = NULL;
-        c->dial->next_attempt =
-            mg_now(c->net->opts.clock) + MG_LINK_REDIAL_MS;
+        c->dial->next_attempt = mg_now(c->net->opts.clock) + MG_LINK_REDIAL_MS;
         c->dial = NULL;
     }
     else {
@@ -383,7 +382,8 @@
     if (net->opts.on_turn != NULL) {
         net->opts.on_turn(net->opts.user);
     }
-    list_for_each_safe(el, el1, &net->conns) {
+    list_for_each_safe(el, el1, &net->conns)
+    {
         flush_conn(list_entry(el, conn, link));
     }
 }
@@ -412,10 +412,12 @@
 {
     mg_net *net = t->data;
     int64_t now = mg_now(net->opts.clock);
-    list_for_each_safe(el, el1, &net->conns) {
+    list_for_each_safe(el, el1, &net->conns)
+    {
         watch_conn(list_entry(el, conn, link), now);
     }
-    list_for_each(el2, &net->dials) {
+    list_for_each(el2, &net->dials)
+    {
         dial *d = list_entry(el2, dial, link);
         if (d->conn == NULL && now >= d->next_attempt) {
             attempt_dial(net, d);
@@ -475,10 +477,12 @@
 void
 mg_net_close(mg_net *net)
 {
-    list_for_each_safe(el, el1, &net->conns) {
+    list_for_each_safe(el, el1, &net->conns)
+    {
         close_conn(list_entry(el, conn, link), "stop");
     }
-    list_for_each_safe(el2, el3, &net->dials) {
+    list_for_each_safe(el2, el3, &net->dials)
+    {
         dial *d = list_entry(el2, dial, link);
         list_del(&d->link);
         free(d);
@@ -492,7 +496,8 @@
 static dial *
 find_dial(mg_net *net, const char *peer)
 {
-    list_for_each(el, &net->dials) {
+    list_for_each(el, &net->dials)
+    {
         dial *d = list_entry(el, dial, link);
         if (strcmp(d->peer, peer) == 0) {
             return d;
@@ -538,7 +543,8 @@
 find_conn(mg_net *net, const char *peer)
 {
     conn *best = NULL;
-    list_for_each(el, &net->conns) {
+    list_for_each(el, &net->conns)
+    {
         conn *c = list_entry(el, conn, link);
         if (!c->greeted || c->closing || strcmp(c->peer, peer) != 0) {
             continue;
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -50,15 +50,21 @@
 } mg_net_options;
 
 /* MG_E_IO when the address can't be listened on. */
-mg_rc mg_net_open(mg_net **out, const mg_net_options *opts, mg_error *err);
+mg_rc
+mg_net_open(mg_net **out, const mg_net_options *opts, mg_error *err);
 /* Closes all sockets; memory is freed when the loop has run on. */
-void mg_net_close(mg_net *net);
+void
+mg_net_close(mg_net *net);
 /* Keeps a connection to the peer open; a new address replaces the old. */
-void mg_net_dial(mg_net *net, const char *peer, const char *addr);
-void mg_net_undial(mg_net *net, const char *peer);
+void
+mg_net_dial(mg_net *net, const char *peer, const char *addr);
+void
+mg_net_undial(mg_net *net, const char *peer);
 /* Whether a greeted connection to the peer is up. */
-bool mg_net_up(mg_net *net, const char *peer);
+bool
+mg_net_up(mg_net *net, const char *peer);
 /* MG_E_CLOSED when no connection to the peer is up: the message is lost. */
-mg_rc mg_net_send(mg_net *net, const char *peer, const mg_msg *m);
+mg_rc
+mg_net_send(mg_net *net, const char *peer, const mg_msg *m);
 
 #endif
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -8,8 +8,7 @@
 
 #define FIELD_KIND(type, name) FIELD_##type,
 #define M(number, NAME, name) \
-    static const unsigned char name##_kinds[] = { \
-        MG_FIELDS_##NAME(FIELD_KIND)};
+    static const unsigned char name##_kinds[] = {MG_FIELDS_##NAME(FIELD_KIND)};
 MG_MSG_LIST(M)
 #undef M
 
@@ -24,7 +23,7 @@
     size_t count;
     size_t size;
 } layouts[] = {
-#define M(number, NAME, name) \
+#define M(number, NAME, name)                           \
     {number, #NAME, name##_kinds, sizeof(name##_kinds), \
      sizeof(mg_##name##_msg)},
     MG_MSG_LIST(M)
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -8,7 +8,8 @@
  * caller can tell whether it is whole and its own.
  *
  * Every execution is written to the journal before it starts, one line of
- * request id, hash of the body and idempotency key. Faults are switched on by options.
+ * request id, hash of the body and idempotency key. Faults are switched on by
+ * options.
  */
 #include <inttypes.h>
 #include <signal.h>
@@ -50,7 +51,7 @@
     int gap_us;     /* of a step */
     int batch_us;   /* more for each running request */
     int service_ms;
-    int cache;      /* prefixes */
+    int cache; /* prefixes */
     int lag_ms;
     int fail_percent;
     int slow_above; /* steps take thrice as long with more running */
@@ -126,8 +127,7 @@
 put_token(struct stream *s)
 {
     char word[64];
-    snprintf(word, sizeof(word), "w%d-%08x ", s->decoded,
-             (unsigned)s->hash);
+    snprintf(word, sizeof(word), "w%d-%08x ", s->decoded, (unsigned)s->hash);
     s->decoded++;
     s->decode_left--;
     if (s->sse) {
@@ -234,7 +234,8 @@
 {
     int64_t us = opt.gap_us + (int64_t)opt.batch_us * g.running_count;
     int chunk = CHUNK_TOKENS;
-    list_for_each_safe(el, el1, &g.running) {
+    list_for_each_safe(el, el1, &g.running)
+    {
         struct stream *s = list_entry(el, struct stream, link);
         if (s->prefill_left > 0) {
             int n = s->prefill_left < chunk ? s->prefill_left : chunk;
@@ -259,7 +260,8 @@
 static void
 on_step(uv_timer_t *t)
 {
-    list_for_each_safe(el, el1, &g.over) {
+    list_for_each_safe(el, el1, &g.over)
+    {
         struct stream *s = list_entry(el, struct stream, link);
         if (now_ms() - s->over_ms < KEEP_MS) {
             break;
@@ -306,7 +308,8 @@
         mg_buf_put(out, json_string_value(v), json_string_length(v));
     }
     else if (json_is_array(v)) {
-        json_array_foreach (v, i, item) {
+        json_array_foreach(v, i, item)
+        {
             add_text(json_is_object(item) ? json_object_get(item, "content")
                                           : item,
                      out);
@@ -397,8 +400,7 @@
     snprintf(out, sizeof(out), "{\"done\":\"%s\"}", c->id);
     if (c->http != NULL) {
         mg_http_on_gone(c->http, NULL, NULL);
-        mg_http_reply(c->http, 200, "application/json", NULL,
-                      mg_str_of(out));
+        mg_http_reply(c->http, 200, "application/json", NULL, mg_str_of(out));
     }
     uv_close((uv_handle_t *)t, service_closed);
 }
@@ -433,7 +435,8 @@
         if (!s->over) {
             struct list_head *el = &s->link;
             bool queued = false;
-            list_for_each(q, &g.queued) {
+            list_for_each(q, &g.queued)
+            {
                 queued = queued || q == el;
             }
             g.running_count -= !queued;
@@ -455,8 +458,8 @@
     if (s->over) {
         mg_str rest = {s->out.p + offset, s->out.n - offset};
         mg_http_reply(http, 200,
-                      s->sse ? "text/event-stream" : "application/json",
-                      NULL, rest);
+                      s->sse ? "text/event-stream" : "application/json", NULL,
+                      rest);
     }
     else {
         attach(s, http, offset);
@@ -551,9 +554,9 @@
     snprintf(extra, sizeof(extra), "x-target-key: %s\r\n", opt.key);
     json_t *body = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:I,s:i,s:b,s:i,s:i,s:i}", "pool", opt.pool,
-        "target", opt.name, "addr", opt.addr, "version", opt.version,
-        "domain", opt.domain, "epoch", (json_int_t)g.epoch, "slots",
-        opt.slots, "leaving", g.leaving, "running", running, "queued", queued,
+        "target", opt.name, "addr", opt.addr, "version", opt.version, "domain",
+        opt.domain, "epoch", (json_int_t)g.epoch, "slots", opt.slots,
+        "leaving", g.leaving, "running", running, "queued", queued,
         "report_age_ms", opt.lag_ms);
     char *text = json_dumps(body, JSON_COMPACT);
     int *status = mg_alloc(sizeof(*status));
@@ -589,8 +592,8 @@
 static void
 split_entries(char *list)
 {
-    for (char *e = strtok(list, ","); e != NULL && opt.entry_count <
-         ENTRIES_MAX; e = strtok(NULL, ",")) {
+    for (char *e = strtok(list, ",");
+         e != NULL && opt.entry_count < ENTRIES_MAX; e = strtok(NULL, ",")) {
         opt.entries[opt.entry_count++] = e;
     }
 }
@@ -625,10 +628,9 @@
     struct arg_int *slow =
         arg_int0(NULL, "slow-above", "N", "slow with more running");
     struct arg_end *end = arg_end(8);
-    void *table[] = {name,  pool,  version, domain, addr,    entries,
-                     key,   crash, route,   jour,   service, ignore,
-                     slots, prefill, gap,   batch,  ms,      cache,
-                     lag,   fail,  slow,    end};
+    void *table[] = {name,  pool,  version, domain, addr,  entries, key, crash,
+                     route, jour,  service, ignore, slots, prefill, gap, batch,
+                     ms,    cache, lag,     fail,   slow,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         return 2;
--- a/tests/fakes/relay.c
+++ b/tests/fakes/relay.c
@@ -171,7 +171,8 @@
     if (number == SIGUSR2) {
         cut = !cut;
     }
-    list_for_each(el, &pairs) {
+    list_for_each(el, &pairs)
+    {
         list_entry(el, struct pair, link)->silent = true;
     }
 }
