--- /dev/null
+++ b/tests/unit/lease_test.c
@@ -0,0 +1,188 @@
+/*
+ * Leases under drifting clocks, late and lost messages and a change of
+ * grantor: never two holders at one time.
+ */
+#include "suite.h"
+
+#include "control/assign.h"
+#include "topology/lease.h"
+
+#define STEPS 400
+#define HOLDERS 2
+#define GRANTORS 2
+#define DELAY_MAX_MS 6000
+
+struct process {
+    mg_manual_clock clock;
+    double rate; /* of its clock */
+};
+
+struct message {
+    bool reply;
+    int grantor;
+    int holder;
+    int64_t sent_ms; /* on the holder's clock */
+    int64_t due;     /* real time */
+    bool open;
+};
+
+static struct {
+    mg_rng rng;
+    double now; /* real ms */
+    struct process holders[HOLDERS];
+    struct process grantors[GRANTORS];
+    mg_lease leases[HOLDERS];
+    mg_leases *tables[GRANTORS];
+    int leader;
+    int owner; /* of the one scope */
+    bool believes[HOLDERS]; /* was told that it owns the scope */
+    struct message wire[16];
+} s;
+
+static void
+advance(double ms)
+{
+    s.now += ms;
+    for (int i = 0; i < HOLDERS; i++) {
+        s.holders[i].clock.mono = (int64_t)(s.now * s.holders[i].rate);
+    }
+    for (int i = 0; i < GRANTORS; i++) {
+        s.grantors[i].clock.mono = (int64_t)(s.now * s.grantors[i].rate);
+    }
+}
+
+static void
+post(bool reply, int grantor, int holder, int64_t sent)
+{
+    for (int i = 0; i < 16; i++) {
+        if (!s.wire[i].open) {
+            int64_t delay = mg_rng_below(&s.rng, 4) == 0
+                                ? mg_rng_below(&s.rng, DELAY_MAX_MS)
+                                : mg_rng_below(&s.rng, 20);
+            s.wire[i] = (struct message){reply, grantor, holder, sent,
+                                         (int64_t)s.now + delay, true};
+            return;
+        }
+    }
+}
+
+static const char *name[HOLDERS] = {"entry-1", "entry-2"};
+
+static void
+deliver(struct message *m)
+{
+    if (!m->reply) {
+        /* only the leader grants: a round with the majority proved it */
+        if (m->grantor == s.leader) {
+            mg_leases_grant(s.tables[m->grantor], name[m->holder], 1);
+            post(true, m->grantor, m->holder, m->sent_ms);
+        }
+    }
+    else {
+        mg_lease_renewed(&s.leases[m->holder], m->sent_ms, MG_LEASE_MS);
+        s.believes[m->holder] = s.owner == m->holder;
+    }
+    m->open = mg_rng_below(&s.rng, 20) == 0 && m->reply; /* doubled */
+}
+
+static void
+reassign(void)
+{
+    if (mg_leases_state(s.tables[s.leader], name[s.owner], 1) ==
+        MG_LEASE_GONE) {
+        int other = 1 - s.owner;
+        if (mg_leases_state(s.tables[s.leader], name[other], 1) ==
+            MG_LEASE_LIVE) {
+            s.owner = other;
+        }
+    }
+}
+
+static const char *
+check(void)
+{
+    int active = 0;
+    for (int i = 0; i < HOLDERS; i++) {
+        active += s.believes[i] &&
+                  mg_lease_valid(&s.leases[i], s.holders[i].clock.mono);
+    }
+    return active > 1 ? "two holders at one time" : NULL;
+}
+
+static const char *
+history(uint64_t seed)
+{
+    memset(&s, 0, sizeof(s));
+    mg_rng_init(&s.rng, seed);
+    for (int i = 0; i < HOLDERS; i++) {
+        mg_manual_clock_init(&s.holders[i].clock);
+        s.holders[i].rate = 0.98 + 0.04 * mg_rng_unit(&s.rng);
+    }
+    for (int i = 0; i < GRANTORS; i++) {
+        mg_manual_clock_init(&s.grantors[i].clock);
+        s.grantors[i].rate = 0.98 + 0.04 * mg_rng_unit(&s.rng);
+        s.tables[i] = mg_leases_new(&s.grantors[i].clock.clock);
+        mg_leases_take_over(s.tables[i]);
+    }
+    const char *broken = NULL;
+    for (int i = 0; i < STEPS && broken == NULL; i++) {
+        advance(mg_rng_below(&s.rng, 200));
+        int h = (int)mg_rng_below(&s.rng, HOLDERS);
+        if (mg_rng_below(&s.rng, 100) < 40) {
+            post(false, s.leader, h, s.holders[h].clock.mono);
+        }
+        if (mg_rng_below(&s.rng, 100) < 2) {
+            s.leader = 1 - s.leader;
+            mg_leases_take_over(s.tables[s.leader]);
+        }
+        for (int k = 0; k < 16; k++) {
+            if (s.wire[k].open && s.wire[k].due <= (int64_t)s.now) {
+                deliver(&s.wire[k]);
+            }
+        }
+        reassign();
+        broken = check();
+    }
+    for (int i = 0; i < GRANTORS; i++) {
+        mg_leases_free(s.tables[i]);
+    }
+    return broken;
+}
+
+static void
+test_histories(void)
+{
+    run_histories(history, HISTORIES);
+}
+
+/* an entry's pools stay where they are when another entry goes */
+static void
+test_assignment_moves_little(void)
+{
+    mg_candidate all[5] = {{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}, {"e", 1}};
+    mg_candidate less[4] = {{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}};
+    int held[5] = {0};
+    for (int i = 0; i < 200; i++) {
+        char pool[16];
+        snprintf(pool, sizeof(pool), "pool-%d", i);
+        int was = mg_assign(pool, all, 5);
+        int is = mg_assign(pool, less, 4);
+        held[was]++;
+        CU_ASSERT(was == 4 || is == was);
+    }
+    for (int i = 0; i < 5; i++) {
+        CU_ASSERT(held[i] >= 20 && held[i] <= 60);
+    }
+    CU_ASSERT_EQUAL(mg_assign("pool", all, 0), -1);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"random histories", test_histories},
+        {"assignment moves little", test_assignment_moves_little},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("lease", tests);
+}
