--- /dev/null
+++ b/tests/unit/store_test.c
@@ -0,0 +1,230 @@
+/*
+ * The data folder: torn tails at every byte, damage in the middle, cuts,
+ * snapshots, identities.
+ */
+#include "suite.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "control/store.h"
+
+static char dir[128];
+
+static void
+path_of(char *out, size_t size, const char *name)
+{
+    snprintf(out, size, "%s/%s", dir, name);
+}
+
+static void
+remove_folder(void)
+{
+    static const char *const names[] = {"meta", "log", "snapshot", "lock",
+                                        "meta.new", "log.new",
+                                        "snapshot.new"};
+    char path[256];
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        path_of(path, sizeof(path), names[i]);
+        unlink(path);
+    }
+    rmdir(dir);
+}
+
+static void
+new_folder(void)
+{
+    snprintf(dir, sizeof(dir), "/tmp/mg-store-%d", (int)getpid());
+    remove_folder();
+}
+
+static mg_store *
+open_store(mg_store_image *image)
+{
+    mg_store *s = NULL;
+    mg_error err;
+    mg_rc rc = mg_store_open(&s, dir, true, image, &err);
+    return rc == MG_OK ? s : NULL;
+}
+
+static void
+append(mg_store *s, uint64_t index, uint64_t term)
+{
+    char data[64];
+    int n = snprintf(data, sizeof(data), "entry %d", (int)index);
+    mg_raft_entry e = {term, index, {data, (size_t)n}};
+    CU_ASSERT_EQUAL(mg_store_append(s, &e), MG_OK);
+}
+
+static void
+write_entries(uint64_t from, uint64_t to)
+{
+    mg_store_image image;
+    mg_store *s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    for (uint64_t i = from; i <= to; i++) {
+        append(s, i, 1);
+    }
+    CU_ASSERT_EQUAL(mg_store_sync(s), MG_OK);
+    mg_store_image_free(&image);
+    mg_store_close(s);
+}
+
+/* entries found after reopening, or -1 when it is refused */
+static int
+reopen(bool *torn)
+{
+    mg_store_image image;
+    mg_store *s = open_store(&image);
+    if (s == NULL) {
+        return -1;
+    }
+    int n = (int)image.entry_count;
+    *torn = image.torn;
+    for (int i = 0; i < n; i++) {
+        char want[64];
+        snprintf(want, sizeof(want), "entry %d",
+                 (int)image.entries[i].index);
+        CU_ASSERT_TRUE(mg_str_is(image.entries[i].data, want));
+    }
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    return n;
+}
+
+static off_t
+log_size(void)
+{
+    char path[256];
+    struct stat st;
+    path_of(path, sizeof(path), "log");
+    return stat(path, &st) == 0 ? st.st_size : -1;
+}
+
+static void
+test_torn_tail_at_every_byte(void)
+{
+    char path[256];
+    bool torn;
+    new_folder();
+    write_entries(1, 3);
+    off_t three = log_size();
+    write_entries(4, 4);
+    off_t four = log_size();
+    path_of(path, sizeof(path), "log");
+    for (off_t cut = four - 1; cut > three; cut--) {
+        CU_ASSERT_EQUAL(truncate(path, cut), 0);
+        CU_ASSERT_EQUAL(reopen(&torn), 3);
+        CU_ASSERT_TRUE(torn);
+        write_entries(4, 4);
+    }
+    CU_ASSERT_EQUAL(reopen(&torn), 4);
+    CU_ASSERT_FALSE(torn);
+    remove_folder();
+}
+
+static void
+flip_byte(off_t at)
+{
+    char path[256];
+    char b;
+    path_of(path, sizeof(path), "log");
+    int fd = open(path, O_RDWR);
+    CU_ASSERT_EQUAL(pread(fd, &b, 1, at), 1);
+    b ^= 0x40;
+    CU_ASSERT_EQUAL(pwrite(fd, &b, 1, at), 1);
+    close(fd);
+}
+
+/* a damaged record with sound ones behind it was acknowledged: refuse */
+static void
+test_damage_in_the_middle(void)
+{
+    bool torn;
+    new_folder();
+    write_entries(1, 1);
+    off_t one = log_size();
+    write_entries(2, 4);
+    for (off_t at = one; at < one + 40; at++) {
+        flip_byte(at);
+        CU_ASSERT_EQUAL(reopen(&torn), -1);
+        flip_byte(at);
+    }
+    CU_ASSERT_EQUAL(reopen(&torn), 4);
+    remove_folder();
+}
+
+static void
+test_cut_and_snapshot(void)
+{
+    mg_store_image image;
+    new_folder();
+    write_entries(1, 9);
+    mg_store *s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    mg_store_image_free(&image);
+    CU_ASSERT_EQUAL(mg_store_truncate(s, 7), MG_OK);
+    append(s, 7, 2);
+    CU_ASSERT_EQUAL(mg_store_save_snapshot(s, 5, 1, mg_str_of("state")),
+                    MG_OK);
+    append(s, 8, 2);
+    CU_ASSERT_EQUAL(mg_store_sync(s), MG_OK);
+    mg_store_close(s);
+    s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    CU_ASSERT_EQUAL(image.snapshot_index, 5);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&image.snapshot), "state"));
+    CU_ASSERT_EQUAL_FATAL(image.entry_count, 3);
+    CU_ASSERT_EQUAL(image.entries[0].index, 6);
+    CU_ASSERT_EQUAL(image.entries[1].term, 2);
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    remove_folder();
+}
+
+/* the same folder keeps its identity; an emptied one gets another */
+static void
+test_identity(void)
+{
+    mg_store_image image;
+    mg_error err;
+    mg_store *s = NULL;
+    new_folder();
+    s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    uint64_t uid = image.meta.uid;
+    CU_ASSERT_TRUE(image.fresh && image.meta.voter);
+    mg_store *second = NULL;
+    mg_store_image other;
+    CU_ASSERT_NOT_EQUAL(mg_store_open(&second, dir, true, &other, &err),
+                        MG_OK);
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    s = open_store(&image);
+    CU_ASSERT_EQUAL(image.meta.uid, uid);
+    CU_ASSERT_FALSE(image.fresh);
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    remove_folder();
+    CU_ASSERT_EQUAL(mg_store_open(&s, dir, false, &image, &err), MG_OK);
+    CU_ASSERT_NOT_EQUAL(image.meta.uid, uid);
+    CU_ASSERT_EQUAL(image.meta.voter, 0);
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    remove_folder();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"torn tail at every byte", test_torn_tail_at_every_byte},
+        {"damage in the middle", test_damage_in_the_middle},
+        {"cut and snapshot", test_cut_and_snapshot},
+        {"identity", test_identity},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("store", tests);
+}
