--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -575,8 +575,7 @@
     /* entries behind it that agree may have been acknowledged */
     bool agrees = s->last_index <= last_index(r) &&
                   term_at(r, s->last_index) == s->last_term;
-    if (!agrees && last_index(r) > r->commit &&
-        !cut_log(r, r->commit + 1)) {
+    if (!agrees && last_index(r) > r->commit && !cut_log(r, r->commit + 1)) {
         return false;
     }
     if (!check_storage(r, r->host->save_snapshot(r->host, s->last_index,
@@ -602,8 +601,7 @@
         return;
     }
     hear_leader(r, from, s->term);
-    if (s->last_index > r->commit && !r->stopped &&
-        !install_snapshot(r, s)) {
+    if (s->last_index > r->commit && !r->stopped && !install_snapshot(r, s)) {
         return;
     }
     if (s->last_index > r->reply_match) {
@@ -625,8 +623,7 @@
     mg_msg_encode(&m, &data);
     append_entry(r, r->meta.term, mg_str_buf(&data));
     mg_buf_free(&data);
-    r->peers[node].readmit_after =
-        mg_now(r->clock) + MG_RAFT_READMIT_RETRY_MS;
+    r->peers[node].readmit_after = mg_now(r->clock) + MG_RAFT_READMIT_RETRY_MS;
 }
 
 static void
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -322,7 +322,8 @@
     mg_log(MG_EV_TARGET_DOWN,
            "pool=%s target=%s epoch=%" PRIu64 " why=%s running=%u", s->pool,
            t->name, t->epoch, why, t->running);
-    list_for_each_safe(el, el1, &t->slots) {
+    list_for_each_safe(el, el1, &t->slots)
+    {
         mg_slot *slot = list_entry(el, mg_slot, link);
         if (slot->ended || !cut_only) {
             mark_slot(s, slot);
@@ -335,14 +336,16 @@
 static unsigned
 marks_of(const mg_sched *s, uint64_t fingerprint)
 {
-    unsigned marks = mg_quarantine_marks(s->quarantine, fingerprint,
-                                         mg_wall(s->clock));
+    unsigned marks =
+        mg_quarantine_marks(s->quarantine, fingerprint, mg_wall(s->clock));
     if (fingerprint == 0 || marks > 0) {
         return marks;
     }
-    list_for_each(el, &s->targets) {
+    list_for_each(el, &s->targets)
+    {
         const mg_target *t = list_entry(el, mg_target, link);
-        list_for_each(e2, &t->slots) {
+        list_for_each(e2, &t->slots)
+        {
             const mg_slot *slot = list_entry(e2, mg_slot, link);
             if (slot->ended && slot->fingerprint == fingerprint) {
                 return 1;
@@ -381,7 +384,8 @@
 static void
 drop_slots(mg_sched *s, mg_target *t)
 {
-    list_for_each_safe(el, el1, &t->slots) {
+    list_for_each_safe(el, el1, &t->slots)
+    {
         free_slot(s, list_entry(el, mg_slot, link));
     }
 }
@@ -850,7 +854,8 @@
 static bool
 has_cut_slot(const mg_target *t)
 {
-    list_for_each(el, &t->slots) {
+    list_for_each(el, &t->slots)
+    {
         if (list_entry(el, mg_slot, link)->ended) {
             return true;
         }
