--- a/Makefile
+++ b/Makefile
@@ -16,13 +16,13 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/base/toml.o
 LIB := $(BUILD)/libmarigold.a
 
-PROGRAMS = marigold-entry marigold-control marigoldctl marigold-load \
+PROGRAMS = marigold-slopes marigold-entry marigold-control marigoldctl marigold-load \
            fake-engine fake-relay
 BINS := $(PROGRAMS:%=$(BUILD)/%)
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
 UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
-.PHONY: all check check-unit check-system demo format lint events clean
+.PHONY: all check check-unit check-system demo capacity format lint events clean
 
 all: $(BINS)
 
@@ -49,6 +49,9 @@
 $(BUILD)/marigold-load: $(LOAD_OBJ) $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
+$(BUILD)/marigold-slopes: $(BUILD)/bench/slopes.o $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/%.o $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
@@ -66,6 +69,9 @@
 check-system: all
 	scripts/system-tests.sh $(BUILD)
 
+capacity: $(BUILD)/marigold-slopes
+	$<
+
 events: $(BUILD)/marigoldctl
 	$(BUILD)/marigoldctl events > docs/EVENTS.md
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -15,6 +15,8 @@
 #include "base/bytes.h"
 #include "base/outcome.h"
 
+/* clang-format off */
+
 /* links */
 #define MG_FIELDS_HELLO(F) \
     F(STR, node) F(STR, key) F(U64, protocol) F(U64, incarnation)
@@ -26,15 +28,14 @@
     F(U64, term) F(U64, last_index) F(U64, last_term) F(U64, pre)
 #define MG_FIELDS_VOTE_REP(F) F(U64, term) F(U64, granted) F(U64, pre)
 #define MG_FIELDS_APPEND(F) \
-    F(U64, term)            \
-    F(U64, prev_index)      \
-    F(U64, prev_term) F(U64, commit) F(U64, round) F(BIN, entries)
+    F(U64, term) F(U64, prev_index) F(U64, prev_term) F(U64, commit) \
+    F(U64, round) F(BIN, entries)
 #define MG_FIELDS_APPEND_REP(F) \
-    F(U64, term)                \
-    F(U64, ok) F(U64, match) F(U64, round) F(U64, uid) F(U64, voter)
+    F(U64, term) F(U64, ok) F(U64, match) F(U64, round) F(U64, uid) \
+    F(U64, voter)
 #define MG_FIELDS_SNAPSHOT(F) \
-    F(U64, term)              \
-    F(U64, last_index) F(U64, last_term) F(U64, round) F(BIN, data)
+    F(U64, term) F(U64, last_index) F(U64, last_term) F(U64, round) \
+    F(BIN, data)
 #define MG_FIELDS_LOG_ENTRY(F) F(U64, term) F(U64, index) F(BIN, data)
 
 /* commands of the state machine; rec_* are values of its records */
@@ -42,73 +43,61 @@
 #define MG_FIELDS_CMD_DOCUMENT(F) \
     F(U64, base_rev) F(U64, wall_ms) F(BIN, sections)
 #define MG_FIELDS_CMD_PUT(F) \
-    F(U64, kind)             \
-    F(STR, key)              \
-    F(U64, expect_rev) F(STR, guard_pool) F(U64, guard_epoch) F(BIN, value)
-#define MG_FIELDS_CMD_CLAIM(F)                                      \
-    F(STR, workspace)                                               \
-    F(STR, key)                                                     \
-    F(STR, digest) F(STR, holder) F(U64, incarnation) F(U64, nonce) \
-        F(U64, gen)
+    F(U64, kind) F(STR, key) F(U64, expect_rev) F(STR, guard_pool) \
+    F(U64, guard_epoch) F(BIN, value)
+#define MG_FIELDS_CMD_CLAIM(F) \
+    F(STR, workspace) F(STR, key) F(STR, digest) F(STR, holder) \
+    F(U64, incarnation) F(U64, nonce) F(U64, gen)
 #define MG_FIELDS_CMD_REFUSE(F) \
     F(STR, workspace) F(STR, key) F(STR, digest) F(U64, gen)
 #define MG_FIELDS_CMD_FINAL(F) \
-    F(STR, workspace)          \
-    F(STR, key)                \
-    F(U64, nonce) F(U64, ran) F(U64, status) F(STR, member) F(BIN, answer)
+    F(STR, workspace) F(STR, key) F(U64, nonce) F(U64, ran) F(U64, status) \
+    F(STR, member) F(BIN, answer)
 #define MG_FIELDS_CMD_CREDITS(F) \
     F(STR, holder) F(U64, incarnation) F(U64, seq) F(BIN, credits)
 #define MG_FIELDS_CMD_READMIT(F) F(U64, node) F(U64, uid)
 #define MG_FIELDS_CREDIT(F) F(STR, member) F(U64, count)
-#define MG_FIELDS_RECORD(F) F(U64, kind) F(STR, key) F(U64, rev) F(BIN, value)
-#define MG_FIELDS_REC_SECTION(F)                                     \
-    F(STR, name)                                                     \
-    F(STR, owner)                                                    \
-    F(U64, version) F(STR, digest) F(U64, accepted_rev) F(STR, text) \
-        F(BIN, history)
-#define MG_FIELDS_SECTION_VERSION(F) F(U64, version) F(STR, digest) F(U64, rev)
+#define MG_FIELDS_RECORD(F) \
+    F(U64, kind) F(STR, key) F(U64, rev) F(BIN, value)
+#define MG_FIELDS_REC_SECTION(F) \
+    F(STR, name) F(STR, owner) F(U64, version) F(STR, digest) \
+    F(U64, accepted_rev) F(STR, text) F(BIN, history)
+#define MG_FIELDS_SECTION_VERSION(F) \
+    F(U64, version) F(STR, digest) F(U64, rev)
 #define MG_FIELDS_REC_MEMBER(F) \
-    F(STR, node)                \
-    F(STR, http_addr)           \
-    F(STR, link_addr) F(STR, domain) F(U64, incarnation) F(U64, draining)
+    F(STR, node) F(STR, http_addr) F(STR, link_addr) F(STR, domain) \
+    F(U64, incarnation) F(U64, draining)
 #define MG_FIELDS_REC_POOL(F) \
     F(STR, pool) F(STR, holder) F(U64, incarnation) F(U64, epoch)
-#define MG_FIELDS_REC_MOVE(F)                                             \
-    F(STR, move)                                                          \
-    F(STR, pool)                                                          \
-    F(U64, state) F(U64, share_permille) F(U64, reserved) F(U64, wall_ms) \
-        F(STR, reason)
+#define MG_FIELDS_REC_MOVE(F) \
+    F(STR, move) F(STR, pool) F(U64, state) F(U64, share_permille) \
+    F(U64, reserved) F(U64, wall_ms) F(STR, reason)
 #define MG_FIELDS_REC_QUARANTINE(F) \
-    F(U64, fingerprint)             \
-    F(STR, pool) F(U64, marks) F(STR, target) F(U64, until_wall_ms)
+    F(U64, fingerprint) F(STR, pool) F(U64, marks) F(STR, target) \
+    F(U64, until_wall_ms)
 /* snapshot parts beyond records */
 #define MG_FIELDS_SNAP_HEAD(F) F(U64, rev) F(U64, claim_order)
-#define MG_FIELDS_SNAP_CLAIM(F)                                     \
-    F(STR, workspace)                                               \
-    F(STR, key)                                                     \
-    F(STR, digest) F(STR, holder) F(U64, incarnation) F(U64, nonce) \
-        F(U64, gen) F(U64, state) F(U64, status) F(BIN, answer)
+#define MG_FIELDS_SNAP_CLAIM(F) \
+    F(STR, workspace) F(STR, key) F(STR, digest) F(STR, holder) \
+    F(U64, incarnation) F(U64, nonce) F(U64, gen) F(U64, state) \
+    F(U64, status) \
+    F(BIN, answer)
 #define MG_FIELDS_SNAP_CREDIT(F) F(STR, member) F(U64, count)
 #define MG_FIELDS_SNAP_BATCH(F) F(STR, holder) F(U64, incarnation) F(U64, seq)
 
 /* entry and control */
-#define MG_FIELDS_RENEW(F)                                              \
-    F(U64, seq)                                                         \
-    F(U64, incarnation)                                                 \
-    F(STR, http_addr) F(STR, link_addr) F(STR, domain) F(U64, draining) \
-        F(U64, rev) F(U64, probe)
+#define MG_FIELDS_RENEW(F) \
+    F(U64, seq) F(U64, incarnation) F(STR, http_addr) F(STR, link_addr) \
+    F(STR, domain) F(U64, draining) F(U64, rev) F(U64, probe)
 #define MG_FIELDS_RENEW_REP(F) \
-    F(U64, seq)                \
-    F(U64, granted)            \
-    F(U64, lease_ms) F(U64, rev) F(U64, partial) F(BIN, records)
+    F(U64, seq) F(U64, granted) F(U64, lease_ms) F(U64, rev) F(U64, partial) \
+    F(BIN, records)
 #define MG_FIELDS_NOT_LEADER(F) F(U64, seq) F(STR, leader)
 #define MG_FIELDS_CLAIM(F) F(U64, seq) F(BIN, command)
 #define MG_FIELDS_PEEK(F) F(U64, seq) F(BIN, command)
-#define MG_FIELDS_CLAIM_REP(F)                                   \
-    F(U64, seq)                                                  \
-    F(U64, result)                                               \
-    F(STR, holder) F(U64, incarnation) F(U64, nonce) F(U64, gen) \
-        F(U64, status) F(BIN, answer)
+#define MG_FIELDS_CLAIM_REP(F) \
+    F(U64, seq) F(U64, result) F(STR, holder) F(U64, incarnation) \
+    F(U64, nonce) F(U64, gen) F(U64, status) F(BIN, answer)
 #define MG_FIELDS_PROPOSE(F) F(U64, seq) F(BIN, command)
 #define MG_FIELDS_PROPOSE_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
 #define MG_FIELDS_OPERATOR(F) \
@@ -121,107 +110,99 @@
  * Entry and pool scheduler. A ticket sent again has a greater attempt; its
  * entry uses no grant of a former one.
  */
-#define MG_FIELDS_ANNOUNCE(F)                                                \
-    F(U64, seq)                                                              \
-    F(STR, pool)                                                             \
-    F(STR, target) F(STR, addr) F(STR, version) F(STR, domain) F(U64, epoch) \
-        F(U64, slots) F(U64, tokens_max) F(U64, leaving) F(U64, running)     \
-            F(U64, queued) F(U64, report_age_ms)
+#define MG_FIELDS_ANNOUNCE(F) \
+    F(U64, seq) F(STR, pool) F(STR, target) F(STR, addr) F(STR, version) \
+    F(STR, domain) F(U64, epoch) F(U64, slots) F(U64, tokens_max) \
+    F(U64, leaving) F(U64, running) F(U64, queued) F(U64, report_age_ms)
 #define MG_FIELDS_ANNOUNCE_REP(F) F(U64, seq) F(U64, rc) F(U64, lease_ms)
-#define MG_FIELDS_TICKET(F)                                                  \
-    F(U64, id)                                                               \
-    F(U64, attempt)                                                          \
-    F(STR, pool) F(U64, epoch) F(U64, tier) F(STR, workspace) F(U64, weight) \
-        F(U64, prefill) F(U64, decode) F(U64, remaining_ms) F(U64, prefix)   \
-            F(U64, fingerprint) F(STR, route)
-#define MG_FIELDS_HELD(F)                                                     \
-    F(U64, id)                                                                \
-    F(U64, attempt)                                                           \
-    F(STR, pool) F(U64, epoch) F(U64, tier) F(STR, workspace) F(U64, prefill) \
-        F(U64, decode) F(STR, target) F(U64, target_epoch)                    \
-            F(U64, fingerprint) F(STR, route) F(U64, elapsed_ms)
+#define MG_FIELDS_TICKET(F) \
+    F(U64, id) F(U64, attempt) F(STR, pool) F(U64, epoch) F(U64, tier) F(STR, workspace) \
+    F(U64, weight) F(U64, prefill) F(U64, decode) F(U64, remaining_ms) \
+    F(U64, prefix) F(U64, fingerprint) F(STR, route)
+#define MG_FIELDS_HELD(F) \
+    F(U64, id) F(U64, attempt) F(STR, pool) F(U64, epoch) F(U64, tier) F(STR, workspace) \
+    F(U64, prefill) F(U64, decode) F(STR, target) F(U64, target_epoch) \
+    F(U64, fingerprint) F(STR, route) F(U64, elapsed_ms)
 #define MG_FIELDS_SYNCED(F) F(STR, pool) F(U64, epoch)
 #define MG_FIELDS_CANCEL(F) F(U64, id) F(STR, pool) F(U64, epoch)
-#define MG_FIELDS_GRANT(F)                                                 \
-    F(U64, id)                                                             \
-    F(U64, attempt)                                                        \
-    F(STR, pool) F(U64, epoch) F(STR, target) F(STR, addr) F(STR, version) \
-        F(U64, target_epoch) F(U64, valid_ms)
+#define MG_FIELDS_GRANT(F) \
+    F(U64, id) F(U64, attempt) F(STR, pool) F(U64, epoch) F(STR, target) F(STR, addr) \
+    F(STR, version) F(U64, target_epoch) F(U64, valid_ms)
 #define MG_FIELDS_SHED(F) \
-    F(U64, id)            \
-    F(U64, attempt) F(STR, pool) F(U64, epoch) F(U64, rc) F(U64, retry_ms)
-#define MG_FIELDS_DONE(F)                                      \
-    F(U64, id)                                                 \
-    F(U64, attempt)                                            \
-    F(STR, pool) F(U64, epoch) F(U64, result) F(U64, first_ms) \
-        F(U64, total_ms) F(U64, tokens)
+    F(U64, id) F(U64, attempt) F(STR, pool) F(U64, epoch) F(U64, rc) F(U64, retry_ms)
+#define MG_FIELDS_DONE(F) \
+    F(U64, id) F(U64, attempt) F(STR, pool) F(U64, epoch) F(U64, result) F(U64, first_ms) \
+    F(U64, total_ms) F(U64, tokens)
 
 /* a resent request joins the answer held by another entry */
 #define MG_FIELDS_JOIN(F) F(U64, seq) F(U64, nonce)
 #define MG_FIELDS_JOIN_REP(F) \
-    F(U64, seq) F(U64, rc) F(U64, ran) F(U64, status) F(STR, type) F(BIN, body)
+    F(U64, seq) F(U64, rc) F(U64, ran) F(U64, status) F(STR, type) \
+    F(BIN, body)
 
 /* targets where a request of a lost entry may run; addresses by commas */
 #define MG_FIELDS_LOCATE(F) F(U64, seq) F(STR, pool) F(U64, id)
 #define MG_FIELDS_LOCATE_REP(F) F(U64, seq) F(STR, addrs)
 
 /* number, name, lower-case name */
-#define MG_MSG_LIST(M)                      \
-    M(1, HELLO, hello)                      \
-    M(2, PING, ping)                        \
-    M(3, PONG, pong)                        \
-    M(10, VOTE_REQ, vote_req)               \
-    M(11, VOTE_REP, vote_rep)               \
-    M(12, APPEND, append)                   \
-    M(13, APPEND_REP, append_rep)           \
-    M(14, SNAPSHOT, snapshot)               \
-    M(15, LOG_ENTRY, log_entry)             \
-    M(20, CMD_NOOP, cmd_noop)               \
-    M(21, CMD_DOCUMENT, cmd_document)       \
-    M(22, CMD_PUT, cmd_put)                 \
-    M(23, CMD_CLAIM, cmd_claim)             \
-    M(24, CMD_FINAL, cmd_final)             \
-    M(25, CMD_CREDITS, cmd_credits)         \
-    M(26, CMD_READMIT, cmd_readmit)         \
-    M(27, CREDIT, credit)                   \
-    M(28, CMD_REFUSE, cmd_refuse)           \
-    M(30, RECORD, record)                   \
-    M(31, REC_SECTION, rec_section)         \
+#define MG_MSG_LIST(M) \
+    M(1, HELLO, hello) \
+    M(2, PING, ping) \
+    M(3, PONG, pong) \
+    M(10, VOTE_REQ, vote_req) \
+    M(11, VOTE_REP, vote_rep) \
+    M(12, APPEND, append) \
+    M(13, APPEND_REP, append_rep) \
+    M(14, SNAPSHOT, snapshot) \
+    M(15, LOG_ENTRY, log_entry) \
+    M(20, CMD_NOOP, cmd_noop) \
+    M(21, CMD_DOCUMENT, cmd_document) \
+    M(22, CMD_PUT, cmd_put) \
+    M(23, CMD_CLAIM, cmd_claim) \
+    M(24, CMD_FINAL, cmd_final) \
+    M(25, CMD_CREDITS, cmd_credits) \
+    M(26, CMD_READMIT, cmd_readmit) \
+    M(27, CREDIT, credit) \
+    M(28, CMD_REFUSE, cmd_refuse) \
+    M(30, RECORD, record) \
+    M(31, REC_SECTION, rec_section) \
     M(32, SECTION_VERSION, section_version) \
-    M(33, REC_MEMBER, rec_member)           \
-    M(34, REC_POOL, rec_pool)               \
-    M(35, REC_MOVE, rec_move)               \
-    M(36, REC_QUARANTINE, rec_quarantine)   \
-    M(37, SNAP_HEAD, snap_head)             \
-    M(38, SNAP_CLAIM, snap_claim)           \
-    M(39, SNAP_CREDIT, snap_credit)         \
-    M(40, SNAP_BATCH, snap_batch)           \
-    M(50, RENEW, renew)                     \
-    M(51, RENEW_REP, renew_rep)             \
-    M(52, NOT_LEADER, not_leader)           \
-    M(53, CLAIM, claim)                     \
-    M(54, CLAIM_REP, claim_rep)             \
-    M(55, PROPOSE, propose)                 \
-    M(56, PROPOSE_REP, propose_rep)         \
-    M(57, OPERATOR, operator_req)           \
-    M(58, OPERATOR_REP, operator_rep)       \
-    M(59, FRESH_REQ, fresh_req)             \
-    M(60, FRESH_REP, fresh_rep)             \
-    M(61, PEEK, peek)                       \
-    M(70, ANNOUNCE, announce)               \
-    M(71, ANNOUNCE_REP, announce_rep)       \
-    M(72, TICKET, ticket)                   \
-    M(73, HELD, held)                       \
-    M(74, SYNCED, synced)                   \
-    M(75, CANCEL, cancel)                   \
-    M(76, GRANT, grant)                     \
-    M(77, SHED, shed)                       \
-    M(78, DONE, done)                       \
-    M(79, LOCATE, locate)                   \
-    M(80, JOIN, join)                       \
-    M(81, JOIN_REP, join_rep)               \
+    M(33, REC_MEMBER, rec_member) \
+    M(34, REC_POOL, rec_pool) \
+    M(35, REC_MOVE, rec_move) \
+    M(36, REC_QUARANTINE, rec_quarantine) \
+    M(37, SNAP_HEAD, snap_head) \
+    M(38, SNAP_CLAIM, snap_claim) \
+    M(39, SNAP_CREDIT, snap_credit) \
+    M(40, SNAP_BATCH, snap_batch) \
+    M(50, RENEW, renew) \
+    M(51, RENEW_REP, renew_rep) \
+    M(52, NOT_LEADER, not_leader) \
+    M(53, CLAIM, claim) \
+    M(54, CLAIM_REP, claim_rep) \
+    M(55, PROPOSE, propose) \
+    M(56, PROPOSE_REP, propose_rep) \
+    M(57, OPERATOR, operator_req) \
+    M(58, OPERATOR_REP, operator_rep) \
+    M(59, FRESH_REQ, fresh_req) \
+    M(60, FRESH_REP, fresh_rep) \
+    M(61, PEEK, peek) \
+    M(70, ANNOUNCE, announce) \
+    M(71, ANNOUNCE_REP, announce_rep) \
+    M(72, TICKET, ticket) \
+    M(73, HELD, held) \
+    M(74, SYNCED, synced) \
+    M(75, CANCEL, cancel) \
+    M(76, GRANT, grant) \
+    M(77, SHED, shed) \
+    M(78, DONE, done) \
+    M(79, LOCATE, locate) \
+    M(80, JOIN, join) \
+    M(81, JOIN_REP, join_rep) \
     M(82, LOCATE_REP, locate_rep)
 
+/* clang-format on */
+
 typedef enum mg_msg_type {
 #define M(number, NAME, name) MG_MSG_##NAME = number,
     MG_MSG_LIST(M)
