--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,7 @@
 #
 # Sourced. The caller sets BUILD (programs) and WORK (an empty folder); all
 # processes are children of the script and are ended by their process ids.
-#   ports: control N: link 71N0, HTTP 72N0; entry N: link 73N0, HTTP 74N0;
+#   ports: control N: link 71N0, HTTP 72N0; entry N: link 7300+5N, HTTP 7400+5N;
 #   target N: 7500+N. BASE is added to each.
 
 BASE=${BASE:-0}
@@ -17,8 +17,8 @@
 
 control_link() { echo "$HOST:$((7100 + BASE + 10 * $1))"; }
 control_http() { echo "$HOST:$((7200 + BASE + 10 * $1))"; }
-entry_link() { echo "$HOST:$((7300 + BASE + 10 * $1))"; }
-entry_http() { echo "$HOST:$((7400 + BASE + 10 * $1))"; }
+entry_link() { echo "$HOST:$((7300 + BASE + 5 * $1))"; }
+entry_http() { echo "$HOST:$((7400 + BASE + 5 * $1))"; }
 target_addr() { echo "$HOST:$((7500 + BASE + $1))"; }
 
 all_controls() {
--- a/scripts/system-cases.sh
+++ b/scripts/system-cases.sh
@@ -495,7 +495,7 @@
     [ "$(status_of "$entry/nothing")" = 404 ]
     # wrong frames and half-open connections on the links
     local host=${HOST} port
-    port=$((7310 + BASE))
+    port=$((7305 + BASE))
     head -c 4000 /dev/urandom > "/dev/tcp/$host/$port" || true
     exec 9<> "/dev/tcp/$host/$port"
     sleep 2
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -155,7 +155,8 @@
         if (m->draining >= 3) {
             mg_net_undial(e->net, m->node);
         }
-        else {
+        else if (strcmp(e->settings.node, m->node) < 0) {
+            /* one connection for each pair of entries */
             mg_net_dial(e->net, m->node, m->link_addr);
         }
     }
--- /dev/null
+++ b/src/policy/place.c
@@ -0,0 +1,53 @@
+#include "policy/place.h"
+
+#include <string.h>
+
+/* the predicted time to the last token, by own counts and learned rates */
+static double
+least_time(const mg_placement *p, const mg_target *t, const mg_estimate *e)
+{
+    (void)p;
+    (void)t;
+    return e->total_ms;
+}
+
+/* one after the other, whatever they do */
+static double
+round_robin(const mg_placement *p, const mg_target *t, const mg_estimate *e)
+{
+    (void)p;
+    (void)e;
+    return (double)t->last_granted;
+}
+
+/* fewest running by the target's own lagged report */
+static double
+least_reported(const mg_placement *p, const mg_target *t, const mg_estimate *e)
+{
+    (void)p;
+    (void)e;
+    return t->reported_running;
+}
+
+static const mg_placement placements[] = {
+    {"least_time", least_time},
+    {"round_robin", round_robin},
+    {"least_reported", least_reported},
+};
+
+const mg_placement *
+mg_placement_find(const char *name)
+{
+    for (size_t i = 0; i < sizeof(placements) / sizeof(placements[0]); i++) {
+        if (strcmp(placements[i].name, name) == 0) {
+            return &placements[i];
+        }
+    }
+    return NULL;
+}
+
+const mg_placement *
+mg_placement_default(void)
+{
+    return &placements[0];
+}
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/event.h"
+#include "policy/place.h"
 #include "policy/quarantine.h"
 
 #define QUEUE_MAX_DEFAULT 4096
@@ -32,6 +33,8 @@
     uint64_t epoch;
     char version[MG_NAME_SIZE];
     size_t queue_max;
+    const mg_placement *placement;
+    uint64_t grants;
     mg_tierq *queue;
     mg_ticket *tickets;     /* by id, waiting and set aside */
     struct list_head aside; /* suspects that no target can take now */
@@ -61,6 +64,7 @@
     mg_str_copy(s->pool, sizeof(s->pool), mg_str_of(o->pool));
     s->epoch = o->epoch;
     s->queue_max = QUEUE_MAX_DEFAULT;
+    s->placement = mg_placement_default();
     s->queue = mg_tierq_new();
     s->quarantine = mg_quarantine_new();
     init_list_head(&s->targets);
@@ -133,6 +137,8 @@
 {
     mg_str_copy(s->version, sizeof(s->version), mg_str_of(pool->version));
     s->queue_max = (size_t)pool->queue_max;
+    s->placement = pool->placement[0] ? mg_placement_find(pool->placement)
+                                      : mg_placement_default();
 }
 
 void
@@ -471,6 +477,7 @@
 struct choice {
     mg_target *target;
     mg_estimate estimate;
+    double cost;
     bool is_new;
 };
 
@@ -488,7 +495,7 @@
         /* version_allowed() holds the new one to its share */
         return b->is_new;
     }
-    return b->estimate.total_ms < a->estimate.total_ms;
+    return b->cost < a->cost;
 }
 
 static struct choice
@@ -503,9 +510,10 @@
             !version_allowed(s, t) || (suspect && t->suspects > 0)) {
             continue;
         }
-        struct choice c = {
-            t, mg_target_estimate(t, k->prefill, k->decode, k->prefix, now),
-            is_new_version(s, t)};
+        struct choice c = {.target = t, .is_new = is_new_version(s, t)};
+        c.estimate =
+            mg_target_estimate(t, k->prefill, k->decode, k->prefix, now);
+        c.cost = s->placement->cost(s->placement, t, &c.estimate);
         if (better(&best, &c, suspect)) {
             best = c;
         }
@@ -557,6 +565,7 @@
     slot->is_new = c->is_new;
     mg_target_add_slot(t, slot);
     mg_target_note_prefix(t, k->prefix);
+    t->last_granted = ++s->grants;
     if (s->rollout != NULL) {
         mg_rollout_granted(s->rollout, c->is_new);
     }
@@ -565,12 +574,12 @@
            "id=%" PRIx64 " pool=%s tier=%u workspace=%s target=%s version=%s "
            "waited_ms=%" PRId64 " left_ms=%" PRId64
            " est_first_ms=%.0f est_total_ms=%.0f running=%u/%u prefix=%s "
-           "suspect=%d waiting=%zu why=least_time",
+           "suspect=%d waiting=%zu why=%s",
            k->id, s->pool, k->tier, k->workspace, t->name, t->version,
            now - k->arrived_ms, k->deadline_ms - now, c->estimate.first_ms,
            c->estimate.total_ms, t->running, t->slots_max,
            c->estimate.prefix_hit ? "hit" : "miss", suspect,
-           mg_tierq_count(s->queue) - 1);
+           mg_tierq_count(s->queue) - 1, s->placement->name);
     mg_count(MG_C_GRANTS, 1);
     if (k->share != NULL) {
         mg_tierq_serve(s->queue, k);
--- a/src/topology/config.c
+++ b/src/topology/config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/toml.h"
+#include "policy/place.h"
 
 #define RANK_MAX (MG_TIER_MAX - 1)
 #define DEADLINE_MAX_MS 86400000.0
@@ -88,6 +89,8 @@
          NULL},
         {"repeatable", MG_KEY_BOOL, false, offsetof(mg_pool, repeatable), 0, 0,
          NULL},
+        {"placement", MG_KEY_NAME, false, offsetof(mg_pool, placement), 0, 0,
+         NULL},
         {"queue_max", MG_KEY_INT, false, offsetof(mg_pool, queue_max), 1,
          QUEUE_MAX, NULL},
         {0}};
@@ -102,6 +105,13 @@
                        "expected \"engine\" or \"service\", got \"%s\"",
                        it->pool.kind);
     }
+    if (it->pool.placement[0] &&
+        mg_placement_find(it->pool.placement) == NULL) {
+        mg_check_error(c, mg_pos_of(pos, "placement"), "placement",
+                       "expected \"least_time\", \"round_robin\" or "
+                       "\"least_reported\", got \"%s\"",
+                       it->pool.placement);
+    }
     list_add_tail(&it->link, &s->pools);
 }
 
--- a/src/topology/config.h
+++ b/src/topology/config.h
@@ -32,10 +32,11 @@
 typedef struct mg_pool {
     UT_hash_handle hh;
     char name[MG_NAME_SIZE];
-    char kind[MG_NAME_SIZE];    /* "engine" or "service" */
-    char version[MG_NAME_SIZE]; /* empty: any version is served */
-    bool repeatable;            /* false: every call is non-idempotent */
-    int64_t queue_max;          /* waiting tickets */
+    char kind[MG_NAME_SIZE];      /* "engine" or "service" */
+    char version[MG_NAME_SIZE];   /* empty: any version is served */
+    bool repeatable;              /* false: every call is non-idempotent */
+    int64_t queue_max;            /* waiting tickets */
+    char placement[MG_NAME_SIZE]; /* see policy/place.h; empty: default */
 } mg_pool;
 
 typedef struct mg_workspace {
--- a/src/topology/target.h
+++ b/src/topology/target.h
@@ -52,7 +52,8 @@
     struct list_head slots;
     uint32_t running;
     uint32_t suspects;
-    uint64_t tokens; /* predicted, of the running requests */
+    uint64_t tokens;       /* predicted, of the running requests */
+    uint64_t last_granted; /* number of its last grant in the pool */
     uint32_t reported_running;
     int64_t reported_ms; /* when the report was taken */
     /* learned */
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -23,7 +23,7 @@
 #include "wire/msg.h"
 
 #define MG_LINK_PROTOCOL 1
-#define MG_LINK_PING_MS 300
+#define MG_LINK_PING_MS 400
 #define MG_LINK_SILENCE_MS 1200
 #define MG_LINK_GREETING_MS 1000
 #define MG_LINK_GREETING_MAX 1024
