--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,88 @@
+#!/usr/bin/env bash
+# mutants.sh - switches each mechanism off and shows that its test fails
+#
+# Works on a copy of the tree. A line of the table: test, file, what is
+# switched off, sed expression. Prints one row for each; exits non-zero when
+# a test passes without its mechanism.
+set -uo pipefail
+
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+JOBS=${JOBS:-4}
+
+table() {
+    cat <<'EOF'
+claims|src/ledger/claims.c|claims of an older generation are refused|s/cmd->gen >= cl->gen) {/1) {/
+claims|src/ledger/claims.c|a held request is not granted to another attempt|s/cl->state == STATE_RELEASED \&\& cl->nonce != cmd->nonce/cl->state != STATE_ANSWERED/
+tierq|src/policy/tierq.c|the lowest tier is shed first|s/last_of_tier(&q->tiers\[lowest\])/last_of_tier(\&q->tiers[0])/
+sched|src/topology/target.c|a leaving target is granted nothing|s/return !t->leaving \&\&/return/
+sched|src/topology/target.c|a target without a lease is granted nothing|s/now < t->lease_until_ms;/true;/
+sched|src/policy/sched.c|slots are rebuilt before the first grant|s/if (!s->rebuilding) {/if (true) {/
+sched|src/policy/sched.c|a target has bounded slots|s/if (t->running >= t->slots_max) {/if (false) {/
+sched|src/policy/sched.c|two suspects share no target|s/(suspect \&\& t->suspects > 0)/false/
+sched|src/policy/quarantine.h|a request is quarantined after two deaths|s/define MG_QUARANTINE_MARKS 2/define MG_QUARANTINE_MARKS 99/
+rollout|src/policy/rollout.c|canary grants are reserved in the log|s/return r->granted_new < r->reserved \&\&/return/
+rollout|src/policy/rollout.c|a successor counts what was reserved|s/r->granted_new = o->reserved;/r->granted_new = 0;/
+rollout|src/policy/rollout.c|failures are judged|s/route->failures.odds > BAD_LOG_ODDS/false/
+rollout|src/policy/rollout.c|slow tokens are judged|s/route->slow_gap.odds > BAD_LOG_ODDS/false/
+lease|src/topology/lease.c|a new grantor waits out old leases|s/l->unknown_until_ms = .*/l->unknown_until_ms = 0;/
+lease|src/topology/lease.h|the grantor adds a margin|s/define MG_LEASE_MARGIN_MS 150/define MG_LEASE_MARGIN_MS (-200)/
+raft|src/control/raft.c|own entries count when they are on disk|s/majority_value(r, r->synced, peer_match)/majority_value(r, last_index(r), peer_match)/
+raft|src/control/raft.c|acknowledged entries outlive a snapshot|s/bool agrees = s->last_index <= last_index(r) \&\&/bool agrees = false \&\&/
+raft|src/control/raft.c|a disk's identity goes with its match|s/if (peer->uid != p->uid) {/if (false) {/
+raft|src/control/raft.c|a vote is on disk before it is told|s/(r->meta.vote == 0 || r->meta.vote == from)/true/
+state|src/control/state.c|another text under a version is refused|s/if (!mg_str_eq(digest, new_sec->digest)) {/if (false) {/
+state|src/control/state.c|a change is checked against its base|s/if (c->base_rev != s->document_rev) {/if (false) {/
+state|src/control/state.c|a batch of credits counts once|s/c->seq <= b->seq)/false)/
+store|src/control/store.c|damage before sound records is refused|s/if (sound_record_behind(b, at)) {/if (false) {/
+store|src/control/store.c|records are checksummed|s/return h->sum == record_sum(.*/return true;/
+base|src/wire/http.c|an end by closing is told apart|s/bool unproven = .*/bool unproven = false;/
+EOF
+}
+
+try() { # try NUMBER LINE
+    local n=$1 test file what expr dir rc
+    IFS='|' read -r test file what expr <<< "$2"
+    # the expression may hold the separator
+    expr=${2#"$test|$file|$what|"}
+    dir="$WORK/$n"
+    mkdir -p "$dir"
+    cp -r "$ROOT"/{Makefile,src,tests,include} "$dir/" 2> /dev/null
+    cp -r "$WORK/base" "$dir/build"
+    sed -i "$expr" "$dir/$file"
+    if cmp -s "$dir/$file" "$ROOT/$file"; then
+        echo "| $test | $what | NOT APPLIED |"
+        return 1
+    fi
+    make -s -C "$dir" WARN= "build/unit-${test}_test" > "$dir/out" 2>&1 || {
+        echo "| $test | $what | NOT BUILT |"
+        return 1
+    }
+    timeout 120 "$dir/build/unit-${test}_test" > "$dir/out" 2>&1 < /dev/null
+    rc=$?
+    if [ $rc = 0 ]; then
+        echo "| $test | $what | PASSED WITHOUT IT |"
+        return 1
+    fi
+    echo "| $test | $what | fails: $(grep -m1 -o 'seed [0-9]*: .*\|CU_[A-Z_]*(.*' "$dir/out" |
+        cut -c1-90) |"
+    rm -rf "$dir"
+}
+
+mkdir -p "$WORK/base"
+echo "| test | mechanism switched off | result |"
+echo "| --- | --- | --- |"
+bad=0
+n=0
+while IFS= read -r line; do
+    n=$((n + 1))
+    try $n "$line" > "$WORK/row-$n" &
+    [ $((n % JOBS)) != 0 ] || wait
+done < <(table)
+wait
+for i in $(seq $n); do
+    cat "$WORK/row-$i"
+    grep -q 'fails:' "$WORK/row-$i" || bad=$((bad + 1))
+done
+[ $bad = 0 ]
