--- /dev/null
+++ b/src/control/control_int.h
@@ -0,0 +1,94 @@
+/*
+ * control_int - what control.c and members.c share
+ */
+#ifndef MG_CONTROL_INT_H
+#define MG_CONTROL_INT_H
+
+#include <uthash.h>
+
+#include "base/list.h"
+#include "control/control.h"
+#include "control/operator.h"
+#include "control/store.h"
+
+/* a proposed command that waits to be applied */
+struct waiting {
+    UT_hash_handle hh;
+    uint64_t index;
+    uint64_t term;
+    mg_apply_done done;
+    void *user;
+};
+
+/* a renewal that waits for its round */
+struct renewal {
+    struct list_head link;
+    char node[MG_NAME_SIZE];
+    uint64_t seq;
+    uint64_t incarnation;
+    uint64_t rev;
+    bool probe; /* asks for changes only, holds no lease */
+    uint64_t round;
+};
+
+/* what the leader knows of an entry beside its record */
+struct entry_view {
+    UT_hash_handle hh;
+    char node[MG_NAME_SIZE];
+    uint64_t incarnation;
+    uint64_t rev;
+    bool record_pending;
+};
+
+struct pool_view {
+    UT_hash_handle hh;
+    char pool[MG_NAME_SIZE];
+    int64_t retry_ms;
+};
+
+struct mg_control {
+    mg_raft_host host; /* first: raft gives it back */
+    uv_loop_t *loop;
+    uv_timer_t timer;
+    mg_clock *clock;
+    mg_settings settings;
+    unsigned id;
+    uint64_t incarnation;
+    mg_raft *raft;
+    mg_store *store;
+    mg_state *state;
+    mg_net *net;
+    mg_http_server *http;
+    mg_operator *operator_;
+    mg_leases *leases;
+    struct waiting *waiting;
+    struct list_head renewals;
+    struct entry_view *entries;
+    struct pool_view *pools;
+    uint64_t open_round; /* round of this turn's renewals, 0 for none */
+    uint64_t seen_document_rev;
+    int64_t document_at;
+    uint64_t in_force;
+    int64_t watch_at;
+    int64_t quorum_since; /* most entries hold leases; 0: they don't */
+    bool failed;
+};
+
+/* control.c */
+void
+mg_control_reply_not_leader(mg_control *c, const char *peer, uint64_t seq);
+
+/* members.c */
+void
+mg_members_renew(mg_control *c, const char *peer, const mg_renew_msg *q);
+/* Answers the renewals whose round a majority has answered. */
+void
+mg_members_answer(mg_control *c);
+/* The leader's duties: what is in force, and where schedulers are. */
+void
+mg_members_watch(mg_control *c);
+/* This member leads now, or does no longer. */
+void
+mg_members_role_changed(mg_control *c);
+
+#endif
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -12,6 +12,7 @@
 #define MG_ENTRY_INT_H
 
 #include "base/list.h"
+#include "entry/answer.h"
 #include "entry/clink.h"
 #include "entry/entry.h"
 #include "entry/view.h"
@@ -76,18 +77,10 @@
     /* dispatch and answer */
     mg_http_call *call;
     bool dispatched;
-    bool resuming;
-    bool resume_refused;
-    bool not_run; /* the target says that it did not run it */
     int64_t resume_until_ms;
     int64_t resume_at_ms; /* 0: none is due */
-    int status;
-    char type[MG_NAME_SIZE];
+    mg_answer answer;
     bool answer_started; /* bytes went to the caller */
-    mg_buf answer;       /* whole, unless it is streamed and not kept */
-    uint64_t received;   /* bytes of the answer */
-    uint32_t events;     /* of a stream */
-    char tail[16];       /* its last bytes */
     /* refusal or end, once known */
     mg_rc rc;
     mg_ran ran;
--- a/src/entry/keyed.c
+++ b/src/entry/keyed.c
@@ -101,11 +101,11 @@
 static void
 take_kept_answer(mg_request *r, uint64_t status, const char *type, mg_str body)
 {
-    r->status = (int)status;
-    mg_str_copy(r->type, sizeof(r->type), mg_str_of(type));
-    r->answer.n = 0;
-    mg_buf_put(&r->answer, body.p, body.n);
-    r->received = body.n;
+    r->answer.status = (int)status;
+    mg_str_copy(r->answer.type, sizeof(r->answer.type), mg_str_of(type));
+    r->answer.body.n = 0;
+    mg_buf_put(&r->answer.body, body.p, body.n);
+    r->answer.received = body.n;
     r->ran = MG_RAN_YES;
     mg_request_reply_answer(r);
     mg_request_end(r);
@@ -125,7 +125,6 @@
     r->addrs = mg_str_dup(m->addrs);
     r->next_addr = r->addrs;
     r->nonce = r->holder_nonce;
-    r->resuming = true;
     r->dispatched = true;
     r->claimed = true; /* the final record is the other attempt's */
     r->began_us = uv_hrtime() / 1000;
@@ -138,7 +137,6 @@
 mg_keyed_read_next(mg_request *r)
 {
     char *addr = strsep(&r->next_addr, ",");
-    r->resume_refused = false;
     r->resume_until_ms = now_of(r) + JOIN_RETRY_MS;
     if (addr == NULL || addr[0] == '\0') {
         mg_keyed_refuse_resend(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
@@ -164,12 +162,13 @@
         p->rc = MG_E_UNKNOWN;
     }
     else if (r->state == MG_REQ_KEPT) {
-        bool whole = r->ran == MG_RAN_YES && r->answer.n == r->received;
+        bool whole =
+            r->ran == MG_RAN_YES && r->answer.body.n == r->answer.received;
         p->rc = whole ? MG_OK : MG_E_UNKNOWN;
         p->ran = r->ran;
-        p->status = (uint64_t)r->status;
-        p->type = mg_str_of(r->type);
-        p->body = mg_str_buf(&r->answer);
+        p->status = (uint64_t)r->answer.status;
+        p->type = mg_str_of(r->answer.type);
+        p->body = mg_str_buf(&r->answer.body);
     }
     mg_entry_send(e, peer, &rep);
 }
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -17,8 +17,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "base/counter.h"
 #include "base/event.h"
 #include "ledger/claims.h"
@@ -34,8 +32,6 @@
 #define KEPT_BYTES_MAX (8u << 20)
 #define ANSWER_MAX (16u << 20)
 #define UNSENT_MAX (16u << 20)
-#define SSE_TYPE "text/event-stream"
-#define SSE_END "data: [DONE]\n\n"
 
 static int64_t
 now_of(const mg_request *r)
@@ -67,7 +63,7 @@
     list_del(&r->link);
     HASH_DEL(e->requests, r);
     mg_buf_free(&r->body);
-    mg_buf_free(&r->answer);
+    mg_answer_free(&r->answer);
     free(r->addrs);
     free(r);
 }
@@ -148,21 +144,22 @@
         return;
     }
     answer_headers(r, extra, sizeof(extra));
-    mg_http_reply(http, r->status, r->type, extra, mg_str_buf(&r->answer));
+    mg_http_reply(http, r->answer.status, r->answer.type, extra,
+                  mg_str_buf(&r->answer.body));
 }
 
 static void
 reply_answered(mg_request *r)
 {
     uint64_t total = uv_hrtime() / 1000 - r->began_us;
-    if (!mg_request_keyed(r) && r->status < 300) {
+    if (!mg_request_keyed(r) && r->answer.status < 300) {
         mg_entry_credit(r->e, r->a.member);
     }
     mg_log(MG_EV_REQ_ANSWERED,
            "id=%" PRIx64 " workspace=%s pool=%s target=%s version=%s "
            "status=%d bytes=%" PRIu64 " total_us=%" PRIu64,
-           r->id, r->a.workspace, r->a.pool, r->target, r->version, r->status,
-           r->received, total);
+           r->id, r->a.workspace, r->a.pool, r->target, r->version,
+           r->answer.status, r->answer.received, total);
     mg_count(MG_C_ANSWERED, 1);
     mg_request_reply_answer(r);
 }
@@ -180,7 +177,7 @@
         if (r->kept_until_ms > now && e->kept_bytes <= KEPT_BYTES_MAX) {
             break;
         }
-        e->kept_bytes -= r->answer.n + sizeof(*r);
+        e->kept_bytes -= r->answer.body.n + sizeof(*r);
         free_request(r);
     }
 }
@@ -198,7 +195,7 @@
     }
     mg_buf_free(&r->body);
     r->kept_until_ms = now_of(r) + KEEP_MS;
-    e->kept_bytes += r->answer.n + sizeof(*r);
+    e->kept_bytes += r->answer.body.n + sizeof(*r);
     mg_request_enter(r, MG_REQ_KEPT);
     forget_old_answers(e);
 }
@@ -252,13 +249,13 @@
     m->u.cmd_final.key = mg_str_of(r->a.key);
     m->u.cmd_final.nonce = r->nonce;
     m->u.cmd_final.ran = r->ran;
-    m->u.cmd_final.status = (uint64_t)r->status;
-    bool credited = r->ran == MG_RAN_YES && r->status < 300;
+    m->u.cmd_final.status = (uint64_t)r->answer.status;
+    bool credited = r->ran == MG_RAN_YES && r->answer.status < 300;
     m->u.cmd_final.member = mg_str_of(credited ? r->a.member : "");
     m->u.cmd_final.answer = (mg_str){"", 0};
     if (r->ran == MG_RAN_YES && !r->a.stream &&
-        r->answer.n <= MG_CLAIM_ANSWER_MAX) {
-        m->u.cmd_final.answer = mg_str_buf(&r->answer);
+        r->answer.body.n <= MG_CLAIM_ANSWER_MAX) {
+        m->u.cmd_final.answer = mg_str_buf(&r->answer.body);
     }
 }
 
@@ -312,7 +309,7 @@
             r->first_us ? (r->first_us - r->dispatched_us) / 1000 : 0;
         m.u.done.total_ms = (now - r->dispatched_us) / 1000;
     }
-    m.u.done.tokens = r->events; /* none, unless it was streamed */
+    m.u.done.tokens = r->answer.events; /* none, unless it was streamed */
     mg_pools_send(r->e, r->a.pool, &m);
 }
 
@@ -421,7 +418,7 @@
 on_connected(void *user)
 {
     mg_request *r = user;
-    if (r->resuming) {
+    if (r->answer.resuming) {
         return true; /* reads only */
     }
     const char *why = why_not_dispatch(r);
@@ -447,65 +444,30 @@
     char extra[256];
     answer_headers(r, extra, sizeof(extra));
     r->answer_started = true;
-    mg_http_start(r->http, r->status, r->type, extra);
+    mg_http_start(r->http, r->answer.status, r->answer.type, extra);
 }
 
 static void
 on_head(void *user, int status, mg_str type, bool not_run)
 {
-    mg_request *r = user;
-    if (r->resuming && status != 200) {
-        r->resume_refused = true;
-        return;
-    }
-    if (r->status == 0) {
-        r->status = status;
-        r->not_run = not_run && status == 409;
-        mg_str_copy(r->type, sizeof(r->type), type);
-    }
-}
-
-static void
-keep_tail(mg_request *r, mg_str data)
-{
-    size_t size = sizeof(r->tail);
-    if (data.n >= size) {
-        memcpy(r->tail, data.p + data.n - size, size);
-        return;
-    }
-    memmove(r->tail, r->tail + data.n, size - data.n);
-    memcpy(r->tail + size - data.n, data.p, data.n);
-}
-
-static uint32_t
-count_events(mg_str data)
-{
-    uint32_t n = 0;
-    for (size_t i = 1; i < data.n; i++) {
-        n += data.p[i] == '\n' && data.p[i - 1] == '\n';
-    }
-    return n;
+    mg_answer_head(&((mg_request *)user)->answer, status, type, not_run);
 }
 
 static void
 on_data(void *user, mg_str data)
 {
     mg_request *r = user;
-    if (r->resume_refused) {
+    bool stream = r->a.stream && r->answer.status == 200;
+    bool keep =
+        !stream || (mg_request_keyed(r) && r->answer.received <= ANSWER_MAX);
+    if (!mg_answer_data(&r->answer, data, keep)) {
         return;
     }
+    r->resume_until_ms = now_of(r) + RESUME_FOR_MS;
     if (r->first_us == 0) {
         r->first_us = uv_hrtime() / 1000;
         mg_observe(MG_H_FIRST_BYTE, (int64_t)(r->first_us - r->began_us));
     }
-    r->received += data.n;
-    r->resume_until_ms = now_of(r) + RESUME_FOR_MS;
-    keep_tail(r, data);
-    r->events += count_events(data);
-    bool stream = r->a.stream && r->status == 200;
-    if (!stream || (mg_request_keyed(r) && r->received <= ANSWER_MAX)) {
-        mg_buf_put(&r->answer, data.p, data.n);
-    }
     if (!stream || r->http == NULL) {
         return;
     }
@@ -515,34 +477,12 @@
     mg_http_write(r->http, data);
 }
 
-static bool
-parses_as_json(const mg_buf *b)
-{
-    json_t *j = json_loadb(b->p ? b->p : "", b->n, JSON_DECODE_ANY, NULL);
-    json_decref(j);
-    return j != NULL;
-}
-
-static bool
-answer_is_whole(const mg_request *r, mg_http_end end)
-{
-    size_t n = strlen(SSE_END);
-    if (end != MG_HTTP_WHOLE && end != MG_HTTP_CLOSED) {
-        return false;
-    }
-    if (strncmp(r->type, SSE_TYPE, strlen(SSE_TYPE)) != 0) {
-        /* a part of a JSON object does not parse */
-        return end == MG_HTTP_WHOLE || parses_as_json(&r->answer);
-    }
-    return memcmp(r->tail + sizeof(r->tail) - n, SSE_END, n) == 0;
-}
-
 static void
 answer_cut(mg_request *r, const char *why)
 {
     mg_log(MG_EV_REQ_CUT,
            "id=%" PRIx64 " workspace=%s target=%s received=%" PRIu64 " why=%s",
-           r->id, r->a.workspace, r->target, r->received, why);
+           r->id, r->a.workspace, r->target, r->answer.received, why);
     mg_count(MG_C_CUT, 1);
     if (r->nonce != r->id) {
         /* another attempt's answer: its end is not this one's to record */
@@ -553,46 +493,41 @@
     mg_request_conclude(r, MG_E_UNKNOWN, MG_RAN_UNKNOWN);
 }
 
-/* reads on from the offset, over a new connection */
+/* this target has no more of it; a resend looks at the next one */
 static void
-resume_later(mg_request *r, const char *why)
+answer_lost(mg_request *r, const char *why)
 {
-    int64_t now = now_of(r);
-    bool may = r->a.engine && !r->resume_refused && now < r->resume_until_ms;
-    if (r->next_addr != NULL && r->received == 0) {
+    if (r->next_addr != NULL && r->answer.received == 0) {
         mg_keyed_read_next(r);
-        return;
     }
-    if (!may) {
+    else {
         answer_cut(r, why);
-        return;
     }
-    r->resuming = true;
-    r->resume_at_ms = now + RESUME_PAUSE_MS;
 }
 
+/* reads on from the offset, over a new connection */
 static void
-forget_dispatch(mg_request *r)
+resume_later(mg_request *r, const char *why)
 {
-    r->dispatched = false;
-    r->not_run = false;
-    r->status = 0;
-    r->received = 0;
-    r->first_us = 0;
-    r->answer.n = 0;
+    int64_t now = now_of(r);
+    if (r->a.engine && now < r->resume_until_ms) {
+        r->resume_at_ms = now + RESUME_PAUSE_MS;
+    }
+    else {
+        answer_lost(r, why);
+    }
 }
 
 static void
-answer_ended(mg_request *r)
+not_dispatched(mg_request *r, const char *why)
 {
-    if (r->not_run) {
-        /* the target's own word: it is another epoch, or leaving */
-        forget_dispatch(r);
-        ungrant(r, MG_DONE_UNREACHED);
-        return;
+    bool withdrawn = strcmp(why, "withdrawn") == 0;
+    if (!withdrawn) {
+        mg_log(MG_EV_REQ_CONNECT_FAILED, "id=%" PRIx64 " target=%s why=%s",
+               r->id, r->target, why);
+        mg_count(MG_C_CONNECT_FAILED, 1);
     }
-    mg_request_tell_done(r, r->status < 500 ? MG_DONE_OK : MG_DONE_FAILED);
-    mg_request_conclude(r, MG_OK, MG_RAN_YES);
+    ungrant(r, withdrawn ? MG_DONE_NOT_DISPATCHED : MG_DONE_UNREACHED);
 }
 
 static void
@@ -601,22 +536,28 @@
     mg_request *r = user;
     r->call = NULL;
     if (!r->dispatched) {
-        bool unreached = strcmp(why, "withdrawn") != 0;
-        if (unreached) {
-            mg_log(MG_EV_REQ_CONNECT_FAILED, "id=%" PRIx64 " target=%s why=%s",
-                   r->id, r->target, why);
-            mg_count(MG_C_CONNECT_FAILED, 1);
-        }
-        ungrant(r, unreached ? MG_DONE_UNREACHED : MG_DONE_NOT_DISPATCHED);
-    }
-    else if (!r->resume_refused && answer_is_whole(r, end)) {
-        answer_ended(r);
-    }
-    else if (!r->resume_refused && end == MG_HTTP_WHOLE) {
-        answer_cut(r, "no_closing_event");
+        not_dispatched(r, why);
+        return;
     }
-    else {
+    switch (mg_answer_ended(&r->answer, end)) {
+    case MG_ANSWER_WHOLE:
+        mg_request_tell_done(r, r->answer.status < 500 ? MG_DONE_OK
+                                                       : MG_DONE_FAILED);
+        mg_request_conclude(r, MG_OK, MG_RAN_YES);
+        break;
+    case MG_ANSWER_NOT_RUN:
+        /* the target's own word: it is another epoch */
+        r->dispatched = false;
+        r->first_us = 0;
+        mg_answer_reset(&r->answer);
+        ungrant(r, MG_DONE_UNREACHED);
+        break;
+    case MG_ANSWER_MORE:
         resume_later(r, why);
+        break;
+    case MG_ANSWER_CUT:
+        answer_lost(r, why);
+        break;
     }
 }
 
@@ -625,9 +566,10 @@
 {
     char path[MG_TEXT_SIZE];
     char extra[512];
+    mg_answer_connect(&r->answer, resume);
     if (resume) {
         snprintf(path, sizeof(path), "/v1/streams/%" PRIx64 "?offset=%" PRIu64,
-                 r->nonce, r->received);
+                 r->nonce, r->answer.received);
     }
     else {
         snprintf(path, sizeof(path), "%s", r->a.path);
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -1,4 +1,4 @@
-#include "policy/sched.h"
+#include "policy/sched_int.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -7,8 +7,6 @@
 
 #include "base/counter.h"
 #include "base/event.h"
-#include "policy/place.h"
-#include "policy/quarantine.h"
 
 #define QUEUE_MAX_DEFAULT 4096
 #define TICKET_REMAINING_MAX_MS (24 * 3600 * INT64_C(1000))
@@ -19,41 +17,6 @@
 #define RATE_WINDOW_MS 500
 #define RATE_WEIGHT 0.3
 #define RECORD_RETRY_MS 1000
-#define TARGET_FORGET_MS 60000
-
-struct awaited_entry {
-    struct list_head link;
-    char entry[MG_NAME_SIZE];
-};
-
-struct mg_sched {
-    mg_sched_host *host;
-    mg_clock *clock;
-    char pool[MG_NAME_SIZE];
-    uint64_t epoch;
-    char version[MG_NAME_SIZE];
-    size_t queue_max;
-    const mg_placement *placement;
-    uint64_t grants;
-    mg_tierq *queue;
-    mg_ticket *tickets;     /* by id, waiting and set aside */
-    struct list_head aside; /* suspects that no target can take now */
-    size_t aside_count;
-    mg_slot *slots; /* by id */
-    struct list_head targets;
-    mg_quarantine *quarantine;
-    mg_rollout *rollout;
-    char move[MG_NAME_SIZE];
-    int64_t move_retry_ms;
-    struct list_head awaited;
-    bool rebuilding;
-    int64_t rebuild_until_ms;
-    /* served cost, for the predicted wait */
-    double rate; /* per ms; 0 until it is known */
-    uint64_t window_cost;
-    bool window_busy;
-    int64_t window_ms;
-};
 
 mg_sched *
 mg_sched_new(const mg_sched_options *o)
@@ -81,8 +44,8 @@
     return s;
 }
 
-static void
-free_slot(mg_sched *s, mg_slot *slot)
+void
+mg_sched_free_slot(mg_sched *s, mg_slot *slot)
 {
     HASH_DEL(s->slots, slot);
     mg_target_remove_slot(slot->target, slot);
@@ -116,7 +79,7 @@
     mg_slot *slot1;
     HASH_ITER(hh, s->slots, slot, slot1)
     {
-        free_slot(s, slot);
+        mg_sched_free_slot(s, slot);
     }
     list_for_each_safe(el, el1, &s->targets)
     {
@@ -193,8 +156,8 @@
     return t;
 }
 
-static mg_slot *
-find_slot(const mg_sched *s, uint64_t id)
+mg_slot *
+mg_sched_find_slot(const mg_sched *s, uint64_t id)
 {
     mg_slot *slot;
     HASH_FIND(hh, s->slots, &id, sizeof(id), slot);
@@ -231,7 +194,7 @@
         t->attempt = m->attempt > t->attempt ? m->attempt : t->attempt;
         return true;
     }
-    mg_slot *slot = find_slot(s, m->id);
+    mg_slot *slot = mg_sched_find_slot(s, m->id);
     if (slot == NULL) {
         return false;
     }
@@ -242,7 +205,7 @@
     if (s->rollout != NULL) {
         mg_rollout_ungranted(s->rollout, slot->is_new);
     }
-    free_slot(s, slot);
+    mg_sched_free_slot(s, slot);
     return false;
 }
 
@@ -285,166 +248,6 @@
     }
 }
 
-/* ----------------------------------------------------- crash suspects */
-
-static void
-put_mark(mg_sched *s, const mg_slot *slot, unsigned marks, int64_t wall)
-{
-    mg_msg m = {.type = MG_MSG_REC_QUARANTINE};
-    char key[32];
-    snprintf(key, sizeof(key), "%016" PRIx64, slot->fingerprint);
-    m.u.rec_quarantine.fingerprint = slot->fingerprint;
-    m.u.rec_quarantine.pool = mg_str_of(s->pool);
-    m.u.rec_quarantine.marks = marks;
-    m.u.rec_quarantine.target = mg_str_of(slot->target->name);
-    m.u.rec_quarantine.until_wall_ms = (uint64_t)(wall + MG_QUARANTINE_MS);
-    s->host->put_record(s->host, s, MG_KIND_QUARANTINE, key, &m);
-}
-
-static void
-mark_slot(mg_sched *s, const mg_slot *slot)
-{
-    int64_t wall = mg_wall(s->clock);
-    const mg_target *t = slot->target;
-    if (slot->fingerprint == 0) {
-        return;
-    }
-    unsigned marks = mg_quarantine_mark(s->quarantine, slot->fingerprint,
-                                        t->name, t->epoch, wall);
-    mg_log(marks >= MG_QUARANTINE_MARKS ? MG_EV_QUARANTINE
-                                        : MG_EV_CRASH_SUSPECT,
-           "id=%" PRIx64 " fingerprint=%016" PRIx64 " target=%s marks=%u",
-           slot->id, slot->fingerprint, t->name, marks);
-    put_mark(s, slot, marks, wall);
-}
-
-/*
- * What ran on a target when it died is marked and dropped. A target whose
- * lease ran out may live: there only what was cut is.
- */
-static void
-target_died(mg_sched *s, mg_target *t, const char *why, bool cut_only)
-{
-    mg_log(MG_EV_TARGET_DOWN,
-           "pool=%s target=%s epoch=%" PRIu64 " why=%s running=%u", s->pool,
-           t->name, t->epoch, why, t->running);
-    list_for_each_safe(el, el1, &t->slots)
-    {
-        mg_slot *slot = list_entry(el, mg_slot, link);
-        if (slot->ended || !cut_only) {
-            mark_slot(s, slot);
-            free_slot(s, slot);
-        }
-    }
-}
-
-/* marks of a fingerprint, with one for a cut that is not yet explained */
-static unsigned
-marks_of(const mg_sched *s, uint64_t fingerprint)
-{
-    unsigned marks =
-        mg_quarantine_marks(s->quarantine, fingerprint, mg_wall(s->clock));
-    if (fingerprint == 0 || marks > 0) {
-        return marks;
-    }
-    list_for_each(el, &s->targets)
-    {
-        const mg_target *t = list_entry(el, mg_target, link);
-        list_for_each(e2, &t->slots)
-        {
-            const mg_slot *slot = list_entry(e2, mg_slot, link);
-            if (slot->ended && slot->fingerprint == fingerprint) {
-                return 1;
-            }
-        }
-    }
-    return 0;
-}
-
-/* ------------------------------------------------------------- targets */
-
-static mg_target *
-find_target(mg_sched *s, mg_str name)
-{
-    list_for_each(el, &s->targets)
-    {
-        mg_target *t = list_entry(el, mg_target, link);
-        if (mg_str_is(name, t->name)) {
-            return t;
-        }
-    }
-    return NULL;
-}
-
-static mg_target *
-add_target(mg_sched *s, mg_str name, uint64_t epoch)
-{
-    mg_target *t = mg_alloc(sizeof(*t));
-    mg_str_copy(t->name, sizeof(t->name), name);
-    t->epoch = epoch;
-    init_list_head(&t->slots);
-    list_add_tail(&t->link, &s->targets);
-    return t;
-}
-
-static void
-drop_slots(mg_sched *s, mg_target *t)
-{
-    list_for_each_safe(el, el1, &t->slots)
-    {
-        free_slot(s, list_entry(el, mg_slot, link));
-    }
-}
-
-/* a new run under a known name */
-static void
-restart_target(mg_sched *s, mg_target *t)
-{
-    if (!t->leaving) {
-        target_died(s, t, "new_epoch", false);
-    }
-    else {
-        list_for_each_safe(el, el1, &t->slots)
-        {
-            free_slot(s, list_entry(el, mg_slot, link));
-        }
-    }
-    t->leaving = false;
-    t->samples = 0;
-    memset(t->prefixes, 0, sizeof(t->prefixes));
-}
-
-mg_rc
-mg_sched_announce(mg_sched *s, const mg_announce_msg *m)
-{
-    int64_t now = mg_now(s->clock);
-    mg_target *t = find_target(s, m->target);
-    if (t != NULL && m->epoch < t->epoch) {
-        return MG_E_STALE;
-    }
-    if (t == NULL) {
-        t = add_target(s, m->target, m->epoch);
-    }
-    else if (m->epoch > t->epoch) {
-        restart_target(s, t);
-    }
-    bool was_usable = mg_target_usable(t, now);
-    bool was_leaving = t->leaving;
-    mg_target_announce(t, m, now);
-    if (t->leaving && !was_leaving) {
-        mg_log(MG_EV_TARGET_LEAVING, "pool=%s target=%s epoch=%" PRIu64,
-               s->pool, t->name, t->epoch);
-    }
-    else if (!was_usable && mg_target_usable(t, now)) {
-        mg_log(MG_EV_TARGET_UP,
-               "pool=%s target=%s epoch=%" PRIu64 " version=%s domain=%s "
-               "slots=%u",
-               s->pool, t->name, t->epoch, t->version, t->domain,
-               t->slots_max);
-    }
-    return MG_OK;
-}
-
 static bool
 is_new_version(const mg_sched *s, const mg_target *t)
 {
@@ -609,7 +412,7 @@
 static attempt
 try_ticket(mg_sched *s, mg_ticket *k)
 {
-    unsigned marks = marks_of(s, k->fingerprint);
+    unsigned marks = mg_sched_marks_of(s, k->fingerprint);
     if (marks >= MG_QUARANTINE_MARKS) {
         shed(s, k, MG_E_QUARANTINED, 0);
         return ATTEMPT_ENDED;
@@ -732,7 +535,7 @@
 void
 mg_sched_done(mg_sched *s, const char *entry, const mg_done_msg *m)
 {
-    mg_slot *slot = find_slot(s, m->id);
+    mg_slot *slot = mg_sched_find_slot(s, m->id);
     if (slot == NULL || slot->ended || slot->attempt != m->attempt ||
         strcmp(slot->entry, entry) != 0) {
         return;
@@ -764,7 +567,7 @@
         slot->ended_ms = mg_now(s->clock);
         return;
     }
-    free_slot(s, slot);
+    mg_sched_free_slot(s, slot);
 }
 
 /* --------------------------------------------------------------- rebuild */
@@ -785,12 +588,12 @@
 void
 mg_sched_held(mg_sched *s, const char *entry, const mg_held_msg *m)
 {
-    if (m->epoch != s->epoch || find_slot(s, m->id) != NULL) {
+    if (m->epoch != s->epoch || mg_sched_find_slot(s, m->id) != NULL) {
         return;
     }
-    mg_target *t = find_target(s, m->target);
+    mg_target *t = mg_sched_find_target(s, m->target);
     if (t == NULL) {
-        t = add_target(s, m->target, m->target_epoch);
+        t = mg_sched_add_target(s, m->target, m->target_epoch);
     }
     if (t->epoch != m->target_epoch) {
         return;
@@ -838,7 +641,7 @@
     HASH_ITER(hh, s->slots, slot, slot1)
     {
         if (strcmp(slot->entry, entry) == 0) {
-            free_slot(s, slot);
+            mg_sched_free_slot(s, slot);
         }
     }
 }
@@ -860,65 +663,6 @@
 
 /* ---------------------------------------------------------------- runs */
 
-static bool
-has_cut_slot(const mg_target *t)
-{
-    list_for_each(el, &t->slots)
-    {
-        if (list_entry(el, mg_slot, link)->ended) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-expire_targets(mg_sched *s)
-{
-    int64_t now = mg_now(s->clock);
-    list_for_each_safe(el, el1, &s->targets)
-    {
-        mg_target *t = list_entry(el, mg_target, link);
-        if (now < t->lease_until_ms) {
-            continue;
-        }
-        if (t->lease_until_ms == 0) {
-            /* known from HELD only: it has a lease's time to announce, and
-               without slots of its own it is granted nothing until then */
-            t->lease_until_ms = now + MG_TARGET_LEASE_MS;
-            continue;
-        }
-        if (has_cut_slot(t)) {
-            target_died(s, t, "lease", true);
-        }
-        if (now - t->lease_until_ms > TARGET_FORGET_MS) {
-            drop_slots(s, t);
-            list_del(&t->link);
-            free(t);
-        }
-    }
-}
-
-/* a cut request is cleared once its target has announced itself again */
-static void
-clear_ended_slots(mg_sched *s)
-{
-    int64_t now = mg_now(s->clock);
-    list_for_each(el, &s->targets)
-    {
-        mg_target *t = list_entry(el, mg_target, link);
-        int64_t heard = t->lease_until_ms - MG_TARGET_LEASE_MS;
-        list_for_each_safe(e2, e3, &t->slots)
-        {
-            mg_slot *slot = list_entry(e2, mg_slot, link);
-            if (slot->ended && heard > slot->ended_ms &&
-                now < t->lease_until_ms) {
-                free_slot(s, slot);
-            }
-        }
-    }
-}
-
 static bool
 new_version_has_targets(const mg_sched *s)
 {
@@ -961,8 +705,8 @@
 mg_sched_run(mg_sched *s)
 {
     finish_rebuild(s);
-    expire_targets(s);
-    clear_ended_slots(s);
+    mg_sched_expire_targets(s);
+    mg_sched_clear_ended_slots(s);
     mg_quarantine_expire(s->quarantine, mg_wall(s->clock));
     measure_rate(s);
     advance_move(s);
@@ -977,7 +721,7 @@
 void
 mg_sched_locate(const mg_sched *s, uint64_t id, mg_buf *out)
 {
-    const mg_slot *slot = find_slot(s, id);
+    const mg_slot *slot = mg_sched_find_slot(s, id);
     if (slot != NULL) {
         mg_buf_printf(out, "%s", slot->target->addr);
         return;
--- /dev/null
+++ b/src/policy/sched_target.c
@@ -0,0 +1,231 @@
+/*
+ * sched_target - a pool's targets: announcements, leases, deaths, and the
+ * requests that are suspected of them
+ */
+#include "policy/sched_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+
+#define TARGET_FORGET_MS 60000
+
+/* ----------------------------------------------------- crash suspects */
+
+static void
+put_mark(mg_sched *s, const mg_slot *slot, unsigned marks, int64_t wall)
+{
+    mg_msg m = {.type = MG_MSG_REC_QUARANTINE};
+    char key[32];
+    snprintf(key, sizeof(key), "%016" PRIx64, slot->fingerprint);
+    m.u.rec_quarantine.fingerprint = slot->fingerprint;
+    m.u.rec_quarantine.pool = mg_str_of(s->pool);
+    m.u.rec_quarantine.marks = marks;
+    m.u.rec_quarantine.target = mg_str_of(slot->target->name);
+    m.u.rec_quarantine.until_wall_ms = (uint64_t)(wall + MG_QUARANTINE_MS);
+    s->host->put_record(s->host, s, MG_KIND_QUARANTINE, key, &m);
+}
+
+static void
+mark_slot(mg_sched *s, const mg_slot *slot)
+{
+    int64_t wall = mg_wall(s->clock);
+    const mg_target *t = slot->target;
+    if (slot->fingerprint == 0) {
+        return;
+    }
+    unsigned marks = mg_quarantine_mark(s->quarantine, slot->fingerprint,
+                                        t->name, t->epoch, wall);
+    mg_log(marks >= MG_QUARANTINE_MARKS ? MG_EV_QUARANTINE
+                                        : MG_EV_CRASH_SUSPECT,
+           "id=%" PRIx64 " fingerprint=%016" PRIx64 " target=%s marks=%u",
+           slot->id, slot->fingerprint, t->name, marks);
+    put_mark(s, slot, marks, wall);
+}
+
+/*
+ * What ran on a target when it died is marked and dropped. A target whose
+ * lease ran out may live: there only what was cut is.
+ */
+static void
+target_died(mg_sched *s, mg_target *t, const char *why, bool cut_only)
+{
+    mg_log(MG_EV_TARGET_DOWN,
+           "pool=%s target=%s epoch=%" PRIu64 " why=%s running=%u", s->pool,
+           t->name, t->epoch, why, t->running);
+    list_for_each_safe(el, el1, &t->slots)
+    {
+        mg_slot *slot = list_entry(el, mg_slot, link);
+        if (slot->ended || !cut_only) {
+            mark_slot(s, slot);
+            mg_sched_free_slot(s, slot);
+        }
+    }
+}
+
+unsigned
+mg_sched_marks_of(const mg_sched *s, uint64_t fingerprint)
+{
+    unsigned marks =
+        mg_quarantine_marks(s->quarantine, fingerprint, mg_wall(s->clock));
+    if (fingerprint == 0 || marks > 0) {
+        return marks;
+    }
+    list_for_each(el, &s->targets)
+    {
+        const mg_target *t = list_entry(el, mg_target, link);
+        list_for_each(e2, &t->slots)
+        {
+            const mg_slot *slot = list_entry(e2, mg_slot, link);
+            if (slot->ended && slot->fingerprint == fingerprint) {
+                return 1;
+            }
+        }
+    }
+    return 0;
+}
+
+/* ------------------------------------------------------------- targets */
+
+mg_target *
+mg_sched_find_target(mg_sched *s, mg_str name)
+{
+    list_for_each(el, &s->targets)
+    {
+        mg_target *t = list_entry(el, mg_target, link);
+        if (mg_str_is(name, t->name)) {
+            return t;
+        }
+    }
+    return NULL;
+}
+
+mg_target *
+mg_sched_add_target(mg_sched *s, mg_str name, uint64_t epoch)
+{
+    mg_target *t = mg_alloc(sizeof(*t));
+    mg_str_copy(t->name, sizeof(t->name), name);
+    t->epoch = epoch;
+    init_list_head(&t->slots);
+    list_add_tail(&t->link, &s->targets);
+    return t;
+}
+
+static void
+drop_slots(mg_sched *s, mg_target *t)
+{
+    list_for_each_safe(el, el1, &t->slots)
+    {
+        mg_sched_free_slot(s, list_entry(el, mg_slot, link));
+    }
+}
+
+/* a new run under a known name */
+static void
+restart_target(mg_sched *s, mg_target *t)
+{
+    if (!t->leaving) {
+        target_died(s, t, "new_epoch", false);
+    }
+    else {
+        list_for_each_safe(el, el1, &t->slots)
+        {
+            mg_sched_free_slot(s, list_entry(el, mg_slot, link));
+        }
+    }
+    t->leaving = false;
+    t->samples = 0;
+    memset(t->prefixes, 0, sizeof(t->prefixes));
+}
+
+mg_rc
+mg_sched_announce(mg_sched *s, const mg_announce_msg *m)
+{
+    int64_t now = mg_now(s->clock);
+    mg_target *t = mg_sched_find_target(s, m->target);
+    if (t != NULL && m->epoch < t->epoch) {
+        return MG_E_STALE;
+    }
+    if (t == NULL) {
+        t = mg_sched_add_target(s, m->target, m->epoch);
+    }
+    else if (m->epoch > t->epoch) {
+        restart_target(s, t);
+    }
+    bool was_usable = mg_target_usable(t, now);
+    bool was_leaving = t->leaving;
+    mg_target_announce(t, m, now);
+    if (t->leaving && !was_leaving) {
+        mg_log(MG_EV_TARGET_LEAVING, "pool=%s target=%s epoch=%" PRIu64,
+               s->pool, t->name, t->epoch);
+    }
+    else if (!was_usable && mg_target_usable(t, now)) {
+        mg_log(MG_EV_TARGET_UP,
+               "pool=%s target=%s epoch=%" PRIu64 " version=%s domain=%s "
+               "slots=%u",
+               s->pool, t->name, t->epoch, t->version, t->domain,
+               t->slots_max);
+    }
+    return MG_OK;
+}
+
+static bool
+has_cut_slot(const mg_target *t)
+{
+    list_for_each(el, &t->slots)
+    {
+        if (list_entry(el, mg_slot, link)->ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+mg_sched_expire_targets(mg_sched *s)
+{
+    int64_t now = mg_now(s->clock);
+    list_for_each_safe(el, el1, &s->targets)
+    {
+        mg_target *t = list_entry(el, mg_target, link);
+        if (now < t->lease_until_ms) {
+            continue;
+        }
+        if (t->lease_until_ms == 0) {
+            /* known from HELD only: it has a lease's time to announce, and
+               without slots of its own it is granted nothing until then */
+            t->lease_until_ms = now + MG_TARGET_LEASE_MS;
+            continue;
+        }
+        if (has_cut_slot(t)) {
+            target_died(s, t, "lease", true);
+        }
+        if (now - t->lease_until_ms > TARGET_FORGET_MS) {
+            drop_slots(s, t);
+            list_del(&t->link);
+            free(t);
+        }
+    }
+}
+
+void
+mg_sched_clear_ended_slots(mg_sched *s)
+{
+    int64_t now = mg_now(s->clock);
+    list_for_each(el, &s->targets)
+    {
+        mg_target *t = list_entry(el, mg_target, link);
+        int64_t heard = t->lease_until_ms - MG_TARGET_LEASE_MS;
+        list_for_each_safe(e2, e3, &t->slots)
+        {
+            mg_slot *slot = list_entry(e2, mg_slot, link);
+            if (slot->ended && heard > slot->ended_ms &&
+                now < t->lease_until_ms) {
+                mg_sched_free_slot(s, slot);
+            }
+        }
+    }
+}
