--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,6 +19,7 @@
     [ -n "${KEEP:-}" ] || rm -rf "$WORK"
 }
 trap cleanup EXIT
+trap 'exit 1' TERM INT
 
 say() { printf '\n== %s\n' "$*"; }
 
--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -12,14 +12,15 @@
 ROOT=$(cd "$(dirname "$0")/.." && pwd)
 BASE=${BASE:-1000}
 PROFILE=${PROFILE:-hanbit}
-SECS=${SECS:-10}
-SCALE=${SCALE:-0.25}
+SECS=${SECS:-12}
+SCALE=${SCALE:-0.5}
 ENGINES=${ENGINES:-12}
 # arrivals a second at which the engines are just busy, see calibrate
 CAPACITY=${CAPACITY:-0}
 WORK=
 . "$ROOT/scripts/cluster.sh"
 trap 'stop_all; rm -rf "$WORK"' EXIT
+trap 'exit 1' TERM INT
 mkdir -p "$OUT"
 
 model() { [ "$PROFILE" = hanbit ] && echo grain-llm || echo column-llm; }
--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -12,6 +12,7 @@
 WORK=
 . "$ROOT/scripts/cluster.sh"
 trap 'stop_all; rm -rf "$WORK"' EXIT
+trap 'exit 1' TERM INT
 
 ticks() { awk '{ print $14 + $15 }' "/proc/$1/stat"; }
 rss_mb() { awk '/^VmRSS/ { printf "%.1f", $2 / 1024 }' "/proc/$1/status"; }
--- a/scripts/system-tests.sh
+++ b/scripts/system-tests.sh
@@ -12,6 +12,7 @@
 . "$ROOT/scripts/cluster.sh"
 . "$ROOT/scripts/system-cases.sh"
 trap 'stop_all' EXIT
+trap 'exit 1' TERM INT
 
 ALL="entry_killed scheduler_frozen two_at_once entry_drained silent_links
 silent_target control_lost_and_repaired leader_cut_off racing_operators
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -211,14 +211,8 @@
     }
     switch (m->type) {
     case MG_MSG_HELLO:
-    case MG_MSG_PONG:
+    case MG_MSG_PING: /* both ends send them: hearing one is enough */
         break;
-    case MG_MSG_PING: {
-        mg_msg pong = {.type = MG_MSG_PONG};
-        pong.u.pong.seq = m->u.ping.seq;
-        queue_message(c, &pong);
-        break;
-    }
     default:
         net->opts.on_message(net->opts.user, c->peer, m);
     }
@@ -402,7 +396,7 @@
     }
     else if (c->greeted && now - c->sent_at >= MG_LINK_PING_MS) {
         mg_msg m = {.type = MG_MSG_PING};
-        m.u.ping.seq = (uint64_t)now;
+        m.u.ping.seq = 0;
         queue_message(c, &m);
     }
 }
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -21,7 +21,6 @@
 #define MG_FIELDS_HELLO(F) \
     F(STR, node) F(STR, key) F(U64, protocol) F(U64, incarnation)
 #define MG_FIELDS_PING(F) F(U64, seq)
-#define MG_FIELDS_PONG(F) F(U64, seq)
 
 /* replicated log */
 #define MG_FIELDS_VOTE_REQ(F) \
@@ -148,7 +147,6 @@
 #define MG_MSG_LIST(M) \
     M(1, HELLO, hello) \
     M(2, PING, ping) \
-    M(3, PONG, pong) \
     M(10, VOTE_REQ, vote_req) \
     M(11, VOTE_REP, vote_rep) \
     M(12, APPEND, append) \
