--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
 UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
-.PHONY: all check check-unit check-system demo capacity format lint events clean
+.PHONY: all install check check-unit check-system demo capacity format lint events clean
 
 all: $(BINS)
 
@@ -92,6 +92,19 @@
 	clang-format --dry-run -Werror $(SOURCES)
 	$(BUILD)/marigoldctl events | diff - docs/EVENTS.md
 
+PREFIX ?= /usr/local
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib
+	install $(BUILD)/marigold-entry $(BUILD)/marigold-control \
+		$(BUILD)/marigoldctl $(BUILD)/marigold-load $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	for d in base control ledger policy topology wire; do \
+		install -d $(DESTDIR)$(PREFIX)/include/marigold/$$d; \
+		install -m 644 src/$$d/*.h \
+			$(DESTDIR)$(PREFIX)/include/marigold/$$d; done
+	install -m 644 include/marigold.h $(DESTDIR)$(PREFIX)/include/marigold
+
 clean:
 	rm -rf $(BUILD)
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,8 @@
 #define CREDIT_BATCH_MS 200
 #define DRAIN_EXTRA_MS 1000
 #define MAILBOX_ROUNDS 64
+/* a drained entry waits no longer for records that the group can't take */
+#define DRAIN_RECORDS_MS 60000
 
 bool
 mg_entry_serving(const mg_entry *e)
@@ -280,6 +282,7 @@
 {
     if (e->stage == MG_STAGE_LEAVING && now >= e->stage_until_ms) {
         e->stage = MG_STAGE_FINISHING;
+        e->stage_until_ms = now + DRAIN_RECORDS_MS;
         mg_http_drain(e->http);
         mg_pools_stop(e);
         mg_clink_renew_now(e->clink);
@@ -288,10 +291,13 @@
     if (e->stage != MG_STAGE_FINISHING || e->stopped) {
         return;
     }
-    if (e->open_requests == 0 && mg_http_open_requests(e->http) == 0 &&
-        e->credits == NULL && mg_clink_pending(e->clink) == 0) {
+    bool answered = mg_http_open_requests(e->http) == 0;
+    bool recorded = e->open_requests == 0 && e->credits == NULL &&
+                    mg_clink_pending(e->clink) == 0;
+    if (answered && (recorded || now >= e->stage_until_ms)) {
         e->stopped = true;
-        mg_log(MG_EV_DRAIN, "stage=done open=0");
+        mg_log(MG_EV_DRAIN, "stage=done unrecorded=%zu",
+               mg_clink_pending(e->clink));
         uv_stop(e->loop);
     }
 }
