--- /dev/null
+++ b/src/base/addr.c
@@ -0,0 +1,29 @@
+#include "base/addr.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/bytes.h"
+
+#define PORT_MAX 65535
+
+mg_rc
+mg_addr_parse(const char *addr, struct sockaddr_in *out)
+{
+    char host[MG_ADDR_SIZE];
+    const char *colon = strrchr(addr, ':');
+    if (colon == NULL || strlen(addr) >= MG_ADDR_SIZE) {
+        return MG_E_INPUT;
+    }
+    mg_str_copy(host, sizeof(host), (mg_str){addr, (size_t)(colon - addr)});
+    char *end;
+    long port = strtol(colon + 1, &end, 10);
+    if (end == colon + 1 || *end != '\0' || port < 1 || port > PORT_MAX) {
+        return MG_E_INPUT;
+    }
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? MG_OK : MG_E_INPUT;
+}
--- /dev/null
+++ b/src/base/addr.h
@@ -0,0 +1,17 @@
+/*
+ * addr - addresses as IP:PORT, IPv4
+ */
+#ifndef MG_ADDR_H
+#define MG_ADDR_H
+
+#include <netinet/in.h>
+
+#include "base/outcome.h"
+
+#define MG_ADDR_SIZE 48
+
+/* MG_E_INPUT unless it is a number address and a port from 1 to 65535. */
+mg_rc
+mg_addr_parse(const char *addr, struct sockaddr_in *out);
+
+#endif
--- a/src/base/check.c
+++ b/src/base/check.c
@@ -1,6 +1,5 @@
 #include "base/check.h"
 
-#include <arpa/inet.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -121,25 +120,10 @@
     return n > 0 && n < MG_NAME_SIZE && strspn(s, allowed) == n;
 }
 
-static bool
-is_addr(const char *s)
-{
-    char host[MG_ADDR_SIZE];
-    const char *colon = strrchr(s, ':');
-    if (colon == NULL || strlen(s) >= MG_ADDR_SIZE) {
-        return false;
-    }
-    mg_str_copy(host, sizeof(host), (mg_str){s, (size_t)(colon - s)});
-    char *end;
-    long port = strtol(colon + 1, &end, 10);
-    struct in_addr in;
-    return inet_pton(AF_INET, host, &in) == 1 && *end == '\0' && port > 0 &&
-           port < 65536;
-}
-
 static void
 read_text(mg_checker *c, json_t *v, json_t *pos, const mg_key *k, char *dst)
 {
+    struct sockaddr_in sin;
     const char *s = json_string_value(v);
     size_t cap = k->type == MG_KEY_TEXT   ? MG_TEXT_SIZE
                  : k->type == MG_KEY_NAME ? MG_NAME_SIZE
@@ -158,7 +142,7 @@
                        "'-', got \"%.64s\"",
                        s);
     }
-    else if (k->type == MG_KEY_ADDR && !is_addr(s)) {
+    else if (k->type == MG_KEY_ADDR && mg_addr_parse(s, &sin) != MG_OK) {
         mg_check_error(c, pos, k->name,
                        "expected an address IP:PORT, got \"%.64s\"", s);
     }
--- a/src/base/check.h
+++ b/src/base/check.h
@@ -12,6 +12,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 
+#include "base/addr.h"
 #include "base/bytes.h"
 #include "base/outcome.h"
 
@@ -29,7 +30,6 @@
 
 #define MG_NAME_SIZE 64
 #define MG_TEXT_SIZE 256
-#define MG_ADDR_SIZE 48
 
 typedef struct mg_checker mg_checker;
 
--- a/src/wire/http.c
+++ b/src/wire/http.c
@@ -1,6 +1,5 @@
 #include "wire/http.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +9,7 @@
 #include <h2o/http1.h>
 #include <h2o/http1client.h>
 
+#include "base/addr.h"
 #include "base/check.h"
 #include "base/counter.h"
 #include "base/list.h"
@@ -186,25 +186,11 @@
     }
 }
 
-static mg_rc
-parse_addr(const char *addr, struct sockaddr_in *sin)
-{
-    char host[MG_ADDR_SIZE];
-    const char *colon = strrchr(addr, ':');
-    if (colon == NULL) {
-        return MG_E_INPUT;
-    }
-    mg_str_copy(host, sizeof(host), (mg_str){addr, (size_t)(colon - addr)});
-    return uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), sin) == 0
-               ? MG_OK
-               : MG_E_INPUT;
-}
-
 mg_rc
 mg_http_open(mg_http_server **out, const mg_http_options *opts, mg_error *err)
 {
     struct sockaddr_in sin;
-    if (parse_addr(opts->listen_addr, &sin) != MG_OK) {
+    if (mg_addr_parse(opts->listen_addr, &sin) != MG_OK) {
         return mg_fail(err, MG_E_INPUT, "bad address %s", opts->listen_addr);
     }
     mg_http_server *s = mg_alloc(sizeof(*s));
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -1,9 +1,9 @@
 #include "wire/link.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/addr.h"
 #include "base/check.h"
 #include "base/counter.h"
 #include "base/event.h"
@@ -64,19 +64,6 @@
     conn *conn;
 } connect_req;
 
-static mg_rc
-parse_addr(const char *addr, struct sockaddr_in *sin)
-{
-    char host[MG_ADDR_SIZE];
-    const char *colon = strrchr(addr, ':');
-    if (colon == NULL) {
-        return MG_E_INPUT;
-    }
-    mg_str_copy(host, sizeof(host), (mg_str){addr, (size_t)(colon - addr)});
-    int port = (int)strtol(colon + 1, NULL, 10);
-    return uv_ip4_addr(host, port, sin) == 0 ? MG_OK : MG_E_INPUT;
-}
-
 static void
 free_net_if_done(mg_net *net)
 {
@@ -315,7 +302,7 @@
 attempt_dial(mg_net *net, dial *d)
 {
     struct sockaddr_in sin;
-    if (parse_addr(d->addr, &sin) != MG_OK) {
+    if (mg_addr_parse(d->addr, &sin) != MG_OK) {
         return;
     }
     conn *c = new_conn(net);
@@ -443,7 +430,7 @@
 mg_net_open(mg_net **out, const mg_net_options *opts, mg_error *err)
 {
     struct sockaddr_in sin;
-    if (parse_addr(opts->listen_addr, &sin) != MG_OK) {
+    if (mg_addr_parse(opts->listen_addr, &sin) != MG_OK) {
         return mg_fail(err, MG_E_INPUT, "bad address %s", opts->listen_addr);
     }
     mg_net *net = mg_alloc(sizeof(*net));
--- a/tests/fakes/relay.c
+++ b/tests/fakes/relay.c
@@ -8,13 +8,14 @@
  * A silent connection stays open and its bytes are dropped.
  */
 #include <signal.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <uv.h>
 
-#include "base/bytes.h"
+#include "base/addr.h"
 #include "base/list.h"
 #include "base/outcome.h"
 
@@ -177,24 +178,13 @@
     }
 }
 
-static int
-parse(const char *addr, struct sockaddr_in *sin)
-{
-    char host[64];
-    const char *colon = strrchr(addr, ':');
-    if (colon == NULL) {
-        return -1;
-    }
-    mg_str_copy(host, sizeof(host), (mg_str){addr, (size_t)(colon - addr)});
-    return uv_ip4_addr(host, (int)strtol(colon + 1, NULL, 10), sin);
-}
-
 static int
 open_route(uv_loop_t *loop, const char *from, const char *to)
 {
     struct route *r = mg_alloc(sizeof(*r));
     struct sockaddr_in sin;
-    if (parse(from, &sin) != 0 || parse(to, &r->to) != 0) {
+    if (mg_addr_parse(from, &sin) != MG_OK ||
+        mg_addr_parse(to, &r->to) != MG_OK) {
         free(r);
         return -1;
     }
