Moves: one that is not done by its time is taken back and says so

Cause: the stated time of a move was read and never used; a move with too little traffic stayed in CANARY for ever and was not reported. Failing first: rollout, "its time passes": CU_ASSERT_EQUAL(s.state, MG_MOVE_TAKEN_BACK). After: 9 tests of rollout pass.

--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -345,6 +345,9 @@
     if (r->condemned) {
         return change(r, c, MG_MOVE_TAKEN_BACK, 0, r->verdict);
     }
+    if (wall >= r->by_wall_ms) {
+        return change(r, c, MG_MOVE_TAKEN_BACK, 0, "not proved by its time");
+    }
     if (r->state == MG_MOVE_PENDING) {
         if (wall < r->start_wall_ms || !has_targets) {
             return false;
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -5,6 +5,7 @@
  *                  |         |
  *                  `---------`---> TAKEN_BACK
  *
+ * A move that is not done by its time is taken back, with that as reason.
  * The state and the share are kept in the control log; this module decides
  * when they change and how many requests the new version may get.
  *
--- a/tests/unit/rollout_test.c
+++ b/tests/unit/rollout_test.c
@@ -299,6 +299,34 @@
     s.r = NULL;
 }
 
+/* too little traffic to prove it: reported, and the old version stays */
+static void
+test_time_passes(void)
+{
+    start(1);
+    mg_rollout_free(s.r);
+    s.r = mg_rollout_new(&(mg_rollout_options){
+        .clock = &s.clock.clock,
+        .name = "m",
+        .from = "v1",
+        .to = "v2",
+        .by_wall_ms = 60000,
+        .canary_percent = 2,
+    });
+    CU_ASSERT_PTR_NULL(commit_changes());
+    CU_ASSERT_EQUAL(s.state, MG_MOVE_CANARY);
+    for (int i = 0; i < 3; i++) {
+        CU_ASSERT_PTR_NULL(one_request(GOOD));
+    }
+    s.clock.wall = 60000;
+    CU_ASSERT_PTR_NULL(commit_changes());
+    CU_ASSERT_EQUAL(s.state, MG_MOVE_TAKEN_BACK);
+    CU_ASSERT_FALSE(mg_rollout_may_use_new(s.r));
+    CU_ASSERT_TRUE(mg_rollout_may_use_old(s.r));
+    mg_rollout_free(s.r);
+    s.r = NULL;
+}
+
 int
 main(void)
 {
@@ -310,6 +338,7 @@
         {"bad: slow under load only", test_slow_under_load},
         {"bad: on one route only", test_one_route},
         {"canary budget over restarts", test_budget_over_restarts},
+        {"its time passes", test_time_passes},
         {"a verdict stops it at once", test_verdict_stops_at_once},
         CU_TEST_INFO_NULL,
     };
