--- /dev/null
+++ b/scripts/path-cost.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# path-cost.sh BUILD [RATE] - what the path itself costs
+#
+# Short answers from fast engines, so that the engines hardly count. Prints
+# first-token time and the entries' CPU for a request.
+set -euo pipefail
+
+BUILD=${1:-build}
+RATE=${2:-300}
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+BASE=${BASE:-1000}
+SECS=8
+WORK=$(mktemp -d)
+. "$ROOT/scripts/cluster.sh"
+trap 'stop_all; rm -rf "$WORK"' EXIT
+trap 'exit 1' TERM INT
+
+ticks() {
+    local i n=0
+    for i in 1 2 3; do
+        n=$((n + $(awk '{ print $14 + $15 }' "/proc/${PID[entry-$i]}/stat")))
+    done
+    echo $n
+}
+
+start_cluster > "$WORK/out"
+apply_document "$ROOT/examples/hanbit.toml" > "$WORK/out"
+for i in 1 2 3 4 5 6 7 8; do
+    start_target $i grain-llm --gap-us 500 --batch-us 0 --prefill-us 0 \
+        --slots 16
+done
+start_target 9 yard-app --service --service-ms 1
+wait_until 20 entries_serving 3
+wait_until 20 targets_known 9
+before=$(ticks)
+"$BUILD/marigold-load" -e "$(all_entries)" --rate "$RATE" --seconds $SECS \
+    --keyed "${KEYED:-0}" --decode-min 2 --decode-max 4 --prompt-max 200 \
+    > "$WORK/out"
+cat "$WORK/out"
+awk -v t=$(($(ticks) - before)) -v r="$RATE" -v s=$SECS \
+    -v hz="$(getconf CLK_TCK)" 'BEGIN { us = t / hz * 1e6 / (r * s)
+    printf "%.0f us of CPU a request at the entries, %.0f requests/s a core\n",
+        us, 1e6 / us }'
