System test target_leaves: look at the leaving target's own dispatches

The check looked for dispatches by epoch only. Epochs are start times in milliseconds; in one run target-2 had started in the same millisecond as the leaving target-3, and its dispatches (epoch, target=target-2) were counted. The check now names target and epoch; its bound is the same.

--- a/scripts/system-cases.sh
+++ b/scripts/system-cases.sh
@@ -353,7 +353,7 @@
     epoch=$(cat "$WORK"/entry-*.log | sed -n \
         's/.*TARGET_LEAVING.*target=target-3 epoch=\([0-9]*\).*/\1/p' | head -1)
     bound=$(date -u -d "@$(((left + 3000) / 1000))" +%Y-%m-%dT%H:%M:%S)
-    ! cat "$WORK"/entry-*.log | grep "REQ_DISPATCHED.*epoch=$epoch" |
+    ! cat "$WORK"/entry-*.log | grep "REQ_DISPATCHED.*target=target-3 epoch=$epoch" |
         awk -v b="$bound" '$1 > b { bad++ } END { exit bad == 0 }'
 }
 
