--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -4,6 +4,7 @@
 #include <time.h>
 
 #include <openssl/rand.h>
+#include <xxhash.h>
 
 #include "base/outcome.h"
 
@@ -59,9 +60,11 @@
 void
 mg_rng_init(mg_rng *r, uint64_t seed)
 {
-    r->state[0] = (unsigned short)(seed ^ 0x330e);
-    r->state[1] = (unsigned short)(seed >> 16);
-    r->state[2] = (unsigned short)(seed >> 32);
+    /* the generator's first numbers hardly differ for seeds that are near */
+    uint64_t mixed = XXH3_64bits(&seed, sizeof(seed));
+    r->state[0] = (unsigned short)mixed;
+    r->state[1] = (unsigned short)(mixed >> 16);
+    r->state[2] = (unsigned short)(mixed >> 32);
 }
 
 double
