Take out dead code; one formula for the cost of a request

mg_rollout_prefers_new() had no caller; move_is_over() stood behind a test that is true whenever it could be; the scheduler's measured rate had a copy of the ticket's cost with its own 8 for a decoded token and now calls mg_request_cost(). Behaviour is the same. Run: unit tests of scheduler, tier queue, moves, state and base, lint, system tests racing_operators, target_killed and bad_input.

--- a/src/control/operator.c
+++ b/src/control/operator.c
@@ -185,18 +185,6 @@
     mg_config_set_text(b->config, s->name, text, b->ck);
 }
 
-static bool
-move_is_over(const mg_state *state, const mg_move *m)
-{
-    mg_str value;
-    uint64_t rev;
-    mg_msg r;
-    return mg_state_get(state, MG_KIND_MOVE, mg_str_of(m->name), &value,
-                        &rev) &&
-           mg_msg_decode(value, &r) == MG_OK &&
-           r.u.rec_move.state >= MG_MOVE_DONE;
-}
-
 static void
 check_moves(const mg_state *state, const mg_config *config, mg_checker *ck)
 {
@@ -208,8 +196,7 @@
         uint64_t rev;
         /* a move that runs or is over is not planned again */
         if (mg_state_get(state, MG_KIND_MOVE, mg_str_of(m->name), &value,
-                         &rev) ||
-            move_is_over(state, m)) {
+                         &rev)) {
             continue;
         }
         if (m->by_wall_ms - start < mg_rollout_least_ms()) {
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -143,12 +143,6 @@
     return r->state != MG_MOVE_DONE;
 }
 
-bool
-mg_rollout_prefers_new(const mg_rollout *r)
-{
-    return mg_rollout_may_use_new(r);
-}
-
 void
 mg_rollout_granted(mg_rollout *r, bool is_new)
 {
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -86,9 +86,6 @@
 /* Whether it may go to the old one; false once the move is done. */
 bool
 mg_rollout_may_use_old(const mg_rollout *r);
-/* Whether the new version is behind its share and should be preferred. */
-bool
-mg_rollout_prefers_new(const mg_rollout *r);
 void
 mg_rollout_granted(mg_rollout *r, bool is_new);
 /* A grant that was withdrawn before dispatch. */
--- a/src/policy/sched.c
+++ b/src/policy/sched.c
@@ -551,7 +551,7 @@
                         (double)m->total_ms, (uint32_t)m->tokens);
     }
     if (m->result == MG_DONE_OK) {
-        s->window_cost += slot->prefill + (uint64_t)slot->decode * 8 + 1;
+        s->window_cost += mg_request_cost(slot->prefill, slot->decode);
     }
     if (s->rollout != NULL) {
         if (ran) {
--- a/src/policy/tierq.c
+++ b/src/policy/tierq.c
@@ -55,10 +55,16 @@
     free(q);
 }
 
+uint64_t
+mg_request_cost(uint32_t prefill, uint32_t decode)
+{
+    return (uint64_t)prefill + (uint64_t)decode * DECODE_COST + 1;
+}
+
 uint64_t
 mg_ticket_cost(const mg_ticket *t)
 {
-    return (uint64_t)t->prefill + (uint64_t)t->decode * DECODE_COST + 1;
+    return mg_request_cost(t->prefill, t->decode);
 }
 
 static mg_share *
--- a/src/policy/tierq.h
+++ b/src/policy/tierq.h
@@ -74,7 +74,9 @@
 /* Predicted cost of the tickets that wait in tiers up to this rank. */
 uint64_t
 mg_tierq_cost_up_to(const mg_tierq *q, unsigned tier);
-/* Cost of a ticket in tokens, decoding weighed as it occupies an engine. */
+/* Cost of a request in tokens, decoding weighed as it occupies an engine. */
+uint64_t
+mg_request_cost(uint32_t prefill, uint32_t decode);
 uint64_t
 mg_ticket_cost(const mg_ticket *t);
 /* Calls f for each waiting ticket; f may remove the ticket it is given. */
