--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CXX ?= g++
 PKGS = libh2o libuv msgpack jansson libxxhash openssl tomlplusplus
 WARN = -Wall -Wextra -Werror
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude -Iplatform $(shell pkg-config --cflags $(PKGS))
 CFLAGS += -std=c11 -O2 -g -MMD -MP $(WARN)
 CXXFLAGS += -std=c++17 -O1 -g -MMD -MP $(WARN)
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lssl -lcrypto -llog4c \
@@ -16,7 +16,8 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(BUILD)/src/base/toml.o
 LIB := $(BUILD)/libmarigold.a
 
-PROGRAMS = marigold-slopes marigold-entry marigold-control marigoldctl marigold-load \
+PROGRAMS = marigold-slopes marigold-entry marigold-control marigold-node \
+           marigoldctl marigold-load \
            fake-engine fake-relay
 BINS := $(PROGRAMS:%=$(BUILD)/%)
 
@@ -37,6 +38,11 @@
 $(LIB): $(LIB_OBJ)
 	$(AR) rcs $@ $^
 
+PLATFORM_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
+
+$(BUILD)/marigold-node: $(PLATFORM_OBJ) $(LIB)
+	$(CC) $^ $(LDLIBS) -o $@
+
 $(BUILD)/marigold-%: $(BUILD)/daemons/%.o $(BUILD)/daemons/daemon.o $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
@@ -75,7 +81,7 @@
 events: $(BUILD)/marigoldctl
 	$(BUILD)/marigoldctl events > docs/EVENTS.md
 
-SOURCES := $(wildcard src/*/*.[ch] src/*/*.cc daemons/*.[ch] bench/*.[ch] \
+SOURCES := $(wildcard src/*/*.[ch] platform/*.[ch] src/*/*.cc daemons/*.[ch] bench/*.[ch] \
              tests/*/*.[ch] include/*.h)
 
 format:
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -57,7 +57,7 @@
         [ "$i" = "$n" ] || args="$args $(relay_out "$n" "$i") $(relay_in "$i")"
     done
     # shellcheck disable=SC2086
-    "$BUILD/fake-relay" $args 2>> "$WORK/relay-$n.log" &
+    "$BUILD/fake-relay" $args >> "$WORK/relay-$n.log" 2>&1 &
     PID[relay-$n]=$!
 }
 
@@ -95,7 +95,7 @@
 
 start_control() {
     "$BUILD/marigold-control" --settings "$WORK/control-$1.toml" \
-        2>> "$WORK/control-$1.log" &
+        >> "$WORK/control-$1.log" 2>&1 &
     PID[control-$1]=$!
 }
 
@@ -115,7 +115,7 @@
     write_settings "$WORK/entry-$1.toml" "entry-$1" "$1" \
         "$(entry_link "$1")" "$(entry_http "$1")"
     "$BUILD/marigold-entry" --settings "$WORK/entry-$1.toml" \
-        2>> "$WORK/entry-$1.log" &
+        >> "$WORK/entry-$1.log" 2>&1 &
     PID[entry-$1]=$!
 }
 
@@ -126,7 +126,7 @@
     "$BUILD/fake-engine" --name "target-$n" --pool "$pool" \
         --addr "$(target_addr "$n")" --entries "$(all_entries)" \
         --key loopback-target-key --journal "$WORK/journal-$n" "$@" \
-        2>> "$WORK/target-$n.log" &
+        >> "$WORK/target-$n.log" 2>&1 &
     PID[target-$n]=$!
 }
 
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -24,13 +24,13 @@
 void
 mg_count(mg_counter c, uint64_t n)
 {
-    counters[c] += n;
+    __atomic_fetch_add(&counters[c], n, __ATOMIC_RELAXED);
 }
 
 uint64_t
 mg_counter_value(mg_counter c)
 {
-    return counters[c];
+    return __atomic_load_n(&counters[c], __ATOMIC_RELAXED);
 }
 
 static size_t
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -1,5 +1,6 @@
 #include "base/event.h"
 
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -8,9 +9,12 @@
 #include <log4c.h>
 
 #define EVENT_LINE_MAX 1024
+#define LOG_BUFFER_BYTES 65536
 
 static log4c_category_t *category;
 static char process_name[64];
+/* log4c and the buffers below serve one thread at a time */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const struct event_row {
     int number;
@@ -45,10 +49,10 @@
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
-    return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+    return fputs(event->evt_rendered_msg, stdout) < 0 ? -1 : 0;
 }
 
-static const log4c_appender_type_t stderr_appender = {"mg_stderr", NULL,
+static const log4c_appender_type_t stdout_appender = {"mg_stdout", NULL,
                                                       append_line, NULL};
 static const log4c_layout_type_t line_layout = {"mg_line", format_line};
 
@@ -70,12 +74,13 @@
     if (priority < 0) {
         return MG_E_INPUT;
     }
+    setvbuf(stdout, NULL, _IOLBF, 0);
     snprintf(process_name, sizeof(process_name), "%s", process);
     category = log4c_category_get("marigold");
-    log4c_appender_t *to = log4c_appender_get("mg_stderr");
+    log4c_appender_t *to = log4c_appender_get("mg_stdout");
     log4c_layout_t *layout = log4c_layout_get("mg_line");
     log4c_layout_set_type(layout, &line_layout);
-    log4c_appender_set_type(to, &stderr_appender);
+    log4c_appender_set_type(to, &stdout_appender);
     log4c_appender_set_layout(to, layout);
     log4c_category_set_appender(category, to);
     log4c_category_set_additivity(category, 0);
@@ -83,6 +88,21 @@
     return MG_OK;
 }
 
+void
+mg_log_buffer(void)
+{
+    static char buffer[LOG_BUFFER_BYTES];
+    setvbuf(stdout, buffer, _IOFBF, sizeof(buffer));
+}
+
+void
+mg_log_flush(void)
+{
+    pthread_mutex_lock(&lock);
+    fflush(stdout);
+    pthread_mutex_unlock(&lock);
+}
+
 void
 mg_log_close(void)
 {
@@ -118,7 +138,9 @@
     va_start(ap, fmt);
     vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
     va_end(ap);
+    pthread_mutex_lock(&lock);
     log4c_category_log(category, row->priority, "%s", line);
+    pthread_mutex_unlock(&lock);
 }
 
 void
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -5,7 +5,7 @@
  * changes, a level, a name, and fields as key=value. docs/EVENTS.md is
  * printed from the same table (marigoldctl events) and compared in CI.
  *
- * Lines go to standard error through log4c; the log of a daemon does not
+ * Lines go to standard output through log4c; the log of a daemon does not
  * depend on a log4crc file.
  */
 #ifndef MG_EVENT_H
@@ -27,6 +27,7 @@
     X(203, INFO, RAFT_SNAPSHOT, "snapshot written or installed")            \
     X(204, WARN, STORE_TORN, "torn tail of the log cut off at start")       \
     X(205, ERROR, STORE_FAILED, "data folder could not be written or read") \
+    X(206, INFO, GROUP_LEADER, "node follows another leader of the group")  \
     X(210, INFO, DOC_ACCEPTED, "document change accepted")                  \
     X(211, WARN, DOC_REFUSED, "document change refused; why")               \
     X(212, INFO, DOC_IN_FORCE, "revision in force at every leased entry")   \
@@ -59,6 +60,9 @@
     X(351, WARN, CONFIG_BAD, "revision could not be applied")               \
     X(352, WARN, SERVE_WITHOUT_CONTROL, "served by majority of entries")    \
     X(360, INFO, DRAIN, "drain of an entry: stage")                         \
+    X(361, INFO, NODE_UP, "entry is live, as a hub says")                   \
+    X(362, WARN, NODE_DOWN, "entry is no longer live; why")                 \
+    X(363, INFO, SETTINGS, "settings read again; what changed")             \
     X(400, WARN, BAD_INPUT, "malformed input refused")
 
 typedef enum mg_event {
@@ -72,6 +76,14 @@
 mg_log_open(const char *process, const char *level);
 void
 mg_log_close(void);
+/*
+ * Lines are kept and written by mg_log_flush(), some tens of ms later. The
+ * daemon calls it regularly and at its end.
+ */
+void
+mg_log_buffer(void);
+void
+mg_log_flush(void);
 /* fmt is a list of key=value fields; never pass keys or bodies. */
 void
 mg_log(mg_event ev, const char *fmt, ...)
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -501,7 +501,7 @@
                         &(mg_http_options){
                             .loop = c->loop,
                             .listen_addr = c->settings.http_addr,
-                            .body_max = OPERATOR_BODY_MAX,
+                            .limits = {.body_max = OPERATOR_BODY_MAX},
                             .on_request = mg_operator_http,
                             .user = c->operator_,
                         },
--- a/src/control/state.c
+++ b/src/control/state.c
@@ -311,7 +311,7 @@
         reply->rev = newest_known;
         return;
     }
-    if (c->base_rev != s->document_rev) {
+    if (c->base_rev != MG_BASE_ANY && c->base_rev != s->document_rev) {
         reply->rc = MG_E_CHANGED;
         return;
     }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -28,6 +28,8 @@
 #include "ledger/claims.h"
 
 #define MG_SECTION_HISTORY 64
+/* base_rev of a document command that goes by its versions alone */
+#define MG_BASE_ANY UINT64_MAX
 
 typedef struct mg_state mg_state;
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -343,7 +343,7 @@
                         &(mg_http_options){
                             .loop = e->loop,
                             .listen_addr = e->settings.http_addr,
-                            .body_max = (size_t)e->settings.body_max,
+                            .limits = {.body_max = (size_t)e->settings.body_max},
                             .on_request = mg_front_http,
                             .user = e,
                         },
--- /dev/null
+++ b/src/gateway/budget.c
@@ -0,0 +1,49 @@
+#include "gateway/budget.h"
+
+#include <string.h>
+
+void
+mg_budget_init(mg_budget *b, int64_t window_ms)
+{
+    memset(b, 0, sizeof(*b));
+    b->slice_ms = window_ms / MG_BUDGET_SLICES;
+    b->slice_ms = b->slice_ms > 0 ? b->slice_ms : 1;
+}
+
+static int64_t
+advance(mg_budget *b, int64_t now)
+{
+    int64_t slice = now / b->slice_ms;
+    if (slice - b->slice > MG_BUDGET_SLICES) {
+        b->slice = slice - MG_BUDGET_SLICES;
+    }
+    while (b->slice < slice) {
+        b->slice++;
+        b->firsts[b->slice % MG_BUDGET_SLICES] = 0;
+        b->repeats[b->slice % MG_BUDGET_SLICES] = 0;
+    }
+    return b->slice % MG_BUDGET_SLICES;
+}
+
+void
+mg_budget_first(mg_budget *b, int64_t now)
+{
+    b->firsts[advance(b, now)]++;
+}
+
+bool
+mg_budget_repeat(mg_budget *b, double ratio, double slack, int64_t now)
+{
+    int64_t at = advance(b, now);
+    double firsts = 0;
+    double repeats = 0;
+    for (int i = 0; i < MG_BUDGET_SLICES; i++) {
+        firsts += b->firsts[i];
+        repeats += b->repeats[i];
+    }
+    if (repeats + 1 > ratio * firsts + slack) {
+        return false;
+    }
+    b->repeats[at]++;
+    return true;
+}
--- /dev/null
+++ b/src/gateway/events.c
@@ -0,0 +1,87 @@
+#include "gateway/events.h"
+
+#include <string.h>
+
+#include "base/outcome.h"
+
+void
+mg_events_put(mg_events *e, mg_str data)
+{
+    if (e->seen > 0) {
+        mg_buf_skip(&e->pending, e->seen);
+        e->seen = 0;
+    }
+    mg_buf_put(&e->pending, data.p, data.n);
+}
+
+/* bytes up to and with the empty line, 0 when there is none yet */
+static size_t
+event_end(const char *p, size_t n)
+{
+    for (size_t i = 0; i + 1 < n; i++) {
+        if (p[i] != '\n') {
+            continue;
+        }
+        if (p[i + 1] == '\n') {
+            return i + 2;
+        }
+        if (i + 2 < n && p[i + 1] == '\r' && p[i + 2] == '\n') {
+            return i + 3;
+        }
+    }
+    return 0;
+}
+
+static void
+read_id(mg_str line, mg_stream_event *out)
+{
+    mg_str value;
+    if (!mg_str_is(mg_str_cut(line, ':', &value), "id")) {
+        return;
+    }
+    uint64_t id = 0;
+    size_t digits = 0;
+    for (size_t i = 0; i < value.n; i++) {
+        char c = value.p[i];
+        if (c >= '0' && c <= '9' && digits < 18) {
+            id = id * 10 + (uint64_t)(c - '0');
+            digits++;
+        }
+        else if (c != ' ' && c != '\r') {
+            return;
+        }
+    }
+    out->has_id = digits > 0;
+    out->id = id;
+}
+
+bool
+mg_events_next(mg_events *e, mg_stream_event *out)
+{
+    const char *p = e->pending.p + e->seen;
+    size_t n = event_end(p, e->pending.n - e->seen);
+    if (n == 0) {
+        return false;
+    }
+    *out = (mg_stream_event){.bytes = {p, n}};
+    mg_str rest = out->bytes;
+    while (rest.n > 0) {
+        read_id(mg_str_cut(rest, '\n', &rest), out);
+    }
+    e->seen += n;
+    return true;
+}
+
+void
+mg_events_reset(mg_events *e)
+{
+    e->pending.n = 0;
+    e->seen = 0;
+}
+
+void
+mg_events_free(mg_events *e)
+{
+    mg_buf_free(&e->pending);
+    e->seen = 0;
+}
--- /dev/null
+++ b/src/gateway/flow.c
@@ -0,0 +1,653 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "gateway/gateway_int.h"
+
+/* an answer that is kept until it is whole, bytes */
+#define BODY_MAX (8u << 20)
+/* connections tried for one request before it is given up */
+#define UNREACHED_MAX 4
+/* targets that may say "not run" to one request */
+#define REJECTED_MAX 3
+#define CONNECT_MS 400
+/* how much sooner than its caller a request is given up, ms */
+#define DEADLINE_MARGIN_MS 20
+/* not said by the caller and the route */
+#define DEADLINE_DEFAULT_MS 30000
+#define RETRY_AFTER_MS 250
+#define DECODE_DEFAULT 64
+
+static void
+on_timer(uv_timer_t *t);
+
+static int64_t
+now_of(const mg_flow *f)
+{
+    return mg_now(f->gw->opts.clock);
+}
+
+/* ---------------------------------------------------------------- ends */
+
+static void
+on_timer_closed(uv_handle_t *h)
+{
+    mg_flow *f = h->data;
+    mg_buf_free(&f->head);
+    mg_buf_free(&f->body);
+    mg_events_free(&f->events);
+    mg_routing_unref(f->routing);
+    free(f);
+}
+
+static void
+leave_target(mg_flow *f)
+{
+    if (f->target != NULL) {
+        f->target->running--;
+        f->target->instance->users--;
+        f->target = NULL;
+        mg_gw_pool_due(f->gw, f->pool);
+    }
+}
+
+static void
+drop_channel(mg_flow *f)
+{
+    mg_channel *c = f->channel;
+    f->channel = NULL;
+    if (c != NULL) {
+        mg_channel_close(c);
+    }
+}
+
+/* the caller has its answer, or is gone */
+static void
+finish(mg_flow *f)
+{
+    if (f->state == MG_FLOW_DONE) {
+        return;
+    }
+    if (f->ticket.share != NULL) {
+        mg_tierq_remove(f->pool->waiting, &f->ticket);
+    }
+    f->state = MG_FLOW_DONE;
+    drop_channel(f);
+    leave_target(f);
+    list_del(&f->link);
+    f->gw->open--;
+    uv_close((uv_handle_t *)&f->timer, on_timer_closed);
+}
+
+static const char *
+ran_name(const mg_flow *f)
+{
+    return mg_ran_name(f->runs == 0 ? MG_RAN_NO : MG_RAN_UNKNOWN);
+}
+
+/* an answer of the gateway's own; retry_ms < 0: says nothing of a retry */
+static void
+refuse(mg_flow *f, int status, int64_t retry_ms, const char *why)
+{
+    char extra[64] = "";
+    mg_log(MG_EV_REQ_REFUSED,
+           "id=%.*s status=%d why=%s ran=%s sends=%u waited_ms=%" PRId64
+           " retry_ms=%" PRId64,
+           MG_STR_FMT(f->call.id), status, why, ran_name(f), f->sends,
+           now_of(f) - f->arrived_ms, retry_ms);
+    mg_count(MG_C_REFUSED, 1);
+    if (retry_ms >= 0) {
+        snprintf(extra, sizeof(extra), "retry-after: %.3f\n",
+                 (double)retry_ms / 1000.0);
+    }
+    if (f->usage != NULL && f->runs == 0) {
+        mg_quota_give_back(&f->usage->quota, f->quota_cost);
+    }
+    mg_http_reply(f->call.http, status, NULL, extra, (mg_str){"", 0});
+    finish(f);
+}
+
+static void
+cut_answer(mg_flow *f, const char *why)
+{
+    mg_log(MG_EV_REQ_CUT, "id=%.*s why=%s last=%" PRIu64 " ms=%" PRId64,
+           MG_STR_FMT(f->call.id), why, f->last_id,
+           now_of(f) - f->arrived_ms);
+    mg_count(MG_C_CUT, 1);
+    mg_http_abort(f->call.http);
+    finish(f);
+}
+
+/* nothing more will be tried */
+static void
+give_up(mg_flow *f, const char *why)
+{
+    if (f->started) {
+        cut_answer(f, why);
+    }
+    else if (f->runs == 0) {
+        refuse(f, 503, RETRY_AFTER_MS, why);
+    }
+    else {
+        refuse(f, 502, -1, why);
+    }
+}
+
+static void
+on_gone(void *user)
+{
+    mg_flow *f = user;
+    mg_log(MG_EV_REQ_CANCELLED, "id=%.*s sends=%u ms=%" PRId64,
+           MG_STR_FMT(f->call.id), f->sends, now_of(f) - f->arrived_ms);
+    mg_count(MG_C_CANCELLED, 1);
+    finish(f);
+}
+
+static void
+log_answered(mg_flow *f)
+{
+    mg_log(MG_EV_REQ_ANSWERED,
+           "id=%.*s status=%d target=%s sends=%u sent_ms=%" PRId64
+           " first_ms=%" PRId64 " ms=%" PRId64,
+           MG_STR_FMT(f->call.id), f->status, f->target->instance->is.id,
+           f->sends, f->sent_ms - f->arrived_ms, f->first_ms - f->arrived_ms,
+           now_of(f) - f->arrived_ms);
+    mg_count(MG_C_ANSWERED, 1);
+    mg_observe(MG_H_FIRST_BYTE, (f->first_ms - f->arrived_ms) * 1000);
+}
+
+/* ------------------------------------------------------------- retries */
+
+static void
+wait_for_target(mg_flow *f)
+{
+    f->state = MG_FLOW_WAITING;
+    f->streaming = false;
+    f->head.n = 0;
+    f->body.n = 0;
+    mg_events_reset(&f->events);
+    mg_tierq_add(f->pool->waiting, &f->ticket);
+    mg_gw_pool_due(f->gw, f->pool);
+    uv_timer_start(&f->timer, on_timer,
+                   (uint64_t)(f->deadline_ms > now_of(f)
+                                  ? f->deadline_ms - now_of(f)
+                                  : 1),
+                   0);
+}
+
+static bool
+may_repeat(mg_flow *f)
+{
+    const mg_gateway *gw = f->gw;
+    const mg_gateway_limits *l = &gw->opts.limits;
+    double entries = gw->entries > 0 ? (double)gw->entries : 1.0;
+    return mg_budget_repeat(&f->pool->budget, l->retry_ratio * 0.8,
+                            (double)l->retry_slack * 0.8 / entries,
+                            now_of(f));
+}
+
+/* the target said that it has not run the request */
+static void
+after_rejection(mg_flow *f)
+{
+    f->runs--;
+    if (f->sends - f->runs < REJECTED_MAX && may_repeat(f)) {
+        wait_for_target(f);
+    }
+    else {
+        give_up(f, "rejected");
+    }
+}
+
+/* the request failed at its target, and may have run */
+static bool
+try_again(mg_flow *f)
+{
+    if (f->route->repeat == MG_REPEAT_NEVER ||
+        f->runs >= f->route->targets_max || !may_repeat(f)) {
+        return false;
+    }
+    if (f->started && f->route->repeat != MG_REPEAT_RESUME) {
+        return false;
+    }
+    wait_for_target(f);
+    return true;
+}
+
+/* ------------------------------------------------------------- answers */
+
+static void
+keep_head(mg_flow *f, const mg_h1_head *head)
+{
+    f->head.n = 0;
+    for (size_t i = 0; i < head->header_count; i++) {
+        const mg_h1_header *h = &head->headers[i];
+        if (mg_h1_is_hop(h->name)) {
+            continue;
+        }
+        mg_buf_put(&f->head, h->name.p, h->name.n);
+        mg_buf_put(&f->head, ": ", 2);
+        mg_buf_put(&f->head, h->value.p, h->value.n);
+        mg_buf_put(&f->head, "\n", 1);
+    }
+    mg_buf_put(&f->head, "", 1);
+}
+
+static mg_channel_verdict
+on_head(mg_channel_user *u, const mg_h1_head *head)
+{
+    mg_flow *f = (mg_flow *)u;
+    mg_answer a = {0};
+    f->gw->opts.dialect->read_answer(f->gw->opts.dialect, head, &a);
+    if (a.id.n > 0 && !mg_str_eq(a.id, f->call.id)) {
+        mg_log(MG_EV_BAD_INPUT, "id=%.*s target=%s what=other_answer",
+               MG_STR_FMT(f->call.id), f->target->instance->is.id);
+        return MG_CHANNEL_SKIP;
+    }
+    f->state = MG_FLOW_ANSWERING;
+    f->status = a.status;
+    f->not_run = a.not_run;
+    f->streaming = f->route->stream && a.status == 200 && !a.not_run;
+    if (!f->started) {
+        keep_head(f, head);
+    }
+    return MG_CHANNEL_TAKE;
+}
+
+static void
+pass_event(mg_flow *f, const mg_stream_event *ev)
+{
+    if (ev->has_id && f->has_last && ev->id <= f->last_id) {
+        return;
+    }
+    if (!f->started) {
+        f->started = true;
+        f->first_ms = now_of(f);
+        mg_http_start(f->call.http, f->status, NULL, f->head.p);
+    }
+    mg_http_write(f->call.http, ev->bytes);
+    if (ev->has_id) {
+        f->has_last = true;
+        f->last_id = ev->id;
+    }
+}
+
+static bool
+skips_events(const mg_flow *f, const mg_stream_event *ev)
+{
+    return f->has_last && ev->has_id && ev->id > f->last_id + 1;
+}
+
+static void
+on_data(mg_channel_user *u, mg_str data)
+{
+    mg_flow *f = (mg_flow *)u;
+    mg_stream_event ev;
+    if (!f->streaming) {
+        if (f->body.n + data.n > BODY_MAX) {
+            drop_channel(f);
+            leave_target(f);
+            give_up(f, "answer_too_large");
+            return;
+        }
+        mg_buf_put(&f->body, data.p, data.n);
+        return;
+    }
+    mg_events_put(&f->events, data);
+    while (mg_events_next(&f->events, &ev)) {
+        if (skips_events(f, &ev)) {
+            drop_channel(f);
+            leave_target(f);
+            give_up(f, "event_missing");
+            return;
+        }
+        pass_event(f, &ev);
+    }
+}
+
+static bool
+ends_inside_event(const mg_flow *f)
+{
+    return f->events.pending.n > f->events.seen;
+}
+
+static void
+end_stream(mg_flow *f)
+{
+    if (ends_inside_event(f) || !f->started) {
+        mg_gw_target_failed(f->target);
+        leave_target(f);
+        if (!try_again(f)) {
+            give_up(f, "stream_ended_early");
+        }
+        return;
+    }
+    mg_gw_target_served(f->target);
+    log_answered(f);
+    mg_http_finish(f->call.http);
+    finish(f);
+}
+
+static void
+end_plain(mg_flow *f)
+{
+    if (f->not_run) {
+        mg_log(MG_EV_REQ_CONNECT_FAILED, "id=%.*s target=%s why=not_run_%d",
+               MG_STR_FMT(f->call.id), f->target->instance->is.id, f->status);
+        leave_target(f);
+        after_rejection(f);
+        return;
+    }
+    if (f->status >= 500) {
+        mg_gw_target_failed(f->target);
+        mg_gw_target *failed = f->target;
+        if (f->route->repeat != MG_REPEAT_NEVER &&
+            f->runs < f->route->targets_max) {
+            leave_target(f);
+            if (try_again(f)) {
+                return;
+            }
+            f->target = failed;
+            failed->running++;
+            failed->instance->users++;
+        }
+        if (f->started) {
+            give_up(f, "resumption_failed");
+            return;
+        }
+    }
+    else {
+        mg_gw_target_served(f->target);
+    }
+    if (f->started) {
+        give_up(f, "resumption_refused");
+        return;
+    }
+    f->first_ms = now_of(f);
+    log_answered(f);
+    mg_http_reply(f->call.http, f->status, NULL, f->head.p,
+                  mg_str_buf(&f->body));
+    finish(f);
+}
+
+static const char *
+end_name(mg_channel_end end)
+{
+    static const char *const names[] = {"whole", "unreached", "cut",
+                                        "garbled"};
+    return names[end];
+}
+
+static void
+on_end(mg_channel_user *u, mg_channel_end end)
+{
+    mg_flow *f = (mg_flow *)u;
+    mg_channel *c = f->channel;
+    bool stale_channel = f->kept_channel && end == MG_CHANNEL_CUT &&
+                         f->state == MG_FLOW_SENT;
+    (void)c;
+    f->channel = NULL;
+    if (end == MG_CHANNEL_WHOLE) {
+        if (f->streaming) {
+            end_stream(f);
+        }
+        else {
+            end_plain(f);
+        }
+        return;
+    }
+    mg_log(MG_EV_REQ_CONNECT_FAILED,
+           "id=%.*s target=%s why=%s kept=%d ms=%" PRId64,
+           MG_STR_FMT(f->call.id), f->target->instance->is.id, end_name(end),
+           f->kept_channel, now_of(f) - f->arrived_ms);
+    if (!stale_channel) {
+        mg_gw_target_failed(f->target);
+    }
+    leave_target(f);
+    if (end == MG_CHANNEL_UNREACHED) {
+        mg_count(MG_C_CONNECT_FAILED, 1);
+        if (++f->unreached < UNREACHED_MAX) {
+            wait_for_target(f);
+        }
+        else {
+            give_up(f, "unreached");
+        }
+    }
+    else if (!try_again(f)) {
+        give_up(f, end_name(end));
+    }
+}
+
+/* ------------------------------------------------------------ dispatch */
+
+static void
+send_request(mg_flow *f)
+{
+    mg_gateway *gw = f->gw;
+    mg_buf head = {0};
+    int64_t now = now_of(f);
+    mg_dispatch to = {
+        .target = f->target->instance,
+        .workspace = mg_str_of(f->workspace ? f->workspace->name : NULL),
+        .left_ms = f->call.deadline_ms < 0
+                       ? -1
+                       : f->call.deadline_ms - (now - f->arrived_ms),
+        .resumes = f->has_last,
+        .resume_after = f->last_id,
+    };
+    gw->opts.dialect->put_request(gw->opts.dialect, &f->call, &to, &head);
+    if (f->sends++ == 0) {
+        mg_budget_first(&f->pool->budget, now);
+    }
+    f->runs++;
+    f->sent_ms = now;
+    f->state = MG_FLOW_SENT;
+    mg_count(MG_C_DISPATCHED, 1);
+    mg_log(MG_EV_REQ_DISPATCHED,
+           "id=%.*s target=%s own=%u others=%.1f kept=%d tier=%u "
+           "waited_ms=%" PRId64 " left_ms=%" PRId64,
+           MG_STR_FMT(f->call.id), f->target->instance->is.id,
+           f->target->running, f->target->reported, f->kept_channel,
+           f->ticket.tier, now - f->arrived_ms, to.left_ms);
+    uv_timer_start(&f->timer, on_timer,
+                   (uint64_t)(f->deadline_ms > now ? f->deadline_ms - now : 1),
+                   0);
+    mg_channel_send(f->channel, mg_str_buf(&head), mg_http_body(f->call.http),
+                    mg_str_is(mg_http_method(f->call.http), "HEAD"));
+    mg_buf_free(&head);
+}
+
+static void
+on_open(mg_channel_user *u)
+{
+    send_request((mg_flow *)u);
+}
+
+void
+mg_flow_dispatch(mg_flow *f, mg_gw_target *t)
+{
+    bool sure = f->route->repeat == MG_REPEAT_NEVER;
+    mg_observe(MG_H_GRANT_WAIT, (now_of(f) - f->arrived_ms) * 1000);
+    f->target = t;
+    t->running++;
+    t->instance->users++;
+    f->channel = mg_gw_idle_channel(t, sure);
+    f->kept_channel = f->channel != NULL;
+    if (f->kept_channel) {
+        mg_channel_take(f->channel, &f->user);
+        send_request(f);
+        return;
+    }
+    f->state = MG_FLOW_CONNECTING;
+    int64_t left = f->deadline_ms - now_of(f);
+    uv_timer_start(&f->timer, on_timer,
+                   (uint64_t)(left < 1            ? 1
+                              : left < CONNECT_MS ? left
+                                                  : CONNECT_MS),
+                   0);
+    f->channel = mg_gw_new_channel(t, &f->user);
+}
+
+static void
+on_timer(uv_timer_t *t)
+{
+    mg_flow *f = t->data;
+    bool late = now_of(f) >= f->deadline_ms;
+    if (f->state == MG_FLOW_CONNECTING && !late) {
+        drop_channel(f);
+        on_end(&f->user, MG_CHANNEL_UNREACHED);
+        return;
+    }
+    drop_channel(f);
+    leave_target(f);
+    if (f->started || f->runs == 0) {
+        give_up(f, "deadline");
+    }
+    else {
+        refuse(f, 504, -1, "deadline");
+    }
+}
+
+/* ----------------------------------------------------------- admission */
+
+static void
+set_ticket(mg_flow *f)
+{
+    mg_ticket *t = &f->ticket;
+    const mg_call *c = &f->call;
+    t->id = ++f->gw->next_ticket;
+    t->tier = f->workspace != NULL && f->workspace->has_tier
+                  ? f->workspace->tier
+                  : f->route->tier;
+    if (t->tier >= MG_TIER_MAX) {
+        t->tier = MG_TIER_MAX - 1;
+    }
+    t->weight = 1;
+    t->prefill = c->prompt_tokens;
+    t->decode = c->output_hint   ? c->output_hint
+                : c->has_tokens ? c->output_tokens
+                                : DECODE_DEFAULT;
+    t->arrived_ms = f->arrived_ms;
+    t->deadline_ms = f->arrived_ms + f->route->goal_ms;
+    mg_str_copy(t->workspace, sizeof(t->workspace),
+                mg_str_of(f->workspace ? f->workspace->name : "-"));
+}
+
+static mg_gw_usage *
+usage_of(mg_gateway *gw, const mg_client_workspace *w)
+{
+    mg_gw_usage *u;
+    HASH_FIND_STR(gw->usage, w->name, u);
+    if (u == NULL) {
+        u = mg_alloc(sizeof(*u));
+        mg_str_copy(u->workspace, sizeof(u->workspace), mg_str_of(w->name));
+        HASH_ADD_STR(gw->usage, workspace, u);
+    }
+    return u;
+}
+
+/* 0, or the status of a refusal */
+static int
+check_workspace(mg_flow *f)
+{
+    const mg_routing *t = f->routing;
+    if (!t->has_workspaces || f->route->open_to_all) {
+        return 0;
+    }
+    f->workspace = mg_routing_workspace(t, f->call.key);
+    return f->workspace == NULL ? 401 : 0;
+}
+
+static bool
+take_quota(mg_flow *f)
+{
+    const mg_client_workspace *w = f->workspace;
+    if (w == NULL || w->rate <= 0) {
+        return true;
+    }
+    f->quota_cost = 1;
+    if (w->by_tokens) {
+        f->quota_cost = f->call.has_tokens ? (double)f->call.prompt_tokens +
+                                                 f->call.output_tokens
+                                           : w->plain_tokens;
+    }
+    mg_gw_usage *u = usage_of(f->gw, w);
+    mg_quota_set(&u->quota, w->rate, w->burst, now_of(f));
+    if (!mg_quota_take(&u->quota, f->quota_cost, now_of(f))) {
+        refuse(f, 429, mg_quota_wait_ms(&u->quota, now_of(f)), "quota");
+        return false;
+    }
+    f->usage = u;
+    return true;
+}
+
+static void
+set_deadline(mg_flow *f)
+{
+    int64_t ms = f->call.deadline_ms;
+    if (ms < 0 || (f->route->timeout_ms > 0 && f->route->timeout_ms < ms)) {
+        ms = f->route->timeout_ms;
+    }
+    ms = ms > 0 ? ms : DEADLINE_DEFAULT_MS;
+    f->deadline_ms =
+        f->arrived_ms + (ms > DEADLINE_MARGIN_MS ? ms - DEADLINE_MARGIN_MS : 1);
+}
+
+static void
+admit(mg_flow *f)
+{
+    mg_gateway *gw = f->gw;
+    if (gw->routing == NULL) {
+        refuse(f, 503, RETRY_AFTER_MS, "no_document");
+        return;
+    }
+    f->routing = mg_routing_ref(gw->routing);
+    f->route = mg_routing_find(f->routing, f->call.host,
+                               mg_http_path(f->call.http));
+    if (f->route == NULL) {
+        refuse(f, 404, -1, "no_route");
+        return;
+    }
+    int status = check_workspace(f);
+    if (status != 0) {
+        refuse(f, status, -1, "key");
+        return;
+    }
+    if (!take_quota(f)) {
+        return;
+    }
+    set_deadline(f);
+    set_ticket(f);
+    mg_service *s = mg_route_choose(f->route, mg_rng_unit(&gw->rng));
+    f->pool = mg_gw_pool_of(gw, s->name);
+    if (f->call.resumes) {
+        f->has_last = true;
+        f->last_id = f->call.resume_after;
+    }
+    wait_for_target(f);
+}
+
+void
+mg_flow_start(mg_gateway *gw, mg_http_req *r)
+{
+    mg_error err;
+    mg_flow *f = mg_alloc(sizeof(*f));
+    f->user = (mg_channel_user){on_open, on_head, on_data, on_end};
+    f->gw = gw;
+    f->call.http = r;
+    f->arrived_ms = now_of(f);
+    uv_timer_init(gw->opts.loop, &f->timer);
+    f->timer.data = f;
+    list_add_tail(&f->link, &gw->flows);
+    gw->open++;
+    mg_count(MG_C_REQUESTS, 1);
+    mg_http_on_gone(r, on_gone, f);
+    if (gw->opts.dialect->read_call(gw->opts.dialect, r, &f->call, &err) !=
+        MG_OK) {
+        refuse(f, 400, -1, err.text);
+        return;
+    }
+    admit(f);
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,299 @@
+#include "gateway/gateway.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "gateway/gateway_int.h"
+
+#define SWEEP_MS 500
+/* a report that is older counts no more, ms */
+#define REPORT_STALE_MS 2000
+
+/* --------------------------------------------------------------- pools */
+
+mg_gw_pool *
+mg_gw_pool_of(mg_gateway *gw, const char *service)
+{
+    mg_gw_pool *p;
+    HASH_FIND_STR(gw->pools, service, p);
+    if (p == NULL) {
+        p = mg_alloc(sizeof(*p));
+        mg_str_copy(p->service, sizeof(p->service), mg_str_of(service));
+        p->waiting = mg_tierq_new();
+        mg_budget_init(&p->budget, gw->opts.limits.retry_window_ms);
+        init_list_head(&p->link);
+        HASH_ADD_STR(gw->pools, service, p);
+    }
+    return p;
+}
+
+void
+mg_gw_pool_due(mg_gateway *gw, mg_gw_pool *p)
+{
+    if (!p->due) {
+        p->due = true;
+        list_add_tail(&p->link, &gw->due_pools);
+    }
+}
+
+void
+mg_gw_run_pool(mg_gateway *gw, mg_gw_pool *p)
+{
+    mg_ticket *ticket;
+    while ((ticket = mg_tierq_head(p->waiting)) != NULL) {
+        mg_flow *f = list_entry(ticket, mg_flow, ticket);
+        mg_gw_target *t = mg_gw_choose(gw, f);
+        if (t == NULL) {
+            return;
+        }
+        mg_tierq_serve(p->waiting, ticket);
+        mg_flow_dispatch(f, t);
+    }
+}
+
+void
+mg_gateway_turn(mg_gateway *gw)
+{
+    list_for_each_safe(el, el1, &gw->due_pools)
+    {
+        mg_gw_pool *p = list_entry(el, mg_gw_pool, link);
+        list_del(&p->link);
+        p->due = false;
+        mg_gw_run_pool(gw, p);
+    }
+}
+
+/* ------------------------------------------------------------- reports */
+
+static void
+report_target(void *user, mg_instance *i)
+{
+    const mg_gw_target *t = i->owner_data;
+    if (t == NULL || t->running == 0) {
+        return;
+    }
+    mg_msg m = {.type = MG_MSG_LOAD_TARGET};
+    m.u.load_target.id = mg_str_of(i->is.id);
+    m.u.load_target.running = t->running;
+    mg_msg_encode(&m, user);
+}
+
+void
+mg_gateway_report(mg_gateway *gw, mg_buf *loads)
+{
+    mg_registry_each(gw->opts.registry, report_target, loads);
+    for (mg_gw_usage *u = gw->usage; u != NULL; u = u->hh.next) {
+        mg_msg m = {.type = MG_MSG_LOAD_USAGE};
+        m.u.load_usage.workspace = mg_str_of(u->workspace);
+        m.u.load_usage.used = u->quota.used;
+        mg_msg_encode(&m, loads);
+    }
+}
+
+/* what a former report said a workspace had used, 0 when nothing */
+static uint64_t
+used_before(const mg_gw_peer *p, mg_str workspace)
+{
+    mg_msg m;
+    mg_str rest = mg_str_buf(&p->loads);
+    while (mg_msg_next(&rest, &m) == MG_OK) {
+        if (m.type == MG_MSG_LOAD_USAGE &&
+            mg_str_eq(m.u.load_usage.workspace, workspace)) {
+            return m.u.load_usage.used;
+        }
+    }
+    return 0;
+}
+
+static void
+drain_quota(mg_gateway *gw, const mg_gw_peer *p, const mg_load_usage_msg *l)
+{
+    char name[MG_NAME_SIZE];
+    mg_gw_usage *u;
+    uint64_t before = used_before(p, l->workspace);
+    mg_str_copy(name, sizeof(name), l->workspace);
+    HASH_FIND_STR(gw->usage, name, u);
+    if (u != NULL && l->used > before) {
+        mg_quota_drain(&u->quota, (double)(l->used - before),
+                       mg_now(gw->opts.clock));
+    }
+}
+
+/* adds (or takes away) what a report says of targets */
+static void
+count_targets(mg_gateway *gw, mg_str loads, double sign)
+{
+    char id[MG_NAME_SIZE];
+    mg_msg m;
+    while (mg_msg_next(&loads, &m) == MG_OK) {
+        if (m.type != MG_MSG_LOAD_TARGET) {
+            continue;
+        }
+        mg_str_copy(id, sizeof(id), m.u.load_target.id);
+        mg_instance *i = mg_registry_find(gw->opts.registry, id);
+        if (i == NULL) {
+            continue;
+        }
+        mg_gw_target *t = mg_gw_target_of(gw, i);
+        t->reported += sign * (double)m.u.load_target.running;
+        t->reported = t->reported > 0 ? t->reported : 0;
+    }
+}
+
+static mg_gw_peer *
+peer_of(mg_gateway *gw, const char *node)
+{
+    mg_gw_peer *p;
+    HASH_FIND_STR(gw->peers, node, p);
+    if (p == NULL) {
+        p = mg_alloc(sizeof(*p));
+        mg_str_copy(p->node, sizeof(p->node), mg_str_of(node));
+        HASH_ADD_STR(gw->peers, node, p);
+    }
+    return p;
+}
+
+static void
+all_due(mg_gateway *gw)
+{
+    for (mg_gw_pool *p = gw->pools; p != NULL; p = p->hh.next) {
+        if (mg_tierq_count(p->waiting) > 0) {
+            mg_gw_pool_due(gw, p);
+        }
+    }
+}
+
+void
+mg_gateway_take_report(mg_gateway *gw, const char *node, uint64_t incarnation,
+                       mg_str loads)
+{
+    mg_gw_peer *p = peer_of(gw, node);
+    mg_msg m;
+    count_targets(gw, mg_str_buf(&p->loads), -1);
+    if (p->incarnation != incarnation) {
+        p->incarnation = incarnation;
+        p->loads.n = 0;
+    }
+    mg_str rest = loads;
+    while (mg_msg_next(&rest, &m) == MG_OK) {
+        if (m.type == MG_MSG_LOAD_USAGE) {
+            drain_quota(gw, p, &m.u.load_usage);
+        }
+    }
+    p->loads.n = 0;
+    mg_buf_put(&p->loads, loads.p, loads.n);
+    p->heard_ms = mg_now(gw->opts.clock);
+    count_targets(gw, mg_str_buf(&p->loads), 1);
+    all_due(gw);
+}
+
+/* targets of a silent entry are no longer counted as busy with its work */
+static void
+drop_stale_reports(mg_gateway *gw)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    for (mg_gw_peer *p = gw->peers; p != NULL; p = p->hh.next) {
+        if (p->loads.n > 0 && now - p->heard_ms > REPORT_STALE_MS) {
+            count_targets(gw, mg_str_buf(&p->loads), -1);
+            p->incarnation = 0;
+            p->loads.n = 0;
+        }
+    }
+}
+
+/* ------------------------------------------------------------- gateway */
+
+mg_gateway *
+mg_gateway_new(const mg_gateway_options *opts)
+{
+    mg_gateway *gw = mg_alloc(sizeof(*gw));
+    gw->opts = *opts;
+    mg_str_copy(gw->domain, sizeof(gw->domain), mg_str_of(opts->domain));
+    mg_rng_init(&gw->rng, opts->seed);
+    init_list_head(&gw->flows);
+    init_list_head(&gw->due_pools);
+    gw->entries = 1;
+    return gw;
+}
+
+void
+mg_gateway_set_routing(mg_gateway *gw, mg_routing *t)
+{
+    mg_routing_unref(gw->routing);
+    gw->routing = t;
+    mg_log(MG_EV_CONFIG_APPLIED, "version=%" PRIu64 " routes=%u services=%u",
+           t->version, HASH_COUNT(t->routes), HASH_COUNT(t->services));
+    mg_count(MG_C_CONFIG_APPLIED, 1);
+}
+
+const mg_routing *
+mg_gateway_routing(const mg_gateway *gw)
+{
+    return gw->routing;
+}
+
+void
+mg_gateway_handle(mg_gateway *gw, mg_http_req *r)
+{
+    mg_flow_start(gw, r);
+}
+
+void
+mg_gateway_instance_changed(mg_gateway *gw, mg_instance *i)
+{
+    mg_gw_target *t = mg_gw_target_of(gw, i);
+    if (i->is.state == MG_INSTANCE_READY) {
+        mg_gw_target_served(t);
+        mg_gw_pool_due(gw, mg_gw_pool_of(gw, i->is.service));
+    }
+    else {
+        mg_gw_close_idle(t);
+    }
+}
+
+void
+mg_gateway_forget(mg_instance *i)
+{
+    mg_gw_target *t = i->owner_data;
+    i->owner_data = NULL;
+    if (t != NULL) {
+        mg_gw_close_idle(t);
+        free(t);
+    }
+}
+
+size_t
+mg_gateway_open(const mg_gateway *gw)
+{
+    return gw->open;
+}
+
+void
+mg_gateway_set_entries(mg_gateway *gw, size_t entries)
+{
+    gw->entries = entries > 0 ? entries : 1;
+}
+
+static void
+sweep_target(void *user, mg_instance *i)
+{
+    (void)user;
+    if (i->owner_data != NULL) {
+        mg_gw_close_idle(i->owner_data);
+    }
+}
+
+void
+mg_gateway_tick(mg_gateway *gw)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    all_due(gw);
+    if (now >= gw->sweep_at) {
+        gw->sweep_at = now + SWEEP_MS;
+        drop_stale_reports(gw);
+        mg_registry_each(gw->opts.registry, sweep_target, NULL);
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_int.h
@@ -0,0 +1,150 @@
+/*
+ * gateway_int - what the parts of a gateway share
+ *
+ * gateway.c: tables, reports and the pools; flow.c: one request from its
+ * admission to its end; targets.c: channels and what is known of a target.
+ */
+#ifndef MG_GATEWAY_INT_H
+#define MG_GATEWAY_INT_H
+
+#include "gateway/budget.h"
+#include "gateway/events.h"
+#include "gateway/gateway.h"
+#include "gateway/quota.h"
+#include "policy/tierq.h"
+#include "wire/channel.h"
+
+/* what a gateway knows of an instance */
+typedef struct mg_gw_target {
+    mg_gateway *gw;
+    mg_instance *instance;
+    struct list_head idle; /* channels, the last used one last */
+    unsigned channels;
+    uint32_t running; /* requests of this entry */
+    double reported;  /* requests of the other entries */
+    uint32_t failures; /* in a row */
+    int64_t avoid_until;
+    double first_ms; /* learned: to the first event, for each request */
+} mg_gw_target;
+
+/* requests for one service */
+typedef struct mg_gw_pool {
+    UT_hash_handle hh;
+    char service[MG_NAME_SIZE];
+    mg_tierq *waiting;
+    mg_budget budget;
+    bool due; /* is to be run at the end of this turn */
+    struct list_head link;
+} mg_gw_pool;
+
+typedef struct mg_gw_usage {
+    UT_hash_handle hh;
+    char workspace[MG_NAME_SIZE];
+    mg_quota quota;
+} mg_gw_usage;
+
+/* another entry's last report */
+typedef struct mg_gw_peer {
+    UT_hash_handle hh;
+    char node[MG_NAME_SIZE];
+    uint64_t incarnation;
+    int64_t heard_ms;
+    mg_buf loads;
+} mg_gw_peer;
+
+struct mg_gateway {
+    mg_gateway_options opts;
+    char domain[MG_NAME_SIZE];
+    mg_rng rng;
+    mg_routing *routing;
+    mg_gw_pool *pools;
+    struct list_head due_pools;
+    mg_gw_usage *usage;
+    mg_gw_peer *peers;
+    struct list_head flows;
+    size_t open;
+    size_t entries;
+    uint64_t next_ticket;
+    int64_t sweep_at;
+};
+
+typedef enum mg_flow_state {
+    MG_FLOW_WAITING,
+    MG_FLOW_CONNECTING,
+    MG_FLOW_SENT,      /* written to a target, no answer yet */
+    MG_FLOW_ANSWERING, /* the answer is coming in */
+    MG_FLOW_DONE,
+} mg_flow_state;
+
+typedef struct mg_flow {
+    mg_channel_user user; /* first: a channel gives it back */
+    struct list_head link;
+    mg_gateway *gw;
+    mg_call call;
+    mg_routing *routing;
+    const mg_route *route;
+    const mg_client_workspace *workspace;
+    mg_gw_usage *usage;
+    double quota_cost;
+    mg_gw_pool *pool;
+    mg_ticket ticket; /* first member of what the queue links */
+    mg_flow_state state;
+    mg_channel *channel;
+    mg_gw_target *target;
+    bool kept_channel;
+    uint32_t sends;    /* requests written to targets */
+    uint32_t runs;     /* of them, those that may have run */
+    uint32_t unreached;
+    int64_t arrived_ms;
+    int64_t deadline_ms;
+    int64_t sent_ms;
+    int64_t first_ms; /* of the first byte passed on */
+    int status;
+    bool not_run; /* as the present answer says */
+    bool streaming;
+    bool started; /* the caller has the head */
+    bool has_length;
+    mg_buf head; /* header lines for the caller */
+    mg_buf body;
+    mg_events events;
+    bool has_last;
+    uint64_t last_id;
+    uv_timer_t timer;
+} mg_flow;
+
+/* gateway.c */
+void
+mg_gw_run_pool(mg_gateway *gw, mg_gw_pool *p);
+mg_gw_pool *
+mg_gw_pool_of(mg_gateway *gw, const char *service);
+void
+mg_gw_pool_due(mg_gateway *gw, mg_gw_pool *p);
+
+/* flow.c */
+void
+mg_flow_start(mg_gateway *gw, mg_http_req *r);
+void
+mg_flow_dispatch(mg_flow *f, mg_gw_target *t);
+
+/* targets.c */
+mg_gw_target *
+mg_gw_target_of(mg_gateway *gw, mg_instance *i);
+mg_gw_target *
+mg_gw_choose(mg_gateway *gw, const mg_flow *f);
+/*
+ * An idle channel to the target, or NULL. sure: only one that is fit for a
+ * request that may not be repeated.
+ */
+mg_channel *
+mg_gw_idle_channel(mg_gw_target *t, bool sure);
+mg_channel *
+mg_gw_new_channel(mg_gw_target *t, mg_channel_user *u);
+void
+mg_gw_close_idle(mg_gw_target *t);
+/* How a request to the target ended, for the choice of later ones. */
+void
+mg_gw_target_failed(mg_gw_target *t);
+void
+mg_gw_target_served(mg_gw_target *t);
+
+#endif
--- /dev/null
+++ b/src/gateway/targets.c
@@ -0,0 +1,168 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/gateway_int.h"
+#include "gateway/pick.h"
+
+#define CANDIDATES_MAX 512
+/* used when the peer does not say how long it keeps an idle channel, ms */
+#define KEEP_DEFAULT_MS 4000
+/* left of the peer's time when a channel is no longer used, ms */
+#define KEEP_MARGIN_MS 700
+/* idle for longer, a channel is not trusted with a request that may not be
+   repeated, ms */
+#define SURE_IDLE_MS 1500
+/* a failing target is avoided for so long, doubled with each failure, ms */
+#define AVOID_FIRST_MS 250
+#define AVOID_MAX_MS 4000
+#define AVOID_DOUBLINGS 4
+#define SLOTS_DEFAULT 4
+
+mg_gw_target *
+mg_gw_target_of(mg_gateway *gw, mg_instance *i)
+{
+    mg_gw_target *t = i->owner_data;
+    if (t == NULL) {
+        t = mg_alloc(sizeof(*t));
+        t->gw = gw;
+        t->instance = i;
+        init_list_head(&t->idle);
+        i->owner_data = t;
+    }
+    return t;
+}
+
+static bool
+is_doubtful(const mg_gw_target *t, int64_t now)
+{
+    return now < t->avoid_until || mg_instance_is_silent(t->instance, now);
+}
+
+static mg_candidate
+candidate_of(mg_gw_target *t, int64_t now)
+{
+    const mg_announcement *is = &t->instance->is;
+    return (mg_candidate){
+        .slots = is->slots > 0 ? is->slots : SLOTS_DEFAULT,
+        .running = t->running + t->reported,
+        .pace = is->cold_ms > 0 ? 1.5 : 1.0,
+        .near = strcmp(is->domain, t->gw->domain) == 0,
+        .doubtful = is_doubtful(t, now),
+    };
+}
+
+mg_gw_target *
+mg_gw_choose(mg_gateway *gw, const mg_flow *f)
+{
+    static mg_candidate candidates[CANDIDATES_MAX];
+    static mg_gw_target *targets[CANDIDATES_MAX];
+    mg_instance_group *g =
+        mg_registry_service(gw->opts.registry, f->pool->service);
+    int64_t now = mg_now(gw->opts.clock);
+    size_t n = 0;
+    if (g == NULL) {
+        return NULL;
+    }
+    list_for_each(el, &g->instances)
+    {
+        mg_instance *i = list_entry(el, mg_instance, link);
+        if (i->is.state != MG_INSTANCE_READY || n == CANDIDATES_MAX) {
+            continue;
+        }
+        targets[n] = mg_gw_target_of(gw, i);
+        candidates[n] = candidate_of(targets[n], now);
+        n++;
+    }
+    int at = mg_pick(candidates, n, mg_rng_unit(&gw->rng));
+    return at < 0 ? NULL : targets[at];
+}
+
+/* ------------------------------------------------------------- channels */
+
+static void
+on_channel_gone(void *owner, mg_channel *c)
+{
+    mg_gw_target *t = owner;
+    t->channels--;
+    list_del(mg_channel_link(c));
+}
+
+static void
+on_channel_idle(void *owner, mg_channel *c)
+{
+    mg_gw_target *t = owner;
+    list_add_tail(mg_channel_link(c), &t->idle);
+}
+
+static bool
+is_usable(const mg_channel *c, bool sure)
+{
+    int64_t keep = mg_channel_keep_ms(c);
+    int64_t idle = mg_channel_idle_ms(c);
+    keep = (keep < 0 ? KEEP_DEFAULT_MS : keep) - KEEP_MARGIN_MS;
+    if (sure && keep > SURE_IDLE_MS) {
+        keep = SURE_IDLE_MS;
+    }
+    return idle < keep;
+}
+
+mg_channel *
+mg_gw_idle_channel(mg_gw_target *t, bool sure)
+{
+    if (list_empty(&t->idle)) {
+        return NULL;
+    }
+    mg_channel *c = mg_channel_of_link(t->idle.prev);
+    if (!is_usable(c, sure)) {
+        return NULL;
+    }
+    list_del(mg_channel_link(c));
+    return c;
+}
+
+void
+mg_gw_close_idle(mg_gw_target *t)
+{
+    bool over = t->instance->is.state != MG_INSTANCE_READY;
+    list_for_each_safe(el, el1, &t->idle)
+    {
+        mg_channel *c = mg_channel_of_link(el);
+        if (over || !is_usable(c, false)) {
+            mg_channel_close(c);
+        }
+    }
+}
+
+mg_channel *
+mg_gw_new_channel(mg_gw_target *t, mg_channel_user *u)
+{
+    mg_channel_options opts = {
+        .loop = t->gw->opts.loop,
+        .on_gone = on_channel_gone,
+        .on_idle = on_channel_idle,
+        .owner = t,
+    };
+    /* announcements with another address are refused */
+    mg_rc rc = mg_addr_parse(t->instance->is.addr, &opts.addr);
+    MG_INVARIANT(rc == MG_OK);
+    t->channels++;
+    return mg_channel_new(&opts, u);
+}
+
+void
+mg_gw_target_failed(mg_gw_target *t)
+{
+    unsigned doublings =
+        t->failures < AVOID_DOUBLINGS ? t->failures : AVOID_DOUBLINGS;
+    int64_t ms = (int64_t)AVOID_FIRST_MS << doublings;
+    t->failures++;
+    ms = ms < AVOID_MAX_MS ? ms : AVOID_MAX_MS;
+    t->avoid_until = mg_now(t->gw->opts.clock) + ms;
+}
+
+void
+mg_gw_target_served(mg_gw_target *t)
+{
+    t->failures = 0;
+    t->avoid_until = 0;
+}
--- /dev/null
+++ b/src/group/group.c
@@ -0,0 +1,588 @@
+#include "group/group.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "base/list.h"
+#include "control/raft.h"
+#include "control/state.h"
+#include "control/store.h"
+#include "group/group_client.h"
+#include "wire/link.h"
+
+#define TICK_MS 20
+#define CLAIMS_MAX 1024
+/* a log longer than this is replaced by a snapshot, entries */
+#define SNAPSHOT_ENTRIES 64
+/* records in one answer, bytes; one more record may follow */
+#define CHANGES_MAX_BYTES (256u << 10)
+/* after a failure of the data folder, before it is opened again */
+#define REOPEN_MS 500
+
+/* a proposed command that waits to be applied */
+struct proposal {
+    UT_hash_handle hh;
+    uint64_t index;
+    uint64_t term;
+    char peer[MG_NAME_SIZE];
+    uint64_t seq;
+};
+
+/* a question that waits: for records, or for a round of the log */
+struct question {
+    struct list_head link;
+    char peer[MG_NAME_SIZE];
+    uint64_t seq;
+    uint64_t rev;
+    uint64_t round;
+    int64_t until;
+};
+
+struct mg_group {
+    mg_raft_host host; /* first: raft gives it back */
+    pthread_t thread;
+    uv_loop_t loop;
+    uv_timer_t timer;
+    uv_async_t stop;
+    mg_clock *clock;
+    char node[MG_NAME_SIZE];
+    char key[MG_NAME_SIZE];
+    char link_addr[MG_ADDR_SIZE];
+    char data_dir[MG_TEXT_SIZE];
+    char seeds[MG_GROUP_SEEDS_MAX][MG_NAME_SIZE];
+    unsigned seed_count;
+    unsigned id;
+    uint16_t link_port;
+    bool new_group;
+    mg_net *net;
+    mg_raft *raft; /* NULL while the data folder can't be used */
+    mg_store *store;
+    mg_state *state;
+    struct proposal *proposals;
+    struct list_head pulls;
+    struct list_head confirms;
+    uint64_t open_round; /* round of this turn's questions, 0 for none */
+    int64_t reopen_at;
+    bool failed;
+};
+
+/* ---------------------------------------------------------- raft's host */
+
+static mg_group *
+group_of(mg_raft_host *h)
+{
+    return (mg_group *)h;
+}
+
+static void
+host_send(mg_raft_host *h, unsigned to, const mg_msg *m)
+{
+    mg_net_send(group_of(h)->net, group_of(h)->seeds[to - 1], m);
+}
+
+static mg_rc
+host_save_meta(mg_raft_host *h, const mg_raft_meta *meta)
+{
+    return mg_store_save_meta(group_of(h)->store, meta);
+}
+
+static mg_rc
+host_append(mg_raft_host *h, const mg_raft_entry *e)
+{
+    mg_count(MG_C_RAFT_ENTRIES, 1);
+    return mg_store_append(group_of(h)->store, e);
+}
+
+static mg_rc
+host_truncate(mg_raft_host *h, uint64_t index)
+{
+    return mg_store_truncate(group_of(h)->store, index);
+}
+
+static mg_rc
+host_sync(mg_raft_host *h)
+{
+    uint64_t start = uv_hrtime();
+    mg_rc rc = mg_store_sync(group_of(h)->store);
+    mg_observe(MG_H_SYNC_TIME, (int64_t)((uv_hrtime() - start) / 1000));
+    mg_count(MG_C_RAFT_SYNCS, 1);
+    return rc;
+}
+
+static mg_rc
+host_save_snapshot(mg_raft_host *h, uint64_t index, uint64_t term, mg_str data)
+{
+    mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64 " bytes=%zu",
+           index, term, data.n);
+    return mg_store_save_snapshot(group_of(h)->store, index, term, data);
+}
+
+static void
+finish_proposal(mg_group *g, struct proposal *p, const mg_apply_reply *reply)
+{
+    mg_msg m = {.type = MG_MSG_PROPOSED};
+    m.u.proposed.seq = p->seq;
+    m.u.proposed.rc = reply->rc;
+    m.u.proposed.rev = reply->rev;
+    m.u.proposed.why = mg_str_of(reply->text);
+    mg_net_send(g->net, p->peer, &m);
+    HASH_DEL(g->proposals, p);
+    free(p);
+}
+
+static void
+host_apply(mg_raft_host *h, const mg_raft_entry *e)
+{
+    mg_group *g = group_of(h);
+    mg_apply_reply reply;
+    struct proposal *p;
+    mg_state_apply(g->state, e->data, &reply);
+    HASH_FIND(hh, g->proposals, &e->index, sizeof(e->index), p);
+    if (p == NULL) {
+        return;
+    }
+    if (p->term != e->term) {
+        reply = (mg_apply_reply){.rc = MG_E_NO_LEADER};
+    }
+    finish_proposal(g, p, &reply);
+}
+
+static void
+host_restore(mg_raft_host *h, mg_str data)
+{
+    mg_rc rc = mg_state_load(group_of(h)->state, data);
+    MG_INVARIANT(rc == MG_OK);
+}
+
+static const char *
+leader_name(const mg_group *g)
+{
+    unsigned leader = g->raft ? mg_raft_leader(g->raft) : 0;
+    return leader ? g->seeds[leader - 1] : "";
+}
+
+static void
+drop_questions(mg_group *g, struct list_head *questions)
+{
+    (void)g;
+    list_for_each_safe(el, el1, questions)
+    {
+        list_del(el);
+        free(list_entry(el, struct question, link));
+    }
+}
+
+static void
+drop_leadership(mg_group *g)
+{
+    mg_apply_reply reply = {.rc = MG_E_NO_LEADER};
+    struct proposal *p;
+    struct proposal *p1;
+    HASH_ITER(hh, g->proposals, p, p1)
+    {
+        finish_proposal(g, p, &reply);
+    }
+    drop_questions(g, &g->confirms);
+    g->open_round = 0;
+}
+
+static void
+host_role_changed(mg_raft_host *h, mg_raft_role role, uint64_t term)
+{
+    static const char *const names[] = {"follower", "pre_candidate",
+                                        "candidate", "leader"};
+    mg_log(MG_EV_RAFT_ROLE, "role=%s term=%" PRIu64, names[role], term);
+    if (role == MG_RAFT_LEADER) {
+        mg_count(MG_C_RAFT_ELECTIONS, 1);
+    }
+    else {
+        drop_leadership(group_of(h));
+    }
+}
+
+static void
+host_failed(mg_raft_host *h, mg_rc rc)
+{
+    mg_group *g = group_of(h);
+    mg_log(MG_EV_STORE_FAILED, "dir=%s rc=%s", g->data_dir, mg_rc_name(rc));
+    g->failed = true;
+    g->reopen_at = mg_now(g->clock) + REOPEN_MS;
+}
+
+/* ------------------------------------------------------------ questions */
+
+static struct question *
+add_question(struct list_head *to, const char *peer, uint64_t seq)
+{
+    struct question *q = mg_alloc(sizeof(*q));
+    mg_str_copy(q->peer, sizeof(q->peer), mg_str_of(peer));
+    q->seq = seq;
+    list_add_tail(&q->link, to);
+    return q;
+}
+
+static void
+reply_not_leader(mg_group *g, const char *peer, uint64_t seq)
+{
+    mg_msg m = {.type = MG_MSG_NOT_LEADER};
+    m.u.not_leader.seq = seq;
+    m.u.not_leader.leader = mg_str_of(leader_name(g));
+    mg_net_send(g->net, peer, &m);
+}
+
+static void
+on_propose(mg_group *g, const char *peer, const mg_propose_msg *q)
+{
+    mg_msg m;
+    struct proposal *p;
+    if (mg_msg_decode(q->command, &m) != MG_OK ||
+        (m.type != MG_MSG_CMD_DOCUMENT && m.type != MG_MSG_CMD_PUT)) {
+        mg_log(MG_EV_BAD_INPUT, "peer=%s what=command", peer);
+        mg_count(MG_C_BAD_INPUT, 1);
+        return;
+    }
+    p = mg_alloc(sizeof(*p));
+    p->seq = q->seq;
+    mg_str_copy(p->peer, sizeof(p->peer), mg_str_of(peer));
+    if (!mg_raft_ready(g->raft) ||
+        mg_raft_propose(g->raft, q->command, &p->index, &p->term) != MG_OK) {
+        reply_not_leader(g, peer, q->seq);
+        free(p);
+        return;
+    }
+    HASH_ADD(hh, g->proposals, index, sizeof(p->index), p);
+}
+
+static void
+on_confirm(mg_group *g, const char *peer, uint64_t seq)
+{
+    if (!mg_raft_ready(g->raft)) {
+        reply_not_leader(g, peer, seq);
+        return;
+    }
+    if (g->open_round == 0) {
+        g->open_round = mg_raft_start_round(g->raft);
+    }
+    struct question *q = add_question(&g->confirms, peer, seq);
+    q->round = g->open_round;
+    q->rev = mg_state_rev(g->state);
+}
+
+static void
+answer_confirms(mg_group *g)
+{
+    uint64_t confirmed = mg_raft_confirmed_round(g->raft);
+    list_for_each_safe(el, el1, &g->confirms)
+    {
+        struct question *q = list_entry(el, struct question, link);
+        if (q->round > confirmed) {
+            break;
+        }
+        mg_msg m = {.type = MG_MSG_CONFIRM_REP};
+        m.u.confirm_rep.seq = q->seq;
+        m.u.confirm_rep.rc = MG_OK;
+        m.u.confirm_rep.rev = q->rev;
+        mg_net_send(g->net, q->peer, &m);
+        list_del(&q->link);
+        free(q);
+    }
+}
+
+static void
+answer_pull(mg_group *g, const struct question *q)
+{
+    mg_buf records = {0};
+    mg_msg m = {.type = MG_MSG_PULL_REP};
+    m.u.pull_rep.seq = q->seq;
+    m.u.pull_rep.rev =
+        mg_state_changes(g->state, q->rev, CHANGES_MAX_BYTES, &records);
+    m.u.pull_rep.partial = m.u.pull_rep.rev < mg_state_rev(g->state);
+    m.u.pull_rep.leader = mg_str_of(leader_name(g));
+    m.u.pull_rep.records = mg_str_buf(&records);
+    mg_net_send(g->net, q->peer, &m);
+    mg_buf_free(&records);
+}
+
+static void
+answer_pulls(mg_group *g)
+{
+    int64_t now = mg_now(g->clock);
+    uint64_t rev = mg_state_rev(g->state);
+    list_for_each_safe(el, el1, &g->pulls)
+    {
+        struct question *q = list_entry(el, struct question, link);
+        if (q->rev < rev || now >= q->until) {
+            answer_pull(g, q);
+            list_del(&q->link);
+            free(q);
+        }
+    }
+}
+
+static unsigned
+member_of(const mg_group *g, const char *peer)
+{
+    for (unsigned i = 0; i < g->seed_count; i++) {
+        if (strcmp(g->seeds[i], peer) == 0) {
+            return i + 1;
+        }
+    }
+    return 0;
+}
+
+static void
+on_message(void *user, const char *peer, const mg_msg *m)
+{
+    mg_group *g = user;
+    struct question *q;
+    if (g->raft == NULL) {
+        return;
+    }
+    switch (m->type) {
+    case MG_MSG_VOTE_REQ:
+    case MG_MSG_VOTE_REP:
+    case MG_MSG_APPEND:
+    case MG_MSG_APPEND_REP:
+    case MG_MSG_SNAPSHOT:
+        mg_raft_receive(g->raft, member_of(g, peer), m);
+        break;
+    case MG_MSG_PULL:
+        q = add_question(&g->pulls, peer, m->u.pull.seq);
+        q->rev = m->u.pull.rev;
+        q->until = mg_now(g->clock) + (int64_t)m->u.pull.wait_ms;
+        break;
+    case MG_MSG_PROPOSE:
+        on_propose(g, peer, &m->u.propose);
+        break;
+    case MG_MSG_CONFIRM:
+        on_confirm(g, peer, m->u.confirm.seq);
+        break;
+    default:
+        mg_log(MG_EV_BAD_INPUT, "peer=%s what=%s", peer, mg_msg_name(m->type));
+        mg_count(MG_C_BAD_INPUT, 1);
+    }
+}
+
+/* ----------------------------------------------------------- the thread */
+
+static void
+close_log(mg_group *g)
+{
+    drop_leadership(g);
+    drop_questions(g, &g->pulls);
+    mg_raft_free(g->raft);
+    mg_store_close(g->store);
+    if (g->state != NULL) {
+        mg_state_free(g->state);
+    }
+    g->raft = NULL;
+    g->store = NULL;
+    g->state = NULL;
+}
+
+static mg_rc
+open_log(mg_group *g, mg_error *err)
+{
+    mg_store_image image;
+    mg_rc rc =
+        mg_store_open(&g->store, g->data_dir, g->new_group, &image, err);
+    if (rc != MG_OK) {
+        g->store = NULL;
+        return rc;
+    }
+    if (image.torn) {
+        mg_log(MG_EV_STORE_TORN, "dir=%s entries=%zu", g->data_dir,
+               image.entry_count);
+    }
+    if (!image.meta.voter) {
+        mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
+    }
+    g->state = mg_state_new(CLAIMS_MAX);
+    g->raft = mg_raft_new(&(mg_raft_options){
+        .id = g->id,
+        .members = g->seed_count,
+        .host = &g->host,
+        .clock = g->clock,
+        .seed = mg_random_id(),
+        .meta = image.meta,
+        .snapshot_index = image.snapshot_index,
+        .snapshot_term = image.snapshot_term,
+        .snapshot = mg_str_buf(&image.snapshot),
+        .entries = image.entries,
+        .entry_count = image.entry_count,
+    });
+    mg_store_image_free(&image);
+    return MG_OK;
+}
+
+static void
+reopen_log(mg_group *g)
+{
+    mg_error err;
+    if (mg_now(g->clock) < g->reopen_at) {
+        return;
+    }
+    g->failed = false;
+    if (open_log(g, &err) != MG_OK) {
+        mg_log(MG_EV_STORE_FAILED, "dir=%s why=%s", g->data_dir, err.text);
+        g->reopen_at = mg_now(g->clock) + REOPEN_MS;
+    }
+}
+
+static void
+on_turn(void *user)
+{
+    mg_group *g = user;
+    if (g->raft == NULL) {
+        return;
+    }
+    mg_raft_flush(g->raft);
+    if (g->failed) {
+        close_log(g);
+        return;
+    }
+    g->open_round = 0;
+    if (!list_empty(&g->confirms)) {
+        answer_confirms(g);
+    }
+    if (!list_empty(&g->pulls)) {
+        answer_pulls(g);
+    }
+}
+
+static void
+compact_if_long(mg_group *g)
+{
+    if (mg_raft_log_length(g->raft) < SNAPSHOT_ENTRIES) {
+        return;
+    }
+    mg_buf data = {0};
+    mg_state_save(g->state, &data);
+    mg_raft_compact(g->raft, mg_str_buf(&data));
+    mg_buf_free(&data);
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    mg_group *g = t->data;
+    if (g->raft == NULL) {
+        reopen_log(g);
+        return;
+    }
+    mg_raft_tick(g->raft);
+    compact_if_long(g);
+    if (g->failed) {
+        close_log(g);
+    }
+}
+
+static void
+on_stop(uv_async_t *a)
+{
+    mg_group *g = a->data;
+    mg_net_close(g->net);
+    uv_close((uv_handle_t *)&g->timer, NULL);
+    uv_close((uv_handle_t *)&g->stop, NULL);
+}
+
+static void *
+run_thread(void *arg)
+{
+    mg_group *g = arg;
+    uv_run(&g->loop, UV_RUN_DEFAULT);
+    close_log(g);
+    uv_loop_close(&g->loop);
+    return NULL;
+}
+
+static mg_rc
+open_links(mg_group *g, const mg_group_options *opts, mg_error *err)
+{
+    mg_rc rc = mg_net_open(&g->net,
+                           &(mg_net_options){
+                               .loop = &g->loop,
+                               .clock = g->clock,
+                               .node = g->node,
+                               .key = g->key,
+                               .listen_addr = g->link_addr,
+                               .incarnation = mg_random_id(),
+                               .on_message = on_message,
+                               .on_turn = on_turn,
+                               .user = g,
+                           },
+                           err);
+    if (rc != MG_OK) {
+        return rc;
+    }
+    for (unsigned i = 0; i < g->seed_count; i++) {
+        char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+        if (i + 1 == g->id) {
+            continue;
+        }
+        snprintf(addr, sizeof(addr), "%s:%u", opts->seeds[i], g->link_port);
+        mg_net_dial(g->net, g->seeds[i], addr);
+    }
+    return MG_OK;
+}
+
+mg_rc
+mg_group_start(mg_group **out, const mg_group_options *opts, mg_error *err)
+{
+    mg_group *g = mg_alloc(sizeof(*g));
+    mg_rc rc;
+    g->host = (mg_raft_host){
+        host_send,         host_save_meta,     host_append, host_truncate,
+        host_sync,         host_save_snapshot, host_apply,  host_restore,
+        host_role_changed, host_failed,
+    };
+    g->clock = mg_system_clock();
+    mg_group_peer_name(g->node, opts->node);
+    mg_str_copy(g->key, sizeof(g->key), mg_str_of(opts->key));
+    mg_str_copy(g->link_addr, sizeof(g->link_addr),
+                mg_str_of(opts->link_addr));
+    mg_str_copy(g->data_dir, sizeof(g->data_dir), mg_str_of(opts->data_dir));
+    g->link_port = opts->link_port;
+    g->new_group = opts->new_group;
+    for (size_t i = 0; i < opts->seed_count && i < MG_GROUP_SEEDS_MAX; i++) {
+        mg_group_peer_name(g->seeds[i], opts->seeds[i]);
+        g->seed_count++;
+    }
+    g->id = member_of(g, g->node);
+    if (g->id == 0) {
+        free(g);
+        return mg_fail(err, MG_E_INPUT, "%s is no voter", opts->node);
+    }
+    init_list_head(&g->pulls);
+    init_list_head(&g->confirms);
+    uv_loop_init(&g->loop);
+    uv_async_init(&g->loop, &g->stop, on_stop);
+    g->stop.data = g;
+    uv_timer_init(&g->loop, &g->timer);
+    g->timer.data = g;
+    rc = open_links(g, opts, err);
+    if (rc != MG_OK) {
+        return rc;
+    }
+    uv_timer_start(&g->timer, on_tick, 0, TICK_MS);
+    if (pthread_create(&g->thread, NULL, run_thread, g) != 0) {
+        return mg_fail(err, MG_E_IO, "no thread for the group");
+    }
+    *out = g;
+    return MG_OK;
+}
+
+void
+mg_group_stop(mg_group *g)
+{
+    uv_async_send(&g->stop);
+    pthread_join(g->thread, NULL);
+    free(g);
+}
--- /dev/null
+++ b/src/group/group.h
@@ -0,0 +1,44 @@
+/*
+ * group - a voter of the replicated log, in a thread of its own
+ *
+ * The thread owns the log, the data folder, the state machine and its links,
+ * so that a disk that stalls holds up nothing else. Nodes talk to it over
+ * links only, also the node of the same process:
+ *   PULL     records changed since a revision; answered when there are some,
+ *            or when wait_ms is over
+ *   PROPOSE  a command for the log; PROPOSED when it was applied, NOT_LEADER
+ *            elsewhere than at the leader
+ *   CONFIRM  the revision up to which a read is current: answered by a
+ *            leader that a majority has confirmed after the question came
+ *
+ * Members name each other by IP address; the voters of a new group are the
+ * seeds.
+ */
+#ifndef MG_GROUP_H
+#define MG_GROUP_H
+
+#include "base/check.h"
+
+#define MG_GROUP_SEEDS_MAX 7
+
+typedef struct mg_group mg_group;
+
+typedef struct mg_group_options {
+    const char *node;      /* own IP address */
+    const char *key;       /* of the links */
+    const char *link_addr; /* IP:PORT to listen on */
+    const char *data_dir;
+    const char (*seeds)[MG_NAME_SIZE]; /* IP addresses of the voters */
+    size_t seed_count;
+    uint16_t link_port; /* of every voter */
+    bool new_group;     /* this folder's first start, with all the others */
+} mg_group_options;
+
+/* MG_E_INPUT when the node is not among the seeds. */
+mg_rc
+mg_group_start(mg_group **out, const mg_group_options *opts, mg_error *err);
+/* Ends the thread and waits for it. */
+void
+mg_group_stop(mg_group *g);
+
+#endif
--- /dev/null
+++ b/src/node/mesh.c
@@ -0,0 +1,432 @@
+#include "node/mesh.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+
+/* a node says that it is there, ms */
+#define HELLO_MS 500
+/* a node that no hub has heard for so long is not live, ms */
+#define LIVE_MS 2500
+/* announcements without news and reports are passed on together, ms */
+#define BATCH_MS 150
+
+struct mg_mesh {
+    mg_mesh_options opts;
+    mg_mesh_node self;
+    char hubs[MG_MESH_HUBS_MAX][MG_NAME_SIZE];
+    size_t hub_count;
+    bool is_hub;
+    mg_mesh_node *nodes; /* others */
+    int64_t hello_at;
+    int64_t batch_at;
+    uint64_t report_seq;
+    mg_buf instances; /* of a hub: to be passed on */
+    mg_buf reports;
+    mg_buf news; /* NODE messages */
+};
+
+mg_mesh *
+mg_mesh_new(const mg_mesh_options *opts)
+{
+    mg_mesh *m = mg_alloc(sizeof(*m));
+    m->opts = *opts;
+    mg_mesh_node *s = &m->self;
+    mg_str_copy(s->node, sizeof(s->node), mg_str_of(opts->node));
+    mg_str_copy(s->front_addr, sizeof(s->front_addr),
+                mg_str_of(opts->front_addr));
+    mg_str_copy(s->domain, sizeof(s->domain), mg_str_of(opts->domain));
+    mg_str_copy(s->region, sizeof(s->region), mg_str_of(opts->region));
+    s->incarnation = opts->incarnation;
+    s->disk = opts->disk;
+    s->live = true;
+    return m;
+}
+
+void
+mg_mesh_add_hub(mg_mesh *m, const char *ip, uint16_t port)
+{
+    char addr[MG_ADDR_SIZE];
+    if (strcmp(ip, m->self.node) == 0) {
+        m->is_hub = true;
+        return;
+    }
+    if (m->hub_count == MG_MESH_HUBS_MAX) {
+        return;
+    }
+    mg_str_copy(m->hubs[m->hub_count++], MG_NAME_SIZE, mg_str_of(ip));
+    snprintf(addr, sizeof(addr), "%s:%u", ip, port);
+    mg_net_dial(m->opts.net, ip, addr);
+}
+
+static void
+send_to_hubs(mg_mesh *m, const mg_msg *msg)
+{
+    for (size_t i = 0; i < m->hub_count; i++) {
+        mg_net_send(m->opts.net, m->hubs[i], msg);
+    }
+}
+
+/* of a hub: to every node that has a link here */
+static void
+send_to_nodes(mg_mesh *m, const mg_msg *msg)
+{
+    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
+        mg_net_send(m->opts.net, n->node, msg);
+    }
+}
+
+/* --------------------------------------------------------------- nodes */
+
+static mg_msg
+node_msg(const mg_mesh_node *n)
+{
+    mg_msg m = {.type = MG_MSG_NODE};
+    m.u.node.node = mg_str_of(n->node);
+    m.u.node.front_addr = mg_str_of(n->front_addr);
+    m.u.node.domain = mg_str_of(n->domain);
+    m.u.node.region = mg_str_of(n->region);
+    m.u.node.incarnation = n->incarnation;
+    m.u.node.seq = n->seq;
+    m.u.node.ready = n->ready;
+    m.u.node.disk = n->disk;
+    return m;
+}
+
+static mg_mesh_node *
+find_node(const mg_mesh *m, const char *node)
+{
+    mg_mesh_node *n;
+    HASH_FIND_STR(m->nodes, node, n);
+    return n;
+}
+
+/* whether this says more than is known */
+static bool
+take_node(mg_mesh *m, const mg_node_msg *q)
+{
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), q->node);
+    if (name[0] == '\0' || strcmp(name, m->self.node) == 0) {
+        return false;
+    }
+    mg_mesh_node *n = find_node(m, name);
+    if (n == NULL) {
+        n = mg_alloc(sizeof(*n));
+        mg_str_copy(n->node, sizeof(n->node), q->node);
+        HASH_ADD_STR(m->nodes, node, n);
+    }
+    else if (n->incarnation == q->incarnation && q->seq <= n->seq) {
+        return false;
+    }
+    bool was_ready = n->live && n->ready;
+    mg_str_copy(n->front_addr, sizeof(n->front_addr), q->front_addr);
+    mg_str_copy(n->domain, sizeof(n->domain), q->domain);
+    mg_str_copy(n->region, sizeof(n->region), q->region);
+    n->incarnation = q->incarnation;
+    n->seq = q->seq;
+    n->ready = q->ready;
+    n->disk = q->disk;
+    n->live = true;
+    n->heard_ms = mg_now(m->opts.clock);
+    if (was_ready != n->ready) {
+        mg_log(n->ready ? MG_EV_NODE_UP : MG_EV_NODE_DOWN,
+               "node=%s ready=%d seq=%llu why=told", n->node, n->ready,
+               (unsigned long long)n->seq);
+    }
+    return true;
+}
+
+static void
+pass_node(mg_mesh *m, const mg_msg *msg)
+{
+    if (take_node(m, &msg->u.node) && m->is_hub) {
+        mg_msg_encode(msg, &m->news);
+    }
+}
+
+static void
+expire_nodes(mg_mesh *m, int64_t now)
+{
+    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
+        if (n->live && now - n->heard_ms > LIVE_MS) {
+            n->live = false;
+            mg_log(MG_EV_NODE_DOWN, "node=%s ready=%d why=silent age_ms=%lld",
+                   n->node, n->ready, (long long)(now - n->heard_ms));
+        }
+    }
+}
+
+static void
+say_hello(mg_mesh *m)
+{
+    m->self.seq++;
+    m->hello_at = mg_now(m->opts.clock) + HELLO_MS;
+    mg_msg msg = node_msg(&m->self);
+    send_to_hubs(m, &msg);
+    if (m->is_hub) {
+        mg_msg_encode(&msg, &m->news);
+    }
+}
+
+void
+mg_mesh_set_ready(mg_mesh *m, bool ready)
+{
+    if (m->self.ready != ready) {
+        m->self.ready = ready;
+        say_hello(m);
+    }
+}
+
+/* ----------------------------------------------------------- instances */
+
+static mg_msg
+instance_msg(const mg_announcement *a)
+{
+    mg_msg m = {.type = MG_MSG_INSTANCE};
+    mg_announcement_to_msg(a, &m.u.instance);
+    return m;
+}
+
+/* news at once, signs of life in batches */
+static void
+pass_instance(mg_mesh *m, const mg_announcement *a, mg_announce_result result)
+{
+    if (!m->is_hub || result == MG_ANNOUNCE_STALE) {
+        return;
+    }
+    mg_msg msg = instance_msg(a);
+    if (result == MG_ANNOUNCE_ALIVE) {
+        mg_msg_encode(&msg, &m->instances);
+    }
+    else {
+        send_to_nodes(m, &msg);
+    }
+}
+
+static void
+take_instance(mg_mesh *m, const mg_instance_msg *q)
+{
+    mg_announcement a;
+    if (mg_announcement_of_msg(q, &a) != MG_OK) {
+        mg_log(MG_EV_BAD_INPUT, "what=instance");
+        return;
+    }
+    pass_instance(m, &a, m->opts.on_instance(m->opts.user, &a));
+}
+
+void
+mg_mesh_announce(mg_mesh *m, const mg_announcement *a,
+                 mg_announce_result result)
+{
+    if (result == MG_ANNOUNCE_STALE) {
+        return;
+    }
+    mg_msg msg = instance_msg(a);
+    send_to_hubs(m, &msg);
+    pass_instance(m, a, result);
+}
+
+/* ------------------------------------------------------------- reports */
+
+static void
+take_report(mg_mesh *m, const mg_msg *msg, bool pass_on)
+{
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), msg->u.report.node);
+    mg_mesh_node *n = find_node(m, name);
+    if (n == NULL || (n->report_incarnation == msg->u.report.incarnation &&
+                      n->report_seq >= msg->u.report.seq)) {
+        return;
+    }
+    n->report_incarnation = msg->u.report.incarnation;
+    n->report_seq = msg->u.report.seq;
+    m->opts.on_report(m->opts.user, name, msg->u.report.incarnation,
+                      msg->u.report.loads);
+    if (pass_on && m->is_hub) {
+        mg_msg_encode(msg, &m->reports);
+    }
+}
+
+void
+mg_mesh_report(mg_mesh *m, mg_str loads)
+{
+    mg_msg msg = {.type = MG_MSG_REPORT};
+    msg.u.report.node = mg_str_of(m->self.node);
+    msg.u.report.incarnation = m->self.incarnation;
+    msg.u.report.seq = ++m->report_seq;
+    msg.u.report.loads = loads;
+    send_to_hubs(m, &msg);
+    if (m->is_hub) {
+        mg_msg_encode(&msg, &m->reports);
+    }
+}
+
+/* ------------------------------------------------------------- traffic */
+
+static void
+take_each(mg_mesh *m, mg_str rest,
+          void (*take)(mg_mesh *m, const mg_msg *msg))
+{
+    mg_msg msg;
+    while (mg_msg_next(&rest, &msg) == MG_OK) {
+        take(m, &msg);
+    }
+}
+
+static void
+take_passed(mg_mesh *m, const mg_msg *msg)
+{
+    switch (msg->type) {
+    case MG_MSG_NODE:
+        /* a hub hears every node itself: nothing goes round */
+        take_node(m, &msg->u.node);
+        break;
+    case MG_MSG_INSTANCE:
+        take_instance(m, &msg->u.instance);
+        break;
+    case MG_MSG_REPORT:
+        take_report(m, msg, false);
+        break;
+    default:
+        break;
+    }
+}
+
+bool
+mg_mesh_receive(mg_mesh *m, const char *peer, const mg_msg *msg)
+{
+    (void)peer;
+    switch (msg->type) {
+    case MG_MSG_NODE:
+        pass_node(m, msg);
+        return true;
+    case MG_MSG_NODES:
+        take_each(m, msg->u.nodes.nodes, take_passed);
+        return true;
+    case MG_MSG_INSTANCE:
+        take_instance(m, &msg->u.instance);
+        return true;
+    case MG_MSG_INSTANCES:
+        take_each(m, msg->u.instances.instances, take_passed);
+        return true;
+    case MG_MSG_REPORT:
+        take_report(m, msg, true);
+        return true;
+    case MG_MSG_REPORTS:
+        take_each(m, msg->u.reports.reports, take_passed);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+put_instance(void *to, const mg_announcement *a)
+{
+    mg_msg msg = instance_msg(a);
+    mg_msg_encode(&msg, to);
+}
+
+/* a hub tells a node that has come all that it knows */
+void
+mg_mesh_link_up(mg_mesh *m, const char *peer)
+{
+    mg_msg self = node_msg(&m->self);
+    mg_net_send(m->opts.net, peer, &self);
+    if (!m->is_hub) {
+        return;
+    }
+    mg_buf all = {0};
+    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
+        if (n->live) {
+            mg_msg msg = node_msg(n);
+            mg_msg_encode(&msg, &all);
+        }
+    }
+    mg_msg nodes = {.type = MG_MSG_NODES};
+    nodes.u.nodes.nodes = mg_str_buf(&all);
+    mg_net_send(m->opts.net, peer, &nodes);
+    all.n = 0;
+    m->opts.each_instance(m->opts.user, put_instance, &all);
+    mg_msg instances = {.type = MG_MSG_INSTANCES};
+    instances.u.instances.instances = mg_str_buf(&all);
+    mg_net_send(m->opts.net, peer, &instances);
+    mg_buf_free(&all);
+}
+
+static void
+send_batches(mg_mesh *m)
+{
+    mg_msg msg;
+    if (m->news.n > 0) {
+        msg.type = MG_MSG_NODES;
+        msg.u.nodes.nodes = mg_str_buf(&m->news);
+        send_to_nodes(m, &msg);
+    }
+    if (m->instances.n > 0) {
+        msg.type = MG_MSG_INSTANCES;
+        msg.u.instances.instances = mg_str_buf(&m->instances);
+        send_to_nodes(m, &msg);
+    }
+    if (m->reports.n > 0) {
+        msg.type = MG_MSG_REPORTS;
+        msg.u.reports.reports = mg_str_buf(&m->reports);
+        send_to_nodes(m, &msg);
+    }
+    m->news.n = 0;
+    m->instances.n = 0;
+    m->reports.n = 0;
+}
+
+void
+mg_mesh_tick(mg_mesh *m)
+{
+    int64_t now = mg_now(m->opts.clock);
+    if (now >= m->hello_at) {
+        say_hello(m);
+        expire_nodes(m, now);
+    }
+    if (m->is_hub && now >= m->batch_at) {
+        m->batch_at = now + BATCH_MS;
+        send_batches(m);
+    }
+}
+
+size_t
+mg_mesh_ready_nodes(const mg_mesh *m, const mg_mesh_node **out, size_t max)
+{
+    size_t n = 0;
+    if (m->self.ready && n < max) {
+        out[n++] = &m->self;
+    }
+    for (const mg_mesh_node *o = m->nodes; o != NULL && n < max;
+         o = o->hh.next) {
+        if (o->live && o->ready) {
+            out[n++] = o;
+        }
+    }
+    return n;
+}
+
+size_t
+mg_mesh_live_count(const mg_mesh *m)
+{
+    size_t n = 1;
+    for (const mg_mesh_node *o = m->nodes; o != NULL; o = o->hh.next) {
+        n += o->live;
+    }
+    return n;
+}
+
+bool
+mg_mesh_connected(const mg_mesh *m)
+{
+    size_t up = m->is_hub;
+    for (size_t i = 0; i < m->hub_count; i++) {
+        up += mg_net_up(m->opts.net, m->hubs[i]);
+    }
+    return 2 * up > m->hub_count + m->is_hub;
+}
--- /dev/null
+++ b/src/node/mesh.h
@@ -0,0 +1,94 @@
+/*
+ * mesh - how nodes find each other and what they tell each other
+ *
+ * Some nodes are hubs. Every node keeps a link to every hub; a hub passes on
+ * to all what one node says: which nodes are live, which target instances
+ * announced themselves, what each entry has under way. So that nothing goes
+ * from each node to each other, and the loss of a hub loses nothing.
+ *
+ * The mesh decides nothing about instances and reports; the node's tables
+ * tell by their outcome whether something is news and is passed on.
+ */
+#ifndef MG_MESH_H
+#define MG_MESH_H
+
+#include "base/check.h"
+#include "base/clock.h"
+#include "topology/registry.h"
+#include "wire/link.h"
+
+#define MG_MESH_HUBS_MAX 7
+
+/* a live node, as others see it */
+typedef struct mg_mesh_node {
+    UT_hash_handle hh;
+    char node[MG_NAME_SIZE]; /* its IP address */
+    char front_addr[MG_ADDR_SIZE];
+    char domain[MG_NAME_SIZE];
+    char region[MG_NAME_SIZE];
+    uint64_t incarnation;
+    uint64_t seq;
+    bool ready;
+    bool disk;
+    bool live;
+    int64_t heard_ms;
+    uint64_t report_incarnation;
+    uint64_t report_seq;
+} mg_mesh_node;
+
+typedef struct mg_mesh mg_mesh;
+
+typedef struct mg_mesh_options {
+    mg_net *net;
+    mg_clock *clock;
+    const char *node;
+    const char *front_addr;
+    const char *domain;
+    const char *region;
+    uint64_t incarnation;
+    bool disk;
+    /* an announcement came; the result says whether it is news */
+    mg_announce_result (*on_instance)(void *user, const mg_announcement *a);
+    void (*on_report)(void *user, const char *node, uint64_t incarnation,
+                      mg_str loads);
+    /* calls f for what a hub tells a node that has just come */
+    void (*each_instance)(void *user,
+                          void (*f)(void *to, const mg_announcement *a),
+                          void *to);
+    void *user;
+} mg_mesh_options;
+
+mg_mesh *
+mg_mesh_new(const mg_mesh_options *opts);
+/* A hub, by IP address; it may be this node itself. */
+void
+mg_mesh_add_hub(mg_mesh *m, const char *ip, uint16_t port);
+/* false when the message is not the mesh's. */
+bool
+mg_mesh_receive(mg_mesh *m, const char *peer, const mg_msg *msg);
+void
+mg_mesh_link_up(mg_mesh *m, const char *peer);
+/* Whether callers may be sent to this node. */
+void
+mg_mesh_set_ready(mg_mesh *m, bool ready);
+/* Tells all others of an announcement that came to this node. */
+void
+mg_mesh_announce(mg_mesh *m, const mg_announcement *a,
+                 mg_announce_result result);
+/* Tells all others what this entry has under way. */
+void
+mg_mesh_report(mg_mesh *m, mg_str loads);
+/* Every 50 ms or so. */
+void
+mg_mesh_tick(mg_mesh *m);
+/* Live and ready nodes, this one included when it is ready. */
+size_t
+mg_mesh_ready_nodes(const mg_mesh *m, const mg_mesh_node **out, size_t max);
+size_t
+mg_mesh_live_count(const mg_mesh *m);
+/* Whether what this node is told reaches the others: it has links to most
+   hubs. */
+bool
+mg_mesh_connected(const mg_mesh *m);
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,509 @@
+#include "node/node.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "control/state.h"
+
+#define TICK_MS 50
+#define REPORT_MS 150
+#define SWEEP_MS 1000
+/* callers learn within this that the node is to be left, ms */
+#define DRAIN_LEAST_MS 2500
+/* the end comes so much before the grace time is over, ms */
+#define DRAIN_MARGIN_MS 700
+#define BODY_MAX (16u << 20)
+#define SECTION "document"
+
+struct mg_node {
+    uv_loop_t *loop;
+    mg_clock *clock;
+    mg_node_settings settings;
+    mg_dialect *dialect;
+    mg_document_codec *codec;
+    uint64_t incarnation;
+    mg_net *net;
+    mg_mesh *mesh;
+    mg_group *group; /* NULL: no voter */
+    mg_group_client *client;
+    mg_registry *registry;
+    mg_gateway *gateway;
+    mg_http_server *callers;
+    uv_timer_t timer;
+    uv_prepare_t prepare;
+    int64_t report_at;
+    int64_t sweep_at;
+    mg_buf document; /* text in force */
+    uint64_t document_version;
+    int64_t drain_since; /* 0: not draining */
+    bool was_ready;
+};
+
+/* ------------------------------------------------------------ documents */
+
+static void
+on_section(mg_node *n, const mg_rec_section_msg *s)
+{
+    mg_error err;
+    mg_routing *t;
+    if (s->version <= n->document_version && n->document.n > 0) {
+        return;
+    }
+    if (n->codec->read(n->codec, s->text, &t, &err) != MG_OK) {
+        mg_log(MG_EV_CONFIG_BAD, "version=%" PRIu64 " why=%s", s->version,
+               err.text);
+        return;
+    }
+    n->document_version = s->version;
+    n->document.n = 0;
+    mg_buf_put(&n->document, s->text.p, s->text.n);
+    if (n->callers != NULL) {
+        mg_http_set_limits(n->callers, &t->limits);
+    }
+    mg_gateway_set_routing(n->gateway, t);
+}
+
+static void
+on_record(void *user, uint64_t kind, mg_str key, mg_str value)
+{
+    mg_msg m;
+    (void)key;
+    if (mg_msg_decode(value, &m) != MG_OK) {
+        mg_log(MG_EV_BAD_INPUT, "what=record kind=%" PRIu64, kind);
+        return;
+    }
+    if (m.type == MG_MSG_REC_SECTION) {
+        on_section(user, &m.u.rec_section);
+    }
+}
+
+/* an operator's document on its way through the log */
+struct put {
+    mg_node *node;
+    uint64_t version;
+    mg_group_done done;
+    void *user;
+};
+
+static void
+put_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct put *p = user;
+    /* a version that is not higher than the accepted one changes nothing */
+    if (rc == MG_E_STALE || rc == MG_E_CONFLICT) {
+        rc = MG_OK;
+    }
+    mg_log(rc == MG_OK ? MG_EV_DOC_ACCEPTED : MG_EV_DOC_REFUSED,
+           "version=%" PRIu64 " rc=%s rev=%" PRIu64 " why=%s", p->version,
+           mg_rc_name(rc), rev, why);
+    p->done(p->user, rc, rev, why);
+    free(p);
+}
+
+void
+mg_node_put_document(mg_node *n, mg_str text, mg_group_done done, void *user)
+{
+    mg_error err;
+    mg_routing *t;
+    mg_rc rc = n->codec->read(n->codec, text, &t, &err);
+    if (rc != MG_OK) {
+        mg_log(MG_EV_DOC_REFUSED, "rc=%s why=%s", mg_rc_name(rc), err.text);
+        done(user, rc, 0, err.text);
+        return;
+    }
+    char digest[MG_HEX_SHA256_SIZE];
+    mg_buf section = {0};
+    mg_msg m = {.type = MG_MSG_REC_SECTION};
+    mg_sha256_hex(text, digest);
+    m.u.rec_section.name = mg_str_of(SECTION);
+    m.u.rec_section.version = t->version;
+    m.u.rec_section.digest = mg_str_of(digest);
+    m.u.rec_section.text = text;
+    mg_msg_encode(&m, &section);
+    mg_msg cmd = {.type = MG_MSG_CMD_DOCUMENT};
+    cmd.u.cmd_document.base_rev = MG_BASE_ANY;
+    cmd.u.cmd_document.sections = mg_str_buf(&section);
+    struct put *p = mg_alloc(sizeof(*p));
+    *p = (struct put){n, t->version, done, user};
+    mg_routing_unref(t);
+    mg_group_client_propose(n->client, &cmd, n->settings.ack_ms, put_done, p);
+    mg_buf_free(&section);
+}
+
+struct get {
+    mg_node *node;
+    void (*done)(void *user, mg_rc rc, mg_str text);
+    void *user;
+};
+
+static void
+get_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct get *g = user;
+    (void)rev;
+    (void)why;
+    if (rc == MG_OK && g->node->document.n == 0) {
+        rc = MG_E_NOT_FOUND;
+    }
+    g->done(g->user, rc, mg_str_buf(&g->node->document));
+    free(g);
+}
+
+void
+mg_node_get_document(mg_node *n,
+                     void (*done)(void *user, mg_rc rc, mg_str text),
+                     void *user)
+{
+    struct get *g = mg_alloc(sizeof(*g));
+    *g = (struct get){n, done, user};
+    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_done, g);
+}
+
+/* -------------------------------------------------------------- targets */
+
+static mg_announce_result
+take_announcement(mg_node *n, const mg_announcement *a)
+{
+    mg_announce_result result = mg_registry_announce(n->registry, a);
+    if (result == MG_ANNOUNCE_NEW || result == MG_ANNOUNCE_STATE) {
+        mg_log(a->state == MG_INSTANCE_READY ? MG_EV_TARGET_UP
+                                             : MG_EV_TARGET_LEAVING,
+               "id=%s service=%s addr=%s domain=%s version=%s slots=%u "
+               "state=%d born=%" PRIu64 " seq=%" PRIu64,
+               a->id, a->service, a->addr, a->domain, a->version, a->slots,
+               a->state, a->born_ms, a->seq);
+        mg_gateway_instance_changed(n->gateway,
+                                    mg_registry_find(n->registry, a->id));
+    }
+    return result;
+}
+
+static mg_announce_result
+on_instance(void *user, const mg_announcement *a)
+{
+    return take_announcement(user, a);
+}
+
+mg_rc
+mg_node_announce(mg_node *n, const mg_announcement *a)
+{
+    mg_announce_result result = take_announcement(n, a);
+    mg_mesh_announce(n->mesh, a, result);
+    return mg_mesh_connected(n->mesh) ? MG_OK : MG_E_NO_QUORUM;
+}
+
+mg_rc
+mg_node_leave(mg_node *n, const char *id, uint64_t born_ms)
+{
+    mg_instance *i = mg_registry_find(n->registry, id);
+    if (i == NULL || (born_ms != 0 && born_ms != i->is.born_ms)) {
+        return mg_mesh_connected(n->mesh) ? MG_OK : MG_E_NO_QUORUM;
+    }
+    mg_announcement a = i->is;
+    a.seq++;
+    if (a.state < MG_INSTANCE_LEAVING) {
+        a.state = MG_INSTANCE_LEAVING;
+    }
+    return mg_node_announce(n, &a);
+}
+
+struct each_call {
+    void (*f)(void *to, const mg_announcement *a);
+    void *to;
+};
+
+static void
+tell_instance(void *user, mg_instance *i)
+{
+    struct each_call *e = user;
+    e->f(e->to, &i->is);
+}
+
+static void
+each_instance(void *user, void (*f)(void *to, const mg_announcement *a),
+              void *to)
+{
+    mg_node *n = user;
+    struct each_call e = {f, to};
+    mg_registry_each(n->registry, tell_instance, &e);
+}
+
+static void
+on_report(void *user, const char *node, uint64_t incarnation, mg_str loads)
+{
+    mg_node *n = user;
+    mg_gateway_take_report(n->gateway, node, incarnation, loads);
+}
+
+/* ---------------------------------------------------------------- links */
+
+static void
+on_message(void *user, const char *peer, const mg_msg *m)
+{
+    mg_node *n = user;
+    if (!mg_mesh_receive(n->mesh, peer, m)) {
+        mg_group_client_receive(n->client, peer, m);
+    }
+}
+
+static void
+on_link_up(void *user, const char *peer)
+{
+    mg_node *n = user;
+    if (strchr(peer, '/') == NULL) {
+        mg_mesh_link_up(n->mesh, peer);
+    }
+}
+
+/* ----------------------------------------------------------------- time */
+
+bool
+mg_node_ready(const mg_node *n)
+{
+    return n->drain_since == 0 && mg_gateway_routing(n->gateway) != NULL;
+}
+
+static void
+watch_drain(mg_node *n, int64_t now)
+{
+    int64_t age = now - n->drain_since;
+    int64_t most = (int64_t)(n->settings.grace_s * 1000) - DRAIN_MARGIN_MS;
+    size_t open = mg_gateway_open(n->gateway);
+    if (age >= most || (open == 0 && age >= DRAIN_LEAST_MS)) {
+        mg_log(MG_EV_DRAIN, "stage=end open=%zu ms=%" PRId64, open, age);
+        uv_stop(n->loop);
+    }
+}
+
+static void
+on_tick(uv_timer_t *t)
+{
+    mg_node *n = t->data;
+    int64_t now = mg_now(n->clock);
+    mg_group_client_tick(n->client);
+    mg_mesh_set_ready(n->mesh, mg_node_ready(n));
+    mg_mesh_tick(n->mesh);
+    mg_gateway_set_entries(n->gateway, mg_mesh_live_count(n->mesh));
+    if (now >= n->report_at) {
+        mg_buf loads = {0};
+        n->report_at = now + REPORT_MS;
+        mg_gateway_report(n->gateway, &loads);
+        mg_mesh_report(n->mesh, mg_str_buf(&loads));
+        mg_buf_free(&loads);
+    }
+    if (now >= n->sweep_at) {
+        n->sweep_at = now + SWEEP_MS;
+        mg_registry_sweep(n->registry, mg_gateway_forget);
+    }
+    mg_gateway_tick(n->gateway);
+    if (n->drain_since != 0) {
+        watch_drain(n, now);
+    }
+    mg_log_flush();
+}
+
+static void
+on_prepare(uv_prepare_t *h)
+{
+    mg_node *n = h->data;
+    mg_gateway_turn(n->gateway);
+}
+
+/* ----------------------------------------------------------------- open */
+
+static void
+on_call(void *user, mg_http_req *r)
+{
+    mg_node *n = user;
+    mg_gateway_handle(n->gateway, r);
+}
+
+static mg_rc
+open_group(mg_node *n, mg_error *err)
+{
+    const mg_node_settings *s = &n->settings;
+    char addr[MG_ADDR_SIZE * 2];
+    bool is_seed = false;
+    for (size_t i = 0; i < s->seed_count; i++) {
+        is_seed = is_seed || strcmp(s->seeds[i], s->ip) == 0;
+    }
+    if (!is_seed || s->data_dir[0] == '\0') {
+        return MG_OK;
+    }
+    snprintf(addr, sizeof(addr), "%s:%d", s->ip, (int)s->link_port);
+    return mg_group_start(&n->group,
+                          &(mg_group_options){
+                              .node = s->ip,
+                              .key = s->link_key,
+                              .link_addr = addr,
+                              .data_dir = s->data_dir,
+                              .seeds = s->seeds,
+                              .seed_count = s->seed_count,
+                              .link_port = (uint16_t)s->link_port,
+                              .new_group = s->new_group,
+                          },
+                          err);
+}
+
+static mg_rc
+open_links(mg_node *n, mg_error *err)
+{
+    const mg_node_settings *s = &n->settings;
+    char addr[MG_ADDR_SIZE * 2];
+    uint16_t mesh_port = (uint16_t)(s->link_port + 1);
+    snprintf(addr, sizeof(addr), "%s:%u", s->ip, mesh_port);
+    mg_rc rc = mg_net_open(&n->net,
+                           &(mg_net_options){
+                               .loop = n->loop,
+                               .clock = n->clock,
+                               .node = s->ip,
+                               .key = s->link_key,
+                               .listen_addr = addr,
+                               .incarnation = n->incarnation,
+                               .on_message = on_message,
+                               .on_up = on_link_up,
+                               .user = n,
+                           },
+                           err);
+    if (rc != MG_OK) {
+        return rc;
+    }
+    n->mesh = mg_mesh_new(&(mg_mesh_options){
+        .net = n->net,
+        .clock = n->clock,
+        .node = s->ip,
+        .front_addr = s->callers_addr,
+        .domain = s->domain,
+        .region = s->region,
+        .incarnation = n->incarnation,
+        .disk = s->data_dir[0] != '\0',
+        .on_instance = on_instance,
+        .on_report = on_report,
+        .each_instance = each_instance,
+        .user = n,
+    });
+    n->client = mg_group_client_new(&(mg_group_client_options){
+        .net = n->net,
+        .clock = n->clock,
+        .on_record = on_record,
+        .user = n,
+    });
+    for (size_t i = 0; i < s->seed_count; i++) {
+        mg_mesh_add_hub(n->mesh, s->seeds[i], mesh_port);
+        mg_group_client_add(n->client, s->seeds[i], (uint16_t)s->link_port);
+    }
+    return MG_OK;
+}
+
+static mg_rc
+open_callers(mg_node *n, mg_error *err)
+{
+    if (n->settings.callers_addr[0] == '\0') {
+        return MG_OK;
+    }
+    return mg_http_open(&n->callers,
+                        &(mg_http_options){
+                            .loop = n->loop,
+                            .listen_addr = n->settings.callers_addr,
+                            .limits = {.body_max = BODY_MAX},
+                            .on_request = on_call,
+                            .user = n,
+                        },
+                        err);
+}
+
+static void
+start_clockwork(mg_node *n)
+{
+    uv_timer_init(n->loop, &n->timer);
+    n->timer.data = n;
+    uv_timer_start(&n->timer, on_tick, TICK_MS, TICK_MS);
+    /* libuv runs the prepare handle that was started last first: before
+       those of links and HTTP servers, which write what this one produces */
+    uv_prepare_init(n->loop, &n->prepare);
+    n->prepare.data = n;
+    uv_prepare_start(&n->prepare, on_prepare);
+}
+
+mg_rc
+mg_node_open(mg_node **out, const mg_node_options *opts, mg_error *err)
+{
+    mg_node *n = mg_alloc(sizeof(*n));
+    n->loop = opts->loop;
+    n->clock = mg_system_clock();
+    n->settings = *opts->settings;
+    n->dialect = opts->dialect;
+    n->codec = opts->codec;
+    n->incarnation = mg_random_id();
+    n->registry = mg_registry_new(n->clock);
+    n->gateway = mg_gateway_new(&(mg_gateway_options){
+        .loop = n->loop,
+        .clock = n->clock,
+        .registry = n->registry,
+        .dialect = n->dialect,
+        .domain = n->settings.domain,
+        .seed = n->incarnation,
+        .limits = {
+            .retry_ratio = n->settings.retry_ratio,
+            .retry_slack = (uint32_t)n->settings.retry_slack,
+            .retry_window_ms = (int64_t)(n->settings.retry_window_s * 1000),
+        },
+    });
+    mg_rc rc = open_group(n, err);
+    if (rc == MG_OK) {
+        rc = open_links(n, err);
+    }
+    if (rc == MG_OK) {
+        rc = open_callers(n, err);
+    }
+    if (rc == MG_OK) {
+        start_clockwork(n);
+        *out = n;
+    }
+    return rc;
+}
+
+const mg_node_settings *
+mg_node_get_settings(const mg_node *n)
+{
+    return &n->settings;
+}
+
+void
+mg_node_reload(mg_node *n, const mg_node_settings *s)
+{
+    mg_log(MG_EV_SETTINGS, "seeds=%zu grace_s=%.1f retry_ratio=%.2f",
+           s->seed_count, s->grace_s, s->retry_ratio);
+    n->settings.grace_s = s->grace_s;
+    n->settings.ack_ms = s->ack_ms;
+    n->settings.directory_ttl_s = s->directory_ttl_s;
+}
+
+void
+mg_node_drain(mg_node *n)
+{
+    if (n->drain_since != 0) {
+        return;
+    }
+    n->drain_since = mg_now(n->clock);
+    mg_log(MG_EV_DRAIN, "stage=start open=%zu", mg_gateway_open(n->gateway));
+    mg_mesh_set_ready(n->mesh, false);
+    if (n->callers != NULL) {
+        mg_http_drain(n->callers);
+    }
+}
+
+mg_gateway *
+mg_node_gateway(mg_node *n)
+{
+    return n->gateway;
+}
+
+size_t
+mg_node_directory(const mg_node *n, const mg_mesh_node **out, size_t max)
+{
+    return mg_mesh_ready_nodes(n->mesh, out, max);
+}
--- /dev/null
+++ b/src/node/node_settings.c
@@ -0,0 +1,105 @@
+#include "node/node_settings.h"
+
+#include <string.h>
+
+#include "base/toml.h"
+#include "topology/settings.h"
+
+#define SETTINGS_BYTES_MAX (64u << 10)
+
+typedef struct seed_row {
+    char addr[MG_ADDR_SIZE];
+} seed_row;
+
+static const mg_key seed_keys[] = {
+    {"addr", MG_KEY_ADDR, true, offsetof(seed_row, addr), 0, 0, NULL},
+    {0},
+};
+
+static void
+read_seed(mg_checker *c, json_t *tree, json_t *pos, void *out)
+{
+    mg_node_settings *s = out;
+    seed_row row = {0};
+    mg_str port;
+    mg_check_table(c, tree, pos, seed_keys, &row);
+    if (s->seed_count == MG_GROUP_SEEDS_MAX) {
+        mg_check_error(c, pos, "seed", "more than %d seeds",
+                       MG_GROUP_SEEDS_MAX);
+        return;
+    }
+    mg_str_copy(s->seeds[s->seed_count++], MG_NAME_SIZE,
+                mg_str_cut(mg_str_of(row.addr), ':', &port));
+}
+
+#define AT(field) offsetof(mg_node_settings, field)
+
+static const mg_key keys[] = {
+    {"node", MG_KEY_NAME, true, AT(node), 0, 0, NULL},
+    {"ip", MG_KEY_NAME, true, AT(ip), 0, 0, NULL},
+    {"domain", MG_KEY_NAME, true, AT(domain), 0, 0, NULL},
+    {"region", MG_KEY_TEXT, false, AT(region), 0, 0, NULL},
+    {"data_dir", MG_KEY_TEXT, false, AT(data_dir), 0, 0, NULL},
+    {"log_level", MG_KEY_NAME, false, AT(log_level), 0, 0, NULL},
+    {"link_key", MG_KEY_NAME, false, AT(link_key), 0, 0, NULL},
+    {"new_group", MG_KEY_BOOL, false, AT(new_group), 0, 0, NULL},
+    {"faults", MG_KEY_INT, false, AT(faults), 0, 3, NULL},
+    {"link_port", MG_KEY_INT, true, AT(link_port), 1, 65530, NULL},
+    {"callers_addr", MG_KEY_TEXT, false, AT(callers_addr), 0, 0, NULL},
+    {"ready_addr", MG_KEY_TEXT, false, AT(ready_addr), 0, 0, NULL},
+    {"control_addr", MG_KEY_TEXT, false, AT(control_addr), 0, 0, NULL},
+    {"directory_addr", MG_KEY_TEXT, false, AT(directory_addr), 0, 0, NULL},
+    {"retry_ratio", MG_KEY_REAL, false, AT(retry_ratio), 0, 10, NULL},
+    {"retry_slack", MG_KEY_INT, false, AT(retry_slack), 0, 1e6, NULL},
+    {"retry_window_s", MG_KEY_REAL, false, AT(retry_window_s), 0.1, 3600,
+     NULL},
+    {"directory_ttl_s", MG_KEY_REAL, false, AT(directory_ttl_s), 0.1, 3600,
+     NULL},
+    {"grace_s", MG_KEY_REAL, false, AT(grace_s), 0.1, 3600, NULL},
+    {"ack_ms", MG_KEY_INT, false, AT(ack_ms), 1, 1e6, NULL},
+    {"seed", MG_KEY_TABLES, false, 0, 0, 0, read_seed},
+    {0},
+};
+
+static void
+set_defaults(mg_node_settings *s)
+{
+    *s = (mg_node_settings){
+        .log_level = "info",
+        .link_key = "marigold",
+        .faults = 1,
+        .retry_ratio = 0.2,
+        .retry_slack = 50,
+        .retry_window_s = 10,
+        .directory_ttl_s = 2,
+        .grace_s = 8,
+        .ack_ms = 4000,
+    };
+}
+
+mg_rc
+mg_node_settings_load(const char *file, mg_node_settings *s, mg_buf *errors)
+{
+    mg_buf text = {0};
+    mg_error err;
+    mg_toml t = {NULL, NULL};
+    mg_checker ck;
+    set_defaults(s);
+    mg_rc rc = mg_read_file(file, SETTINGS_BYTES_MAX, &text, &err);
+    if (rc == MG_OK) {
+        rc = mg_toml_parse(mg_str_buf(&text), file, SETTINGS_BYTES_MAX, &t,
+                           &err);
+    }
+    mg_buf_free(&text);
+    if (rc != MG_OK) {
+        mg_buf_printf(errors, "%s\n", err.text);
+        return rc;
+    }
+    mg_checker_init(&ck, file);
+    mg_check_table(&ck, t.tree, t.positions, keys, s);
+    mg_toml_free(&t);
+    mg_buf_put(errors, ck.errors.p, ck.errors.n);
+    rc = ck.error_count ? MG_E_INPUT : MG_OK;
+    mg_checker_free(&ck);
+    return rc;
+}
--- /dev/null
+++ b/src/topology/registry.c
@@ -0,0 +1,224 @@
+#include "topology/registry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct mg_registry {
+    mg_clock *clock;
+    mg_instance *instances;
+    mg_instance_group *groups;
+};
+
+mg_registry *
+mg_registry_new(mg_clock *clock)
+{
+    mg_registry *r = mg_alloc(sizeof(*r));
+    r->clock = clock;
+    return r;
+}
+
+void
+mg_registry_free(mg_registry *r)
+{
+    mg_instance *i;
+    mg_instance *i1;
+    mg_instance_group *g;
+    mg_instance_group *g1;
+    HASH_ITER(hh, r->instances, i, i1)
+    {
+        HASH_DEL(r->instances, i);
+        free(i);
+    }
+    HASH_ITER(hh, r->groups, g, g1)
+    {
+        HASH_DEL(r->groups, g);
+        free(g);
+    }
+    free(r);
+}
+
+mg_instance *
+mg_registry_find(const mg_registry *r, const char *id)
+{
+    mg_instance *i;
+    HASH_FIND_STR(r->instances, id, i);
+    return i;
+}
+
+mg_instance_group *
+mg_registry_service(const mg_registry *r, const char *service)
+{
+    mg_instance_group *g;
+    HASH_FIND_STR(r->groups, service, g);
+    return g;
+}
+
+static mg_instance_group *
+group_of(mg_registry *r, const char *service)
+{
+    mg_instance_group *g = mg_registry_service(r, service);
+    if (g == NULL) {
+        g = mg_alloc(sizeof(*g));
+        mg_str_copy(g->service, sizeof(g->service), mg_str_of(service));
+        init_list_head(&g->instances);
+        HASH_ADD_STR(r->groups, service, g);
+    }
+    return g;
+}
+
+static void
+set_state(mg_registry *r, mg_instance *i, mg_instance_state state)
+{
+    if (i->is.state != state) {
+        i->is.state = state;
+        i->since_ms = mg_now(r->clock);
+    }
+}
+
+/* whether a later run than this one lives at its address */
+static bool
+address_is_taken(mg_registry *r, const mg_announcement *a)
+{
+    for (mg_instance *i = r->instances; i != NULL; i = i->hh.next) {
+        if (strcmp(i->is.addr, a->addr) == 0 && strcmp(i->is.id, a->id) != 0 &&
+            i->is.born_ms > a->born_ms && i->is.state != MG_INSTANCE_GONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+end_others_at(mg_registry *r, const mg_announcement *a)
+{
+    for (mg_instance *i = r->instances; i != NULL; i = i->hh.next) {
+        if (strcmp(i->is.addr, a->addr) == 0 && strcmp(i->is.id, a->id) != 0 &&
+            i->is.born_ms < a->born_ms) {
+            set_state(r, i, MG_INSTANCE_GONE);
+        }
+    }
+}
+
+static mg_instance *
+add_instance(mg_registry *r, const mg_announcement *a)
+{
+    mg_instance *i = mg_alloc(sizeof(*i));
+    i->is = *a;
+    HASH_ADD_STR(r->instances, is.id, i);
+    return i;
+}
+
+static void
+start_run(mg_registry *r, mg_instance *i, const mg_announcement *a)
+{
+    mg_instance_group *g = group_of(r, a->service);
+    if (i->link.next != NULL) {
+        list_del(&i->link);
+    }
+    list_add_tail(&i->link, &g->instances);
+    i->is = *a;
+    i->since_ms = mg_now(r->clock);
+    i->heard_ms = i->since_ms;
+    end_others_at(r, a);
+}
+
+mg_announce_result
+mg_registry_announce(mg_registry *r, const mg_announcement *a)
+{
+    mg_instance *i = mg_registry_find(r, a->id);
+    if (i != NULL && a->born_ms < i->is.born_ms) {
+        return MG_ANNOUNCE_STALE;
+    }
+    if (i == NULL || a->born_ms > i->is.born_ms) {
+        if (address_is_taken(r, a)) {
+            return MG_ANNOUNCE_STALE;
+        }
+        if (i == NULL) {
+            i = add_instance(r, a);
+        }
+        start_run(r, i, a);
+        return MG_ANNOUNCE_NEW;
+    }
+    if (a->seq <= i->is.seq || a->state < i->is.state) {
+        return MG_ANNOUNCE_STALE;
+    }
+    bool changed = a->state != i->is.state;
+    i->heard_ms = mg_now(r->clock);
+    i->is.seq = a->seq;
+    i->is.cold_ms = a->cold_ms;
+    set_state(r, i, a->state);
+    return changed ? MG_ANNOUNCE_STATE : MG_ANNOUNCE_ALIVE;
+}
+
+void
+mg_registry_each(const mg_registry *r, void (*f)(void *user, mg_instance *i),
+                 void *user)
+{
+    for (mg_instance *i = r->instances; i != NULL; i = i->hh.next) {
+        f(user, i);
+    }
+}
+
+void
+mg_registry_sweep(mg_registry *r, void (*on_forget)(mg_instance *i))
+{
+    int64_t now = mg_now(r->clock);
+    mg_instance *i;
+    mg_instance *i1;
+    HASH_ITER(hh, r->instances, i, i1)
+    {
+        if (i->users > 0 || now - i->heard_ms < MG_FORGET_MS) {
+            continue;
+        }
+        HASH_DEL(r->instances, i);
+        list_del(&i->link);
+        on_forget(i);
+        free(i);
+    }
+}
+
+bool
+mg_instance_is_silent(const mg_instance *i, int64_t now)
+{
+    return now - i->heard_ms > MG_SILENT_MS;
+}
+
+void
+mg_announcement_to_msg(const mg_announcement *a, mg_instance_msg *m)
+{
+    *m = (mg_instance_msg){
+        .id = mg_str_of(a->id),
+        .service = mg_str_of(a->service),
+        .addr = mg_str_of(a->addr),
+        .domain = mg_str_of(a->domain),
+        .version = mg_str_of(a->version),
+        .slots = a->slots,
+        .state = a->state,
+        .born_ms = a->born_ms,
+        .seq = a->seq,
+        .cold_ms = a->cold_ms,
+    };
+}
+
+mg_rc
+mg_announcement_of_msg(const mg_instance_msg *m, mg_announcement *a)
+{
+    if (m->id.n >= MG_NAME_SIZE || m->service.n >= MG_NAME_SIZE ||
+        m->addr.n >= MG_ADDR_SIZE || m->state > MG_INSTANCE_GONE) {
+        return MG_E_INPUT;
+    }
+    *a = (mg_announcement){
+        .slots = (uint32_t)m->slots,
+        .state = (mg_instance_state)m->state,
+        .born_ms = m->born_ms,
+        .seq = m->seq,
+        .cold_ms = m->cold_ms,
+    };
+    mg_str_copy(a->id, sizeof(a->id), m->id);
+    mg_str_copy(a->service, sizeof(a->service), m->service);
+    mg_str_copy(a->addr, sizeof(a->addr), m->addr);
+    mg_str_copy(a->domain, sizeof(a->domain), m->domain);
+    mg_str_copy(a->version, sizeof(a->version), m->version);
+    struct sockaddr_in sin;
+    return a->id[0] == '\0' ? MG_E_INPUT : mg_addr_parse(a->addr, &sin);
+}
--- /dev/null
+++ b/src/wire/h1.c
@@ -0,0 +1,327 @@
+#include "wire/h1.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/types.h>
+
+/* exported by libh2o without a header of their own */
+struct phr_header {
+    const char *name;
+    size_t name_len;
+    const char *value;
+    size_t value_len;
+};
+int
+phr_parse_request(const char *buf, size_t len, const char **method,
+                  size_t *method_len, const char **path, size_t *path_len,
+                  int *minor_version, struct phr_header *headers,
+                  size_t *num_headers, size_t last_len);
+int
+phr_parse_response(const char *buf, size_t len, int *minor_version,
+                   int *status, const char **msg, size_t *msg_len,
+                   struct phr_header *headers, size_t *num_headers,
+                   size_t last_len);
+ssize_t
+phr_decode_chunked(void *decoder, char *buf, size_t *bufsz);
+
+#define PHR_PARTIAL (-2)
+
+bool
+mg_h1_name_is(mg_str name, const char *s)
+{
+    return strlen(s) == name.n && strncasecmp(name.p, s, name.n) == 0;
+}
+
+mg_str
+mg_h1_get(const mg_h1_head *head, const char *name)
+{
+    for (size_t i = 0; i < head->header_count; i++) {
+        if (mg_h1_name_is(head->headers[i].name, name)) {
+            return head->headers[i].value;
+        }
+    }
+    return (mg_str){"", 0};
+}
+
+bool
+mg_h1_is_hop(mg_str name)
+{
+    static const char *const names[] = {
+        "connection",         "keep-alive", "transfer-encoding",
+        "te",                 "trailer",    "upgrade",
+        "proxy-connection",   "expect",     "content-length",
+        "proxy-authenticate", "proxy-authorization",
+    };
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (mg_h1_name_is(name, names[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* whether a comma-separated list holds the token */
+static bool
+has_token(mg_str list, const char *token)
+{
+    while (list.n > 0) {
+        mg_str one = mg_str_cut(list, ',', &list);
+        while (one.n > 0 && (*one.p == ' ' || *one.p == '\t')) {
+            one.p++;
+            one.n--;
+        }
+        while (one.n > 0 &&
+               (one.p[one.n - 1] == ' ' || one.p[one.n - 1] == '\t')) {
+            one.n--;
+        }
+        if (mg_h1_name_is(one, token)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static mg_rc
+parse_length(mg_str v, uint64_t *out)
+{
+    uint64_t n = 0;
+    if (v.n == 0 || v.n > 18) {
+        return MG_E_INPUT;
+    }
+    for (size_t i = 0; i < v.n; i++) {
+        if (v.p[i] < '0' || v.p[i] > '9') {
+            return MG_E_INPUT;
+        }
+        n = n * 10 + (uint64_t)(v.p[i] - '0');
+    }
+    *out = n;
+    return MG_OK;
+}
+
+/* the parser lets some ambiguous heads pass */
+static mg_rc
+check_framing(mg_h1_head *h)
+{
+    bool has_coding = false;
+    h->close = h->minor == 0;
+    for (size_t i = 0; i < h->header_count; i++) {
+        mg_str name = h->headers[i].name;
+        mg_str value = h->headers[i].value;
+        if (name.n == 0 || name.p[name.n - 1] == ' ' ||
+            name.p[name.n - 1] == '\t') {
+            return MG_E_INPUT;
+        }
+        if (mg_h1_name_is(name, "content-length")) {
+            if (h->has_length || parse_length(value, &h->length) != MG_OK) {
+                return MG_E_INPUT;
+            }
+            h->has_length = true;
+        }
+        else if (mg_h1_name_is(name, "transfer-encoding")) {
+            if (has_coding || !mg_h1_name_is(value, "chunked")) {
+                return MG_E_INPUT;
+            }
+            has_coding = true;
+            h->chunked = true;
+        }
+        else if (mg_h1_name_is(name, "connection")) {
+            if (has_token(value, "close")) {
+                h->close = true;
+            }
+            else if (has_token(value, "keep-alive") && h->minor == 0) {
+                h->close = false;
+            }
+        }
+    }
+    return h->chunked && (h->has_length || h->minor == 0) ? MG_E_INPUT : MG_OK;
+}
+
+static mg_rc
+take_headers(mg_h1_head *h, const struct phr_header *from, int rc)
+{
+    if (rc == PHR_PARTIAL) {
+        return MG_E_IN_PROGRESS;
+    }
+    if (rc < 0) {
+        return MG_E_INPUT;
+    }
+    h->size = (size_t)rc;
+    for (size_t i = 0; i < h->header_count; i++) {
+        h->headers[i].name = (mg_str){from[i].name, from[i].name_len};
+        h->headers[i].value = (mg_str){from[i].value, from[i].value_len};
+    }
+    return check_framing(h);
+}
+
+static void
+reset_head(mg_h1_head *h)
+{
+    h->header_count = MG_H1_HEADERS_MAX;
+    h->status = 0;
+    h->has_length = false;
+    h->length = 0;
+    h->chunked = false;
+    h->method = (mg_str){"", 0};
+    h->target = (mg_str){"", 0};
+}
+
+mg_rc
+mg_h1_parse_request(mg_str in, size_t seen, mg_h1_head *h)
+{
+    struct phr_header headers[MG_H1_HEADERS_MAX];
+    reset_head(h);
+    int rc = phr_parse_request(in.p, in.n, &h->method.p, &h->method.n,
+                               &h->target.p, &h->target.n, &h->minor, headers,
+                               &h->header_count, seen);
+    return take_headers(h, headers, rc);
+}
+
+mg_rc
+mg_h1_parse_response(mg_str in, size_t seen, mg_h1_head *h)
+{
+    struct phr_header headers[MG_H1_HEADERS_MAX];
+    mg_str reason;
+    reset_head(h);
+    int rc = phr_parse_response(in.p, in.n, &h->minor, &h->status, &reason.p,
+                                &reason.n, headers, &h->header_count, seen);
+    return take_headers(h, headers, rc);
+}
+
+static void
+rebase(mg_str *s, const char *from, const char *to)
+{
+    if (s->n > 0) {
+        s->p = to + (s->p - from);
+    }
+}
+
+void
+mg_h1_rebase(mg_h1_head *h, const char *from, const char *to)
+{
+    rebase(&h->method, from, to);
+    rebase(&h->target, from, to);
+    for (size_t i = 0; i < h->header_count; i++) {
+        rebase(&h->headers[i].name, from, to);
+        rebase(&h->headers[i].value, from, to);
+    }
+}
+
+int
+mg_h1_keep_alive_s(const mg_h1_head *h)
+{
+    mg_str v = mg_h1_get(h, "keep-alive");
+    static const char key[] = "timeout=";
+    size_t k = sizeof(key) - 1;
+    for (size_t i = 0; i + k < v.n; i++) {
+        if (strncasecmp(v.p + i, key, k) == 0) {
+            int s = 0;
+            for (size_t j = i + k;
+                 j < v.n && v.p[j] >= '0' && v.p[j] <= '9' && s < 100000;
+                 j++) {
+                s = s * 10 + (v.p[j] - '0');
+            }
+            return s;
+        }
+    }
+    return -1;
+}
+
+void
+mg_h1_body_of_request(mg_h1_body *b, const mg_h1_head *h)
+{
+    *b = (mg_h1_body){0};
+    if (h->chunked) {
+        b->framing = MG_H1_CHUNKED;
+        b->chunks.consume_trailer = 1;
+    }
+    else if (h->has_length && h->length > 0) {
+        b->framing = MG_H1_LENGTH;
+        b->left = h->length;
+    }
+}
+
+void
+mg_h1_body_of_response(mg_h1_body *b, const mg_h1_head *h, bool to_head)
+{
+    *b = (mg_h1_body){0};
+    if (to_head || h->status == 204 || h->status == 304 || h->status < 200) {
+        return;
+    }
+    mg_h1_body_of_request(b, h);
+    if (b->framing == MG_H1_NONE && !h->has_length) {
+        b->framing = MG_H1_UNTIL_CLOSE;
+    }
+}
+
+static mg_rc
+take_chunks(mg_h1_body *b, char *p, size_t n, mg_str *data, mg_str *rest)
+{
+    size_t size = n;
+    ssize_t rc = phr_decode_chunked(&b->chunks, p, &size);
+    if (rc == -1) {
+        return MG_E_INPUT;
+    }
+    *data = (mg_str){p, size};
+    if (rc < 0) {
+        *rest = (mg_str){p + n, 0};
+        return MG_E_IN_PROGRESS;
+    }
+    *rest = (mg_str){p + size, (size_t)rc};
+    return MG_OK;
+}
+
+mg_rc
+mg_h1_body_take(mg_h1_body *b, char *p, size_t n, mg_str *data, mg_str *rest)
+{
+    if (b->framing == MG_H1_CHUNKED) {
+        return take_chunks(b, p, n, data, rest);
+    }
+    size_t take = n;
+    if (b->framing == MG_H1_NONE) {
+        take = 0;
+    }
+    else if (b->framing == MG_H1_LENGTH && b->left < n) {
+        take = (size_t)b->left;
+    }
+    *data = (mg_str){p, take};
+    *rest = (mg_str){p + take, n - take};
+    if (b->framing == MG_H1_LENGTH) {
+        b->left -= take;
+    }
+    bool ended = b->framing == MG_H1_NONE ||
+                 (b->framing == MG_H1_LENGTH && b->left == 0);
+    return ended ? MG_OK : MG_E_IN_PROGRESS;
+}
+
+const char *
+mg_h1_reason(int status)
+{
+    static const struct {
+        int status;
+        const char *reason;
+    } rows[] = {
+        {200, "OK"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {403, "Forbidden"},
+        {404, "Not Found"},
+        {408, "Request Timeout"},
+        {409, "Conflict"},
+        {413, "Content Too Large"},
+        {421, "Misdirected Request"},
+        {422, "Unprocessable Content"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        if (rows[i].status == status) {
+            return rows[i].reason;
+        }
+    }
+    return "Status";
+}
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -1,7 +1,7 @@
 /*
- * http - HTTP/1.1 server and client on h2o and libuv
+ * http - HTTP/1.1 server and client on libuv
  *
- * Server: a request's handler answers at once or later, with
+ * Server (http_server.c, heads by the parser of libh2o): a request's handler answers at once or later, with
  * mg_http_reply(), or with mg_http_start(), mg_http_write() and
  * mg_http_finish(). An answer that was started and can't be finished is ended
  * by mg_http_abort(): the connection closes without the closing chunk, so
@@ -21,6 +21,19 @@
 
 #include "base/bytes.h"
 #include "base/outcome.h"
+#include "wire/h1.h"
+
+#define MG_HTTP_HEAD_MAX 65536
+#define MG_HTTP_HEAD_TIMEOUT_MS 10000
+#define MG_HTTP_IDLE_TIMEOUT_MS 60000
+
+/* of what a caller may send; 0 keeps the default */
+typedef struct mg_http_limits {
+    size_t head_max; /* bytes */
+    size_t body_max;
+    int64_t head_timeout_ms; /* from the first byte of a head to its end */
+    int64_t idle_timeout_ms; /* between requests, or bytes of a body */
+} mg_http_limits;
 
 typedef struct mg_http_server mg_http_server;
 typedef struct mg_http_req mg_http_req;
@@ -28,7 +41,7 @@
 typedef struct mg_http_options {
     uv_loop_t *loop;
     const char *listen_addr;
-    size_t body_max;
+    mg_http_limits limits;
     void (*on_request)(void *user, mg_http_req *req);
     void *user;
 } mg_http_options;
@@ -38,6 +51,12 @@
 /* Stops listening; open connections go on. */
 void
 mg_http_stop_listening(mg_http_server *s);
+/* New limits for heads and bodies that are read from now on. */
+void
+mg_http_set_limits(mg_http_server *s, const mg_http_limits *limits);
+/* Closes the connections on which no request is in hand. */
+void
+mg_http_close_idle(mg_http_server *s);
 /* Answers from now on ask the callers to close their connections. */
 void
 mg_http_drain(mg_http_server *s);
@@ -51,6 +70,11 @@
 /* behind the '?', empty when there is none */
 mg_str
 mg_http_query(const mg_http_req *r);
+/* path and query as they were sent */
+mg_str
+mg_http_target(const mg_http_req *r);
+const mg_h1_head *
+mg_http_head(const mg_http_req *r);
 mg_str
 mg_http_body(const mg_http_req *r);
 /* name in lower case; an empty string when the header is missing */
@@ -65,6 +89,10 @@
               mg_str body);
 void
 mg_http_start(mg_http_req *r, int status, const char *type, const char *extra);
+/* An answer whose body has that many bytes; type may be NULL. */
+void
+mg_http_start_sized(mg_http_req *r, int status, const char *type,
+                    const char *extra, uint64_t length);
 void
 mg_http_write(mg_http_req *r, mg_str data);
 void
--- /dev/null
+++ b/src/wire/http_server.c
@@ -0,0 +1,709 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/addr.h"
+#include "base/counter.h"
+#include "base/event.h"
+#include "base/list.h"
+#include "wire/h1.h"
+#include "wire/http.h"
+
+#define BACKLOG 1024
+#define SWEEP_MS 250
+#define READ_SIZE 65536
+/* how long a closing connection waits for the peer to close, ms */
+#define LINGER_MS 1000
+#define CONTINUE "HTTP/1.1 100 Continue\r\n\r\n"
+
+typedef enum conn_state {
+    CONN_HEAD,    /* reads a head, or waits for one */
+    CONN_BODY,    /* reads the body */
+    CONN_BUSY,    /* a handler has the request */
+    CONN_LINGER,  /* the last answer is out, the peer is to close */
+    CONN_CLOSING, /* the handle is being closed */
+} conn_state;
+
+typedef struct http_conn http_conn;
+
+struct mg_http_req {
+    http_conn *conn;
+    mg_h1_head head;
+    char *head_bytes;
+    mg_buf body;
+    bool started;
+    bool chunked;
+    void (*on_gone)(void *user);
+    void *user;
+};
+
+struct http_conn {
+    struct list_head link;  /* mg_http_server.conns */
+    struct list_head dirty; /* mg_http_server.dirty, while out waits */
+    uv_tcp_t tcp;
+    mg_http_server *server;
+    conn_state state;
+    int64_t since; /* of the state, or of the first byte of a head */
+    mg_buf in;
+    size_t head_seen;
+    mg_buf out;
+    size_t unsent; /* given to the loop, not yet taken by the system */
+    mg_h1_body body;
+    mg_http_req *req;
+    uint64_t served;
+    bool close_after;
+};
+
+struct mg_http_server {
+    mg_http_options opts;
+    uv_tcp_t listener;
+    uv_timer_t sweep;
+    uv_prepare_t prepare;
+    struct list_head conns;
+    struct list_head dirty;
+    size_t open_requests;
+    size_t conn_count;
+    bool draining;
+};
+
+typedef struct server_write {
+    uv_write_t req;
+    mg_buf buf;
+    http_conn *conn;
+} server_write;
+
+static void
+take_input(http_conn *c);
+
+static int64_t
+now_ms(const http_conn *c)
+{
+    return (int64_t)uv_now(c->server->opts.loop);
+}
+
+static void
+set_state(http_conn *c, conn_state state)
+{
+    c->state = state;
+    c->since = now_ms(c);
+}
+
+/* ------------------------------------------------------------- closing */
+
+static void
+free_request(http_conn *c)
+{
+    mg_http_req *r = c->req;
+    if (r == NULL) {
+        return;
+    }
+    c->req = NULL;
+    c->server->open_requests--;
+    free(r->head_bytes);
+    mg_buf_free(&r->body);
+    free(r);
+}
+
+static void
+on_closed(uv_handle_t *h)
+{
+    http_conn *c = h->data;
+    mg_buf_free(&c->in);
+    mg_buf_free(&c->out);
+    free(c);
+}
+
+static void
+close_conn(http_conn *c)
+{
+    if (c->state == CONN_CLOSING) {
+        return;
+    }
+    bool was_busy = c->state == CONN_BUSY;
+    c->state = CONN_CLOSING;
+    list_del(&c->link);
+    list_del(&c->dirty);
+    c->server->conn_count--;
+    uv_close((uv_handle_t *)&c->tcp, on_closed);
+    if (was_busy && c->req->on_gone != NULL) {
+        void (*f)(void *user) = c->req->on_gone;
+        c->req->on_gone = NULL;
+        f(c->req->user);
+    }
+    free_request(c);
+}
+
+static void
+on_shutdown(uv_shutdown_t *req, int status)
+{
+    (void)status;
+    free(req);
+}
+
+/* ends the sending side; the peer may still be writing */
+static void
+linger(http_conn *c)
+{
+    set_state(c, CONN_LINGER);
+    mg_buf_free(&c->in);
+    uv_shutdown_t *req = mg_alloc(sizeof(*req));
+    if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
+        free(req);
+        close_conn(c);
+    }
+}
+
+/* ------------------------------------------------------------- writing */
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    server_write *w = (server_write *)req;
+    w->conn->unsent -= w->buf.n;
+    if (status < 0) {
+        close_conn(w->conn);
+    }
+    mg_buf_free(&w->buf);
+    free(w);
+}
+
+static void
+write_out(http_conn *c)
+{
+    uv_buf_t b = uv_buf_init(c->out.p, (unsigned)c->out.n);
+    if (c->unsent == 0) {
+        int n = uv_try_write((uv_stream_t *)&c->tcp, &b, 1);
+        if (n < 0 && n != UV_EAGAIN) {
+            close_conn(c);
+            return;
+        }
+        if (n > 0 && (size_t)n == c->out.n) {
+            c->out.n = 0;
+            return;
+        }
+        mg_buf_skip(&c->out, n > 0 ? (size_t)n : 0);
+    }
+    server_write *w = mg_alloc(sizeof(*w));
+    w->buf = c->out;
+    w->conn = c;
+    c->out = (mg_buf){0};
+    c->unsent += w->buf.n;
+    b = uv_buf_init(w->buf.p, (unsigned)w->buf.n);
+    if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &b, 1, on_written) != 0) {
+        c->unsent -= w->buf.n;
+        mg_buf_free(&w->buf);
+        free(w);
+        close_conn(c);
+    }
+}
+
+static void
+flush_conn(http_conn *c)
+{
+    list_del(&c->dirty);
+    if (c->out.n > 0) {
+        write_out(c);
+    }
+    if (c->state == CONN_HEAD && c->close_after) {
+        linger(c);
+    }
+}
+
+static void
+mark_dirty(http_conn *c)
+{
+    if (list_empty(&c->dirty) && c->state != CONN_CLOSING) {
+        list_add_tail(&c->dirty, &c->server->dirty);
+    }
+}
+
+static void
+on_prepare(uv_prepare_t *h)
+{
+    mg_http_server *s = h->data;
+    list_for_each_safe(el, el1, &s->dirty)
+    {
+        flush_conn(list_entry(el, http_conn, dirty));
+    }
+}
+
+/* the answer is complete: on to the next request */
+static void
+finish_request(http_conn *c)
+{
+    free_request(c);
+    set_state(c, CONN_HEAD);
+    c->head_seen = 0;
+    c->served++;
+    mark_dirty(c);
+    if (!c->close_after && c->in.n > 0) {
+        take_input(c);
+    }
+}
+
+/* an answer of the server's own to something that is no request */
+static void
+refuse(http_conn *c, int status, const char *why)
+{
+    mg_count(MG_C_BAD_INPUT, 1);
+    mg_log(MG_EV_BAD_INPUT, "listen=%s status=%d what=%s",
+           c->server->opts.listen_addr, status, why);
+    mg_buf_printf(&c->out,
+                  "HTTP/1.1 %d %s\r\ncontent-length: 0\r\n"
+                  "connection: close\r\n\r\n",
+                  status, mg_h1_reason(status));
+    free_request(c);
+    c->close_after = true;
+    set_state(c, CONN_HEAD);
+    mark_dirty(c);
+}
+
+/* ------------------------------------------------------------- reading */
+
+static void
+hand_over(http_conn *c)
+{
+    set_state(c, CONN_BUSY);
+    c->server->opts.on_request(c->server->opts.user, c->req);
+}
+
+static void
+take_body(http_conn *c, char *p, size_t n)
+{
+    mg_str data;
+    mg_str rest;
+    mg_rc rc = mg_h1_body_take(&c->body, p, n, &data, &rest);
+    if (rc == MG_E_INPUT) {
+        refuse(c, 400, "chunks");
+        return;
+    }
+    if (c->req->body.n + data.n > c->server->opts.limits.body_max) {
+        refuse(c, 413, "body");
+        return;
+    }
+    mg_buf_put(&c->req->body, data.p, data.n);
+    if (rc != MG_OK) {
+        c->since = now_ms(c);
+        return;
+    }
+    mg_buf_put(&c->in, rest.p, rest.n);
+    hand_over(c);
+}
+
+static void
+start_request(http_conn *c, const mg_h1_head *head)
+{
+    mg_http_req *r = mg_alloc(sizeof(*r));
+    c->req = r;
+    c->server->open_requests++;
+    r->conn = c;
+    r->head = *head;
+    r->head_bytes = mg_strndup(c->in.p, head->size);
+    mg_h1_rebase(&r->head, c->in.p, r->head_bytes);
+    mg_buf_skip(&c->in, head->size);
+    c->close_after = head->close;
+    if (head->has_length && head->length > c->server->opts.limits.body_max) {
+        refuse(c, 413, "body");
+        return;
+    }
+    mg_h1_body_of_request(&c->body, head);
+    if (c->body.framing == MG_H1_NONE) {
+        hand_over(c);
+        return;
+    }
+    set_state(c, CONN_BODY);
+    if (mg_h1_name_is(mg_h1_get(&r->head, "expect"), "100-continue") &&
+        c->in.n == 0) {
+        mg_buf_put(&c->out, CONTINUE, sizeof(CONTINUE) - 1);
+        mark_dirty(c);
+    }
+    if (c->in.n > 0) {
+        mg_buf body = c->in;
+        c->in = (mg_buf){0};
+        take_body(c, body.p, body.n);
+        mg_buf_free(&body);
+    }
+}
+
+static void
+take_input(http_conn *c)
+{
+    mg_h1_head head;
+    /* some callers send an empty line after a body */
+    while (c->in.n >= 2 && memcmp(c->in.p, "\r\n", 2) == 0) {
+        mg_buf_skip(&c->in, 2);
+    }
+    if (c->in.n == 0) {
+        return;
+    }
+    mg_rc rc = mg_h1_parse_request(mg_str_buf(&c->in), c->head_seen, &head);
+    size_t size = rc == MG_OK ? head.size : c->in.n;
+    c->head_seen = c->in.n;
+    if (size > c->server->opts.limits.head_max) {
+        refuse(c, 431, "head");
+    }
+    else if (rc == MG_E_INPUT) {
+        refuse(c, 400, "head");
+    }
+    else if (rc == MG_OK) {
+        start_request(c, &head);
+    }
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+    static char scratch[READ_SIZE];
+    (void)h;
+    (void)suggested;
+    *buf = uv_buf_init(scratch, sizeof(scratch));
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+    http_conn *c = s->data;
+    if (n == 0 || c->state == CONN_CLOSING) {
+        return;
+    }
+    if (n < 0) {
+        close_conn(c);
+        return;
+    }
+    switch (c->state) {
+    case CONN_HEAD:
+        if (c->close_after) {
+            return;
+        }
+        if (c->in.n == 0) {
+            c->since = now_ms(c);
+        }
+        mg_buf_put(&c->in, buf->base, (size_t)n);
+        take_input(c);
+        break;
+    case CONN_BODY:
+        take_body(c, buf->base, (size_t)n);
+        break;
+    case CONN_BUSY:
+        if (c->in.n + (size_t)n > c->server->opts.limits.head_max + READ_SIZE) {
+            close_conn(c);
+            return;
+        }
+        mg_buf_put(&c->in, buf->base, (size_t)n);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+    mg_http_server *s = listener->data;
+    if (status != 0) {
+        return;
+    }
+    http_conn *c = mg_alloc(sizeof(*c));
+    c->server = s;
+    c->tcp.data = c;
+    init_list_head(&c->dirty);
+    list_add_tail(&c->link, &s->conns);
+    s->conn_count++;
+    uv_tcp_init(s->opts.loop, &c->tcp);
+    set_state(c, CONN_HEAD);
+    if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+        close_conn(c);
+        return;
+    }
+    uv_tcp_nodelay(&c->tcp, 1);
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static void
+sweep_conn(http_conn *c, int64_t now)
+{
+    const mg_http_options *o = &c->server->opts;
+    int64_t age = now - c->since;
+    switch (c->state) {
+    case CONN_HEAD:
+        if (c->in.n > 0 && age > o->limits.head_timeout_ms) {
+            refuse(c, 408, "slow_head");
+        }
+        else if (c->in.n == 0 && age > o->limits.idle_timeout_ms) {
+            close_conn(c);
+        }
+        break;
+    case CONN_BODY:
+        if (age > o->limits.idle_timeout_ms) {
+            refuse(c, 408, "slow_body");
+        }
+        break;
+    case CONN_LINGER:
+        if (age > LINGER_MS && c->unsent == 0) {
+            close_conn(c);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_sweep(uv_timer_t *t)
+{
+    mg_http_server *s = t->data;
+    int64_t now = (int64_t)uv_now(s->opts.loop);
+    list_for_each_safe(el, el1, &s->conns)
+    {
+        sweep_conn(list_entry(el, http_conn, link), now);
+    }
+}
+
+/* -------------------------------------------------------------- server */
+
+mg_rc
+mg_http_open(mg_http_server **out, const mg_http_options *opts, mg_error *err)
+{
+    struct sockaddr_in sin;
+    if (mg_addr_parse(opts->listen_addr, &sin) != MG_OK) {
+        return mg_fail(err, MG_E_INPUT, "bad address %s", opts->listen_addr);
+    }
+    mg_http_server *s = mg_alloc(sizeof(*s));
+    s->opts = *opts;
+    s->opts.listen_addr = mg_strdup(opts->listen_addr);
+    mg_http_set_limits(s, &opts->limits);
+    init_list_head(&s->conns);
+    init_list_head(&s->dirty);
+    uv_tcp_init(opts->loop, &s->listener);
+    s->listener.data = s;
+    int rc = uv_tcp_bind(&s->listener, (struct sockaddr *)&sin, 0);
+    if (rc == 0) {
+        rc = uv_listen((uv_stream_t *)&s->listener, BACKLOG, on_accept);
+    }
+    if (rc != 0) {
+        return mg_fail(err, MG_E_IO, "can't listen on %s: %s",
+                       opts->listen_addr, uv_strerror(rc));
+    }
+    uv_timer_init(opts->loop, &s->sweep);
+    s->sweep.data = s;
+    uv_timer_start(&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+    uv_prepare_init(opts->loop, &s->prepare);
+    s->prepare.data = s;
+    uv_prepare_start(&s->prepare, on_prepare);
+    uv_unref((uv_handle_t *)&s->prepare);
+    uv_unref((uv_handle_t *)&s->sweep);
+    *out = s;
+    return MG_OK;
+}
+
+static int64_t
+or_default(int64_t value, int64_t otherwise)
+{
+    return value > 0 ? value : otherwise;
+}
+
+void
+mg_http_set_limits(mg_http_server *s, const mg_http_limits *l)
+{
+    if (l->body_max > 0) {
+        s->opts.limits.body_max = l->body_max;
+    }
+    s->opts.limits.head_max =
+        (size_t)or_default((int64_t)l->head_max, MG_HTTP_HEAD_MAX);
+    s->opts.limits.head_timeout_ms =
+        or_default(l->head_timeout_ms, MG_HTTP_HEAD_TIMEOUT_MS);
+    s->opts.limits.idle_timeout_ms =
+        or_default(l->idle_timeout_ms, MG_HTTP_IDLE_TIMEOUT_MS);
+}
+
+void
+mg_http_stop_listening(mg_http_server *s)
+{
+    if (!uv_is_closing((uv_handle_t *)&s->listener)) {
+        uv_close((uv_handle_t *)&s->listener, NULL);
+    }
+}
+
+void
+mg_http_drain(mg_http_server *s)
+{
+    s->draining = true;
+}
+
+void
+mg_http_close_idle(mg_http_server *s)
+{
+    list_for_each_safe(el, el1, &s->conns)
+    {
+        http_conn *c = list_entry(el, http_conn, link);
+        if (c->state == CONN_HEAD && c->in.n == 0 && c->served > 0 &&
+            !c->close_after) {
+            linger(c);
+        }
+    }
+}
+
+size_t
+mg_http_open_requests(const mg_http_server *s)
+{
+    return s->open_requests;
+}
+
+/* ------------------------------------------------------------ requests */
+
+mg_str
+mg_http_method(const mg_http_req *r)
+{
+    return r->head.method;
+}
+
+mg_str
+mg_http_target(const mg_http_req *r)
+{
+    return r->head.target;
+}
+
+mg_str
+mg_http_path(const mg_http_req *r)
+{
+    mg_str query;
+    return mg_str_cut(r->head.target, '?', &query);
+}
+
+mg_str
+mg_http_query(const mg_http_req *r)
+{
+    mg_str query;
+    mg_str_cut(r->head.target, '?', &query);
+    return query;
+}
+
+mg_str
+mg_http_body(const mg_http_req *r)
+{
+    return mg_str_buf(&r->body);
+}
+
+mg_str
+mg_http_header(const mg_http_req *r, const char *name)
+{
+    return mg_h1_get(&r->head, name);
+}
+
+const mg_h1_head *
+mg_http_head(const mg_http_req *r)
+{
+    return &r->head;
+}
+
+void
+mg_http_on_gone(mg_http_req *r, void (*f)(void *user), void *user)
+{
+    r->on_gone = f;
+    r->user = user;
+}
+
+static void
+put_extra(mg_buf *out, const char *extra)
+{
+    mg_str rest = mg_str_of(extra);
+    while (rest.n > 0) {
+        mg_str line = mg_str_cut(rest, '\n', &rest);
+        mg_buf_put(out, line.p, line.n);
+        mg_buf_put(out, "\r\n", 2);
+    }
+}
+
+static void
+put_head(mg_http_req *r, int status, const char *type, const char *extra)
+{
+    http_conn *c = r->conn;
+    MG_INVARIANT(!r->started);
+    r->started = true;
+    c->close_after = c->close_after || c->server->draining;
+    mg_buf_printf(&c->out, "HTTP/1.1 %d %s\r\n", status, mg_h1_reason(status));
+    if (type != NULL) {
+        mg_buf_printf(&c->out, "content-type: %s\r\n", type);
+    }
+    put_extra(&c->out, extra);
+    if (c->close_after) {
+        mg_buf_printf(&c->out, "connection: close\r\n");
+    }
+    mark_dirty(c);
+}
+
+void
+mg_http_start_sized(mg_http_req *r, int status, const char *type,
+                    const char *extra, uint64_t length)
+{
+    put_head(r, status, type, extra);
+    mg_buf_printf(&r->conn->out, "content-length: %llu\r\n\r\n",
+                  (unsigned long long)length);
+}
+
+void
+mg_http_start(mg_http_req *r, int status, const char *type, const char *extra)
+{
+    if (r->head.minor == 0) {
+        r->conn->close_after = true;
+        put_head(r, status, type, extra);
+        mg_buf_put(&r->conn->out, "\r\n", 2);
+        return;
+    }
+    put_head(r, status, type, extra);
+    r->chunked = true;
+    mg_buf_printf(&r->conn->out, "transfer-encoding: chunked\r\n\r\n");
+}
+
+void
+mg_http_write(mg_http_req *r, mg_str data)
+{
+    http_conn *c = r->conn;
+    if (data.n == 0) {
+        return;
+    }
+    if (r->chunked) {
+        mg_buf_printf(&c->out, "%zx\r\n", data.n);
+    }
+    mg_buf_put(&c->out, data.p, data.n);
+    if (r->chunked) {
+        mg_buf_put(&c->out, "\r\n", 2);
+    }
+    mark_dirty(c);
+}
+
+void
+mg_http_finish(mg_http_req *r)
+{
+    if (r->chunked) {
+        mg_buf_put(&r->conn->out, "0\r\n\r\n", 5);
+    }
+    finish_request(r->conn);
+}
+
+void
+mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
+              mg_str body)
+{
+    mg_http_start_sized(r, status, type, extra, body.n);
+    if (!mg_str_is(r->head.method, "HEAD")) {
+        mg_buf_put(&r->conn->out, body.p, body.n);
+    }
+    finish_request(r->conn);
+}
+
+void
+mg_http_abort(mg_http_req *r)
+{
+    http_conn *c = r->conn;
+    r->on_gone = NULL;
+    if (c->out.n > 0) {
+        write_out(c);
+    }
+    close_conn(c);
+}
+
+size_t
+mg_http_unsent(const mg_http_req *r)
+{
+    return r->conn->out.n + r->conn->unsent;
+}
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -143,6 +143,32 @@
 #define MG_FIELDS_LOCATE(F) F(U64, seq) F(STR, pool) F(U64, id)
 #define MG_FIELDS_LOCATE_REP(F) F(U64, seq) F(STR, addrs)
 
+/* nodes that found each other: records of the group, reads, proposals */
+#define MG_FIELDS_PULL(F) F(U64, seq) F(U64, rev) F(U64, wait_ms)
+#define MG_FIELDS_PULL_REP(F) \
+    F(U64, seq) F(U64, rev) F(U64, partial) F(STR, leader) F(BIN, records)
+#define MG_FIELDS_CONFIRM(F) F(U64, seq)
+#define MG_FIELDS_CONFIRM_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
+#define MG_FIELDS_PROPOSED(F) F(U64, seq) F(U64, rc) F(U64, rev) F(STR, why)
+
+/* nodes and targets, told to all through the hubs */
+#define MG_FIELDS_NODE(F) \
+    F(STR, node) F(STR, front_addr) F(STR, domain) F(STR, region) \
+    F(U64, incarnation) F(U64, seq) F(U64, ready) F(U64, disk)
+#define MG_FIELDS_NODES(F) F(BIN, nodes)
+#define MG_FIELDS_INSTANCE(F) \
+    F(STR, id) F(STR, service) F(STR, addr) F(STR, domain) F(STR, version) \
+    F(U64, slots) F(U64, state) F(U64, born_ms) F(U64, seq) F(U64, cold_ms)
+#define MG_FIELDS_INSTANCES(F) F(BIN, instances)
+
+/* what an entry has under way and has used up */
+#define MG_FIELDS_REPORT(F) \
+    F(STR, node) F(U64, incarnation) F(U64, seq) F(BIN, loads)
+#define MG_FIELDS_REPORTS(F) F(BIN, reports)
+#define MG_FIELDS_LOAD_TARGET(F) F(STR, id) F(U64, running) F(U64, prefill)
+#define MG_FIELDS_LOAD_USAGE(F) F(STR, workspace) F(U64, used)
+#define MG_FIELDS_LOAD_REPEATS(F) F(STR, service) F(U64, first) F(U64, repeats)
+
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
     M(1, HELLO, hello) \
@@ -197,7 +223,21 @@
     M(79, LOCATE, locate) \
     M(80, JOIN, join) \
     M(81, JOIN_REP, join_rep) \
-    M(82, LOCATE_REP, locate_rep)
+    M(82, LOCATE_REP, locate_rep) \
+    M(100, PULL, pull) \
+    M(101, PULL_REP, pull_rep) \
+    M(102, CONFIRM, confirm) \
+    M(103, CONFIRM_REP, confirm_rep) \
+    M(104, PROPOSED, proposed) \
+    M(110, NODE, node) \
+    M(111, NODES, nodes) \
+    M(112, INSTANCE, instance) \
+    M(113, INSTANCES, instances) \
+    M(120, REPORT, report) \
+    M(121, REPORTS, reports) \
+    M(122, LOAD_TARGET, load_target) \
+    M(123, LOAD_USAGE, load_usage) \
+    M(124, LOAD_REPEATS, load_repeats)
 
 /* clang-format on */
 
--- a/tests/fakes/engine.c
+++ b/tests/fakes/engine.c
@@ -690,7 +690,7 @@
                      &(mg_http_options){
                          .loop = g.loop,
                          .listen_addr = opt.addr,
-                         .body_max = 8 << 20,
+                         .limits = {.body_max = 8 << 20},
                          .on_request = on_http,
                      },
                      &err) != MG_OK) {
