Quota over a sliding window, counted by all entries

Cause: requests of tenants within their quota were refused from the first second on. The bucket was emptied by its own first use (rate 0, burst 0), and the totals of an entry that had been silent were drained a second time.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -45,6 +45,7 @@
     X(307, INFO, REQ_CANCELLED, "caller left; request withdrawn")           \
     X(308, WARN, REQ_CONNECT_FAILED, "target not reached, not dispatched")  \
     X(309, WARN, GRANT_STALE, "grant dropped before dispatch; why")         \
+    X(310, INFO, QUOTA, "workspace is over its quota; figures")             \
     X(320, INFO, ROUTE_GRANT, "slot granted: target and figures")           \
     X(321, INFO, ROUTE_SHED, "ticket shed: reason and figures")             \
     X(322, INFO, SCHED_START, "pool scheduler started; epoch")              \
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -19,6 +19,8 @@
 #define DEADLINE_DEFAULT_MS 30000
 #define RETRY_AFTER_MS 250
 #define DECODE_DEFAULT 64
+/* the rest is left for what entries admit before they hear of each other */
+#define QUOTA_MARGIN_USED 0.4
 
 static void
 on_timer(uv_timer_t *t);
@@ -103,7 +105,7 @@
                  (double)retry_ms / 1000.0);
     }
     if (f->usage != NULL && f->runs == 0) {
-        mg_quota_give_back(&f->usage->quota, f->quota_cost);
+        mg_quota_give_back(&f->usage->quota, f->quota_cost, now_of(f));
     }
     mg_http_reply(f->call.http, status, NULL, extra, (mg_str){"", 0});
     finish(f);
@@ -574,8 +576,16 @@
                                            : w->plain_tokens;
     }
     mg_gw_usage *u = usage_of(f->gw, w);
-    mg_quota_set(&u->quota, w->rate, w->burst, now_of(f));
+    const mg_gateway_limits *l = &f->gw->opts.limits;
+    mg_quota_set(&u->quota, w->rate, w->burst,
+                 w->by_tokens ? l->quota_margin * QUOTA_MARGIN_USED : 0, l->quota_window_ms);
     if (!mg_quota_take(&u->quota, f->quota_cost, now_of(f))) {
+        mg_log(MG_EV_QUOTA,
+               "id=%.*s workspace=%s cost=%.0f in_window=%.0f rate=%.0f "
+               "burst=%.0f used=%" PRIu64,
+               MG_STR_FMT(f->call.id), w->name, f->quota_cost, 
+               u->quota.used_window,
+               w->rate, w->burst, u->quota.used);
         refuse(f, 429, mg_quota_wait_ms(&u->quota, now_of(f)), "quota");
         return false;
     }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -172,7 +172,9 @@
 {
     mg_gw_peer *p = peer_of(gw, node);
     mg_msg m;
-    count_targets(gw, mg_str_buf(&p->loads), -1);
+    if (p->counted) {
+        count_targets(gw, mg_str_buf(&p->loads), -1);
+    }
     if (p->incarnation != incarnation) {
         p->incarnation = incarnation;
         p->loads.n = 0;
@@ -186,6 +188,7 @@
     p->loads.n = 0;
     mg_buf_put(&p->loads, loads.p, loads.n);
     p->heard_ms = mg_now(gw->opts.clock);
+    p->counted = true;
     count_targets(gw, mg_str_buf(&p->loads), 1);
     all_due(gw);
 }
@@ -196,10 +199,9 @@
 {
     int64_t now = mg_now(gw->opts.clock);
     for (mg_gw_peer *p = gw->peers; p != NULL; p = p->hh.next) {
-        if (p->loads.n > 0 && now - p->heard_ms > REPORT_STALE_MS) {
+        if (p->counted && now - p->heard_ms > REPORT_STALE_MS) {
             count_targets(gw, mg_str_buf(&p->loads), -1);
-            p->incarnation = 0;
-            p->loads.n = 0;
+            p->counted = false;
         }
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,6 +77,8 @@
     double retry_ratio; /* repeats for each request, over all entries */
     uint32_t retry_slack;
     int64_t retry_window_ms;
+    int64_t quota_window_ms;
+    double quota_margin; /* tokens in a window that errors may cost */
 } mg_gateway_limits;
 
 typedef struct mg_gateway_options {
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -49,6 +49,7 @@
     char node[MG_NAME_SIZE];
     uint64_t incarnation;
     int64_t heard_ms;
+    bool counted; /* its requests count as load of their targets */
     mg_buf loads;
 } mg_gw_peer;
 
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -1,40 +1,68 @@
 #include "gateway/quota.h"
 
+#include <string.h>
+
+static double *
+slice_at(mg_quota *q, int64_t slice)
+{
+    return &q->used_in[slice % MG_QUOTA_SLICES];
+}
+
 static void
-refill(mg_quota *q, int64_t now)
+advance(mg_quota *q, int64_t now)
 {
-    if (now > q->at_ms) {
-        q->level += q->rate * (double)(now - q->at_ms) / 1000.0;
-        q->at_ms = now;
+    int64_t slice = now / q->slice_ms;
+    if (slice - q->slice >= MG_QUOTA_SLICES) {
+        memset(q->used_in, 0, sizeof(q->used_in));
+        q->used_window = 0;
+        q->slice = slice;
     }
-    if (q->level > q->burst) {
-        q->level = q->burst;
+    while (q->slice < slice) {
+        q->slice++;
+        q->used_window -= *slice_at(q, q->slice);
+        *slice_at(q, q->slice) = 0;
     }
 }
 
+static double
+limit_of(const mg_quota *q)
+{
+    double window_s = (double)(q->slice_ms * MG_QUOTA_SLICES) / 1000.0;
+    return q->rate * window_s + q->burst + q->margin;
+}
+
+static void
+add(mg_quota *q, double cost)
+{
+    *slice_at(q, q->slice) += cost;
+    q->used_window += cost;
+}
+
 void
-mg_quota_set(mg_quota *q, double rate, double burst, int64_t now)
+mg_quota_set(mg_quota *q, double rate, double burst, double margin,
+             int64_t window_ms)
 {
-    if (q->rate <= 0) {
-        q->level = burst;
-        q->at_ms = now;
+    int64_t slice_ms = window_ms / MG_QUOTA_SLICES;
+    slice_ms = slice_ms > 0 ? slice_ms : 1;
+    if (q->slice_ms != slice_ms) {
+        memset(q->used_in, 0, sizeof(q->used_in));
+        q->used_window = 0;
+        q->slice = 0;
+        q->slice_ms = slice_ms;
     }
-    refill(q, now);
     q->rate = rate;
     q->burst = burst;
-    refill(q, now);
+    q->margin = margin;
 }
 
 bool
 mg_quota_take(mg_quota *q, double cost, int64_t now)
 {
-    if (q->rate > 0) {
-        refill(q, now);
-        if (q->level <= 0) {
-            return false;
-        }
-        q->level -= cost;
+    advance(q, now);
+    if (q->rate > 0 && q->used_window >= limit_of(q)) {
+        return false;
     }
+    add(q, cost);
     q->used += (uint64_t)cost;
     return true;
 }
@@ -42,24 +70,33 @@
 void
 mg_quota_drain(mg_quota *q, double cost, int64_t now)
 {
-    refill(q, now);
-    q->level -= cost;
+    advance(q, now);
+    add(q, cost);
 }
 
 void
-mg_quota_give_back(mg_quota *q, double cost)
+mg_quota_give_back(mg_quota *q, double cost, int64_t now)
 {
-    /* the total that others see only grows: give back by using less */
-    q->level += cost;
+    advance(q, now);
+    add(q, -cost);
     q->used -= q->used >= (uint64_t)cost ? (uint64_t)cost : q->used;
 }
 
 int64_t
 mg_quota_wait_ms(mg_quota *q, int64_t now)
 {
-    refill(q, now);
-    if (q->rate <= 0 || q->level > 0) {
+    advance(q, now);
+    double left = q->used_window;
+    double limit = limit_of(q);
+    if (q->rate <= 0 || left < limit) {
         return 0;
     }
-    return (int64_t)(-q->level * 1000.0 / q->rate) + 1;
+    for (int64_t k = 1; k <= MG_QUOTA_SLICES; k++) {
+        /* the slice that is dropped when slice + k begins */
+        left -= *slice_at(q, q->slice + k);
+        if (left < limit) {
+            return (q->slice + k) * q->slice_ms - now;
+        }
+    }
+    return q->slice_ms * MG_QUOTA_SLICES;
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -1,10 +1,10 @@
 /*
  * quota - a workspace's quota over all entries
  *
- * A token bucket that every entry keeps for itself and drains by what all
- * entries have admitted: its own at once, the others' as they report it, as
- * totals that only grow. A report that comes late leaves the bucket in debt,
- * so that the sum over a window stays within rate and burst plus what was
+ * In any window a workspace may use rate times the window, plus the burst.
+ * Every entry counts for itself what all entries have admitted in the last
+ * window: its own use at once, the others' as they report it, as totals that
+ * only grow. So the sum over a window stays within the quota plus what was
  * admitted within the delay of the reports.
  *
  * Pure; time is passed in.
@@ -15,18 +15,23 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define MG_QUOTA_SLICES 64
+
 typedef struct mg_quota {
     double rate; /* per second; 0: none */
     double burst;
-    double level; /* may be below 0 */
-    int64_t at_ms;
+    double margin; /* more in a window, for what is counted too high */
+    int64_t slice_ms; /* a window is MG_QUOTA_SLICES of them */
+    int64_t slice;    /* number of the newest one */
+    double used_in[MG_QUOTA_SLICES];
+    double used_window;
     uint64_t used; /* by this entry, ever */
 } mg_quota;
 
-/* Takes new figures; the first call fills the bucket. */
 void
-mg_quota_set(mg_quota *q, double rate, double burst, int64_t now);
-/* Takes cost out if the bucket is not empty. */
+mg_quota_set(mg_quota *q, double rate, double burst, double margin,
+             int64_t window_ms);
+/* Takes cost if the window has any room left. */
 bool
 mg_quota_take(mg_quota *q, double cost, int64_t now);
 /* Another entry has used this much more. */
@@ -34,8 +39,8 @@
 mg_quota_drain(mg_quota *q, double cost, int64_t now);
 /* Gives back what was taken for a request that was not run. */
 void
-mg_quota_give_back(mg_quota *q, double cost);
-/* Milliseconds until the bucket is not empty. */
+mg_quota_give_back(mg_quota *q, double cost, int64_t now);
+/* Milliseconds until the window has room again, 0 when it has. */
 int64_t
 mg_quota_wait_ms(mg_quota *q, int64_t now);
 
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -31,6 +31,8 @@
     double retry_ratio;
     int64_t retry_slack;
     double retry_window_s;
+    double quota_window_s;
+    double quota_margin; /* tokens in a window that errors may cost */
     double directory_ttl_s; /* how long callers keep an answer */
     double grace_s; /* from SIGTERM to the end at the latest */
     int64_t ack_ms;   /* an operator's order is answered within */
