Targets picked by the predicted time to the first event

Cause: of the late requests nearly all waited at slow engines behind long prompts; two thirds of the targets took 2.8 times as long as the others and got the same share.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/event.h"
 #include "gateway/gateway_int.h"
+#include "gateway/pick.h"
 
 /* an answer that is kept until it is whole, bytes */
 #define BODY_MAX (8u << 20)
@@ -44,10 +45,19 @@
     free(f);
 }
 
+/* the target has read the prompt, or will not */
+static void
+end_backlog(mg_flow *f)
+{
+    f->target->backlog -= f->backlog;
+    f->backlog = 0;
+}
+
 static void
 leave_target(mg_flow *f)
 {
     if (f->target != NULL) {
+        end_backlog(f);
         f->target->running--;
         f->target->instance->users--;
         f->target = NULL;
@@ -264,6 +274,11 @@
     if (ev->has_id && f->has_last && ev->id <= f->last_id) {
         return;
     }
+    if (f->backlog > 0) {
+        mg_gw_target_learn(f->target, (double)(now_of(f) - f->sent_ms),
+                           f->work_ms);
+        end_backlog(f);
+    }
     if (!f->started) {
         f->started = true;
         f->first_ms = now_of(f);
@@ -362,6 +377,8 @@
     }
     else {
         mg_gw_target_served(f->target);
+        mg_gw_target_learn(f->target, (double)(now_of(f) - f->sent_ms),
+                           f->work_ms);
     }
     if (f->started) {
         give_up(f, "resumption_refused");
@@ -448,10 +465,13 @@
     f->state = MG_FLOW_SENT;
     mg_count(MG_C_DISPATCHED, 1);
     mg_log(MG_EV_REQ_DISPATCHED,
-           "id=%.*s target=%s own=%u others=%.1f kept=%d tier=%u "
+           "id=%.*s target=%s own=%u others=%.0f backlog=%.0f pace=%.2f "
+           "kept=%d tier=%u "
            "waited_ms=%" PRId64 " left_ms=%" PRId64,
            MG_STR_FMT(f->call.id), f->target->instance->is.id,
-           f->target->running, f->target->reported, f->kept_channel,
+           f->target->running, f->target->reported,
+           f->target->backlog + f->target->reported_backlog,
+           mg_gw_target_pace(f->target), f->kept_channel,
            f->ticket.tier, now - f->arrived_ms, to.left_ms);
     uv_timer_start(&f->timer, on_timer,
                    (uint64_t)(f->deadline_ms > now ? f->deadline_ms - now : 1),
@@ -473,6 +493,10 @@
     bool sure = f->route->repeat == MG_REPEAT_NEVER;
     mg_observe(MG_H_GRANT_WAIT, (now_of(f) - f->arrived_ms) * 1000);
     f->target = t;
+    f->work_ms = mg_pick_work_ms(f->call.prompt_tokens,
+                                 t->backlog + t->reported_backlog);
+    f->backlog = f->call.prompt_tokens;
+    t->backlog += f->backlog;
     t->running++;
     t->instance->users++;
     f->channel = mg_gw_idle_channel(t, sure);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -72,12 +72,15 @@
 report_target(void *user, mg_instance *i)
 {
     const mg_gw_target *t = i->owner_data;
-    if (t == NULL || t->running == 0) {
+    if (t == NULL || (t->running == 0 && t->work_ms < 1)) {
         return;
     }
     mg_msg m = {.type = MG_MSG_LOAD_TARGET};
     m.u.load_target.id = mg_str_of(i->is.id);
     m.u.load_target.running = t->running;
+    m.u.load_target.prefill = (uint64_t)t->backlog;
+    m.u.load_target.took_ms = (uint64_t)t->took_ms;
+    m.u.load_target.work_ms = (uint64_t)t->work_ms;
     mg_msg_encode(&m, user);
 }
 
@@ -122,6 +125,13 @@
     }
 }
 
+static void
+add_signed(double *sum, double sign, uint64_t value)
+{
+    *sum += sign * (double)value;
+    *sum = *sum > 0 ? *sum : 0;
+}
+
 /* adds (or takes away) what a report says of targets */
 static void
 count_targets(mg_gateway *gw, mg_str loads, double sign)
@@ -138,8 +148,11 @@
             continue;
         }
         mg_gw_target *t = mg_gw_target_of(gw, i);
-        t->reported += sign * (double)m.u.load_target.running;
-        t->reported = t->reported > 0 ? t->reported : 0;
+        const mg_load_target_msg *l = &m.u.load_target;
+        add_signed(&t->reported, sign, l->running);
+        add_signed(&t->reported_backlog, sign, l->prefill);
+        add_signed(&t->reported_took_ms, sign, l->took_ms);
+        add_signed(&t->reported_work_ms, sign, l->work_ms);
     }
 }
 
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -22,9 +22,17 @@
     unsigned channels;
     uint32_t running; /* requests of this entry */
     double reported;  /* requests of the other entries */
+    double backlog;   /* prompt tokens of this entry, not read yet */
+    double reported_backlog;
+    /* what first events took, and what was predicted at pace 1: sums that
+       fade, of this entry and of the others */
+    double took_ms;
+    double work_ms;
+    double reported_took_ms;
+    double reported_work_ms;
+    int64_t faded_at;
     uint32_t failures; /* in a row */
     int64_t avoid_until;
-    double first_ms; /* learned: to the first event, for each request */
 } mg_gw_target;
 
 /* requests for one service */
@@ -93,6 +101,8 @@
     mg_channel *channel;
     mg_gw_target *target;
     bool kept_channel;
+    double backlog; /* its prompt counts as unread at the target */
+    double work_ms; /* predicted to the first event at pace 1 */
     uint32_t sends;    /* requests written to targets */
     uint32_t runs;     /* of them, those that may have run */
     uint32_t unreached;
@@ -147,5 +157,11 @@
 mg_gw_target_failed(mg_gw_target *t);
 void
 mg_gw_target_served(mg_gw_target *t);
+/* A first event (or a whole answer) came after that time. */
+void
+mg_gw_target_learn(mg_gw_target *t, double took_ms, double work_ms);
+/* Time that the target takes against the prediction. */
+double
+mg_gw_target_pace(mg_gw_target *t);
 
 #endif
--- a/src/gateway/pick.c
+++ b/src/gateway/pick.c
@@ -1,20 +1,34 @@
 #include "gateway/pick.h"
 
-/* what a target in another failure domain costs, in parts of a request */
-#define FAR_COST 0.03
-/* part of a request's time that goes into reading its prompt */
-#define READ_PART 0.3
+/* of a target whose pace is 1 */
+#define STEP_MS 20.0
+#define READ_MS_PER_TOKEN 0.025
+/* a prediction below this part of the goal is as good as any */
+#define COMFORT 0.3
+/* of a full target against an empty one, in parts of the goal */
+#define OCCUPANCY_COST 0.3
+/* of a target in another failure domain, in parts of the goal */
+#define FAR_COST 0.02
+
+double
+mg_pick_work_ms(double prompt_tokens, double backlog)
+{
+    return STEP_MS + (prompt_tokens + backlog) * READ_MS_PER_TOKEN;
+}
 
 static double
-cost_of(const mg_candidate *c)
+cost_of(const mg_pick_request *r, const mg_candidate *c)
 {
-    double load = (c->running + 1.0) / (double)c->slots;
-    double work = 1.0 - READ_PART * c->warm;
-    return c->pace * (work + load) + (c->near ? 0.0 : FAR_COST);
+    double unread = r->prompt_tokens * (1.0 - c->warm);
+    double first = c->pace * mg_pick_work_ms(unread, c->backlog);
+    double cost = r->goal_ms > 0 ? first / r->goal_ms : first / 1000.0;
+    cost = cost > COMFORT ? cost : COMFORT;
+    cost += OCCUPANCY_COST * c->running / (double)c->slots;
+    return cost + (c->near ? 0.0 : FAR_COST);
 }
 
 int
-mg_pick(const mg_candidate *c, size_t n, double tie)
+mg_pick(const mg_pick_request *r, const mg_candidate *c, size_t n, double tie)
 {
     int best = -1;
     double best_cost = 0;
@@ -28,7 +42,7 @@
         if (c[i].running >= c[i].slots || (sound && c[i].doubtful)) {
             continue;
         }
-        double cost = cost_of(&c[i]);
+        double cost = cost_of(r, &c[i]);
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
--- a/src/gateway/pick.h
+++ b/src/gateway/pick.h
@@ -2,10 +2,11 @@
  * pick - which target a request goes to
  *
  * Pure: a table of candidates in, an index out. A target takes no more than
- * its slots by what this entry counts itself and what the others reported;
- * among those with room the one where the request is expected to be done
- * first wins, by learned speed, load, and the tokens of the prompt that the
- * target still holds.
+ * its slots by what this entry counts itself and what the others reported.
+ * For those with room the time to the first event is predicted, from the
+ * prompt, the prompts that the target still reads for others, and the pace
+ * that was learned of it. Being faster than a part of the goal is worth
+ * nothing: so short prompts leave the fast targets to long ones.
  */
 #ifndef MG_PICK_H
 #define MG_PICK_H
@@ -17,18 +18,28 @@
 typedef struct mg_candidate {
     uint32_t slots;
     double running; /* own and reported requests */
-    double pace;    /* time that it takes, against the mean of all: 1 */
+    double backlog; /* prompt tokens that it has still to read */
+    double pace;    /* time that it takes, against the prediction: 1 */
     double warm;    /* part of the prompt that it holds, 0 to 1 */
     bool near;      /* in the entry's failure domain */
     bool doubtful;  /* failed lately, or silent */
 } mg_candidate;
 
+typedef struct mg_pick_request {
+    double prompt_tokens;
+    double goal_ms; /* to the first event, or the answer */
+} mg_pick_request;
+
+/* Predicted time to the first event at a target of pace 1, ms. */
+double
+mg_pick_work_ms(double prompt_tokens, double backlog);
 /*
  * Index of the best candidate with room, -1 when there is none. Doubtful
  * ones are taken only when no other exists. tie, uniform in [0, 1), spreads
  * equals.
  */
 int
-mg_pick(const mg_candidate *c, size_t n, double tie);
+mg_pick(const mg_pick_request *r, const mg_candidate *c, size_t n,
+        double tie);
 
 #endif
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,6 +18,11 @@
 #define AVOID_MAX_MS 4000
 #define AVOID_DOUBLINGS 4
 #define SLOTS_DEFAULT 4
+/* time in which a learned sample loses most of its weight, ms */
+#define FADE_MS 8000.0
+#define FADE_STEP_MS 100
+/* of samples at pace 1 that a target begins with, ms */
+#define PRIOR_WORK_MS 100.0
 
 mg_gw_target *
 mg_gw_target_of(mg_gateway *gw, mg_instance *i)
@@ -38,6 +44,36 @@
     return now < t->avoid_until || mg_instance_is_silent(t->instance, now);
 }
 
+/* older samples count less and less */
+static void
+fade(mg_gw_target *t, int64_t now)
+{
+    int64_t age = now - t->faded_at;
+    if (age < FADE_STEP_MS) {
+        return;
+    }
+    double keep = age > 20 * FADE_MS ? 0 : exp(-(double)age / FADE_MS);
+    t->took_ms *= keep;
+    t->work_ms *= keep;
+    t->faded_at = now;
+}
+
+void
+mg_gw_target_learn(mg_gw_target *t, double took_ms, double work_ms)
+{
+    fade(t, mg_now(t->gw->opts.clock));
+    t->took_ms += took_ms;
+    t->work_ms += work_ms;
+}
+
+double
+mg_gw_target_pace(mg_gw_target *t)
+{
+    fade(t, mg_now(t->gw->opts.clock));
+    return (t->took_ms + t->reported_took_ms + PRIOR_WORK_MS) /
+           (t->work_ms + t->reported_work_ms + PRIOR_WORK_MS);
+}
+
 static mg_candidate
 candidate_of(mg_gw_target *t, int64_t now)
 {
@@ -45,7 +81,8 @@
     return (mg_candidate){
         .slots = is->slots > 0 ? is->slots : SLOTS_DEFAULT,
         .running = t->running + t->reported,
-        .pace = is->cold_ms > 0 ? 1.5 : 1.0,
+        .backlog = t->backlog + t->reported_backlog,
+        .pace = mg_gw_target_pace(t),
         .near = strcmp(is->domain, t->gw->domain) == 0,
         .doubtful = is_doubtful(t, now),
     };
@@ -73,7 +110,8 @@
         candidates[n] = candidate_of(targets[n], now);
         n++;
     }
-    int at = mg_pick(candidates, n, mg_rng_unit(&gw->rng));
+    mg_pick_request r = {f->call.prompt_tokens, (double)f->route->goal_ms};
+    int at = mg_pick(&r, candidates, n, mg_rng_unit(&gw->rng));
     return at < 0 ? NULL : targets[at];
 }
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -165,7 +165,8 @@
 #define MG_FIELDS_REPORT(F) \
     F(STR, node) F(U64, incarnation) F(U64, seq) F(BIN, loads)
 #define MG_FIELDS_REPORTS(F) F(BIN, reports)
-#define MG_FIELDS_LOAD_TARGET(F) F(STR, id) F(U64, running) F(U64, prefill)
+#define MG_FIELDS_LOAD_TARGET(F) \
+    F(STR, id) F(U64, running) F(U64, prefill) F(U64, took_ms) F(U64, work_ms)
 #define MG_FIELDS_LOAD_USAGE(F) F(STR, workspace) F(U64, used)
 #define MG_FIELDS_LOAD_REPEATS(F) F(STR, service) F(U64, first) F(U64, repeats)
 
