--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -6,26 +6,49 @@
 
 #include "base/event.h"
 
-/* a node says that it is there, ms */
-#define HELLO_MS 500
-/* a node that no hub has heard for so long is not live, ms */
+/* a node says what it is, beside every change, ms */
+#define HELLO_MS 2000
+/* a node that was not heard of for so long is not live, ms */
 #define LIVE_MS 2500
-/* announcements without news and reports are passed on together, ms */
-#define BATCH_MS 150
+/* what is said all the time is passed on together, ms */
+#define BATCH_MS 50
+/* a hub that sends no batch for so long is left for another one, ms */
+#define HUB_SILENT_MS 600
+#define HUB_AVOID_MS 2000
+/* a node that was not heard of for so long may be beyond a cut, ms */
+#define MISSED_MS 700
+#define MISSED_MAX_MS 10000
+/* a node is sent batches for so long after its last report, ms */
+#define CLIENT_MS 1000
+
+typedef struct hub {
+    char node[MG_NAME_SIZE];
+    int64_t heard_ms;
+    int64_t avoid_until;
+} hub;
+
+/* what a hub passes on with the next batch */
+typedef struct batch {
+    mg_buf nodes;
+    mg_buf instances;
+    mg_buf reports;
+} batch;
 
 struct mg_mesh {
     mg_mesh_options opts;
     mg_mesh_node self;
-    char hubs[MG_MESH_HUBS_MAX][MG_NAME_SIZE];
+    hub hubs[MG_MESH_HUBS_MAX]; /* others */
     size_t hub_count;
+    hub *primary; /* the hub in use, NULL: none yet */
+    int64_t primary_since;
     bool is_hub;
+    bool missing; /* some node was not heard of lately */
     mg_mesh_node *nodes; /* others */
     int64_t hello_at;
     int64_t batch_at;
     uint64_t report_seq;
-    mg_buf instances; /* of a hub: to be passed on */
-    mg_buf reports;
-    mg_buf news; /* NODE messages */
+    batch to_hubs;
+    batch to_clients;
 };
 
 mg_mesh *
@@ -56,16 +79,35 @@
     if (m->hub_count == MG_MESH_HUBS_MAX) {
         return;
     }
-    mg_str_copy(m->hubs[m->hub_count++], MG_NAME_SIZE, mg_str_of(ip));
+    mg_str_copy(m->hubs[m->hub_count++].node, MG_NAME_SIZE, mg_str_of(ip));
     snprintf(addr, sizeof(addr), "%s:%u", ip, port);
     mg_net_dial(m->opts.net, ip, addr);
 }
 
+static mg_mesh_node *
+find_node(const mg_mesh *m, const char *node)
+{
+    mg_mesh_node *n;
+    HASH_FIND_STR(m->nodes, node, n);
+    return n;
+}
+
+static hub *
+find_hub(mg_mesh *m, const char *node)
+{
+    for (size_t i = 0; i < m->hub_count; i++) {
+        if (strcmp(m->hubs[i].node, node) == 0) {
+            return &m->hubs[i];
+        }
+    }
+    return NULL;
+}
+
 static void
 send_to_hubs(mg_mesh *m, const mg_msg *msg)
 {
     for (size_t i = 0; i < m->hub_count; i++) {
-        mg_net_send(m->opts.net, m->hubs[i], msg);
+        mg_net_send(m->opts.net, m->hubs[i].node, msg);
     }
 }
 
@@ -78,6 +120,59 @@
     }
 }
 
+static void
+send_to_clients(mg_mesh *m, const mg_msg *msg)
+{
+    int64_t now = mg_now(m->opts.clock);
+    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
+        if (now < n->client_until) {
+            mg_net_send(m->opts.net, n->node, msg);
+        }
+    }
+}
+
+/* smaller is better: links that work, then the own failure domain */
+static int
+hub_rank(const mg_mesh *m, const hub *h, int64_t now)
+{
+    const mg_mesh_node *n = find_node(m, h->node);
+    int rank = mg_net_up(m->opts.net, h->node) ? 0 : 4;
+    rank += now < h->avoid_until ? 2 : 0;
+    return rank + (n == NULL || strcmp(n->domain, m->self.domain) != 0);
+}
+
+static void
+choose_primary(mg_mesh *m, int64_t now)
+{
+    hub *old = m->primary;
+    if (old != NULL && now - m->primary_since > HUB_SILENT_MS &&
+        now - old->heard_ms > HUB_SILENT_MS) {
+        old->avoid_until = now + HUB_AVOID_MS;
+    }
+    for (size_t i = 0; i < m->hub_count; i++) {
+        hub *h = &m->hubs[i];
+        if (m->primary == NULL ||
+            hub_rank(m, h, now) < hub_rank(m, m->primary, now)) {
+            m->primary = h;
+        }
+    }
+    if (m->primary != old) {
+        m->primary_since = now;
+    }
+}
+
+/* what is said all the time */
+static void
+send_regular(mg_mesh *m, const mg_msg *msg)
+{
+    if (m->missing) {
+        send_to_hubs(m, msg);
+    }
+    else if (m->primary != NULL && !m->is_hub) {
+        mg_net_send(m->opts.net, m->primary->node, msg);
+    }
+}
+
 /* --------------------------------------------------------------- nodes */
 
 static mg_msg
@@ -95,14 +190,6 @@
     return m;
 }
 
-static mg_mesh_node *
-find_node(const mg_mesh *m, const char *node)
-{
-    mg_mesh_node *n;
-    HASH_FIND_STR(m->nodes, node, n);
-    return n;
-}
-
 /* whether this says more than is known */
 static bool
 take_node(mg_mesh *m, const mg_node_msg *q)
@@ -142,32 +229,57 @@
 static void
 pass_node(mg_mesh *m, const mg_msg *msg)
 {
-    if (take_node(m, &msg->u.node) && m->is_hub) {
-        mg_msg_encode(msg, &m->news);
+    const mg_mesh_node *n;
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), msg->u.node.node);
+    n = find_node(m, name);
+    bool same = n != NULL && n->live && n->ready == msg->u.node.ready &&
+                n->incarnation == msg->u.node.incarnation;
+    if (!take_node(m, &msg->u.node) || !m->is_hub) {
+        return;
+    }
+    if (same) {
+        mg_msg_encode(msg, &m->to_hubs.nodes);
+        mg_msg_encode(msg, &m->to_clients.nodes);
+    }
+    else {
+        send_to_nodes(m, msg);
     }
 }
 
 static void
 expire_nodes(mg_mesh *m, int64_t now)
 {
+    m->missing = false;
     for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
-        if (n->live && now - n->heard_ms > LIVE_MS) {
+        int64_t age = now - n->heard_ms;
+        m->missing = m->missing || (age > MISSED_MS && age < MISSED_MAX_MS);
+        if (n->live && age > LIVE_MS) {
             n->live = false;
             mg_log(MG_EV_NODE_DOWN, "node=%s ready=%d why=silent age_ms=%lld",
-                   n->node, n->ready, (long long)(now - n->heard_ms));
+                   n->node, n->ready, (long long)age);
         }
     }
 }
 
 static void
-say_hello(mg_mesh *m)
+say_hello(mg_mesh *m, bool to_all)
 {
     m->self.seq++;
     m->hello_at = mg_now(m->opts.clock) + HELLO_MS;
     mg_msg msg = node_msg(&m->self);
-    send_to_hubs(m, &msg);
-    if (m->is_hub) {
-        mg_msg_encode(&msg, &m->news);
+    if (to_all) {
+        send_to_hubs(m, &msg);
+    }
+    else {
+        send_regular(m, &msg);
+    }
+    if (m->is_hub && to_all) {
+        send_to_nodes(m, &msg);
+    }
+    else if (m->is_hub) {
+        mg_msg_encode(&msg, &m->to_hubs.nodes);
+        mg_msg_encode(&msg, &m->to_clients.nodes);
     }
 }
 
@@ -176,7 +288,7 @@
 {
     if (m->self.ready != ready) {
         m->self.ready = ready;
-        say_hello(m);
+        say_hello(m, true);
     }
 }
 
@@ -190,31 +302,34 @@
     return m;
 }
 
-/* news at once, signs of life in batches */
+/* of a hub: news at once to all, signs of life in batches */
 static void
-pass_instance(mg_mesh *m, const mg_announcement *a, mg_announce_result result)
+pass_instance(mg_mesh *m, const mg_announcement *a, mg_announce_result result,
+              bool from_hub)
 {
     if (!m->is_hub || result == MG_ANNOUNCE_STALE) {
         return;
     }
     mg_msg msg = instance_msg(a);
-    if (result == MG_ANNOUNCE_ALIVE) {
-        mg_msg_encode(&msg, &m->instances);
-    }
-    else {
+    if (result != MG_ANNOUNCE_ALIVE) {
         send_to_nodes(m, &msg);
+        return;
+    }
+    mg_msg_encode(&msg, &m->to_clients.instances);
+    if (!from_hub) {
+        mg_msg_encode(&msg, &m->to_hubs.instances);
     }
 }
 
 static void
-take_instance(mg_mesh *m, const mg_instance_msg *q)
+take_instance(mg_mesh *m, const mg_instance_msg *q, bool from_hub)
 {
     mg_announcement a;
     if (mg_announcement_of_msg(q, &a) != MG_OK) {
         mg_log(MG_EV_BAD_INPUT, "what=instance");
         return;
     }
-    pass_instance(m, &a, m->opts.on_instance(m->opts.user, &a));
+    pass_instance(m, &a, m->opts.on_instance(m->opts.user, &a), from_hub);
 }
 
 void
@@ -225,28 +340,45 @@
         return;
     }
     mg_msg msg = instance_msg(a);
-    send_to_hubs(m, &msg);
-    pass_instance(m, a, result);
+    if (result == MG_ANNOUNCE_ALIVE) {
+        send_regular(m, &msg);
+    }
+    else {
+        send_to_hubs(m, &msg);
+    }
+    pass_instance(m, a, result, false);
 }
 
 /* ------------------------------------------------------------- reports */
 
 static void
-take_report(mg_mesh *m, const mg_msg *msg, bool pass_on)
+take_report(mg_mesh *m, const mg_msg *msg, bool from_hub)
 {
     char name[MG_NAME_SIZE];
     mg_str_copy(name, sizeof(name), msg->u.report.node);
     mg_mesh_node *n = find_node(m, name);
-    if (n == NULL || (n->report_incarnation == msg->u.report.incarnation &&
-                      n->report_seq >= msg->u.report.seq)) {
+    if (n == NULL || n->incarnation != msg->u.report.incarnation) {
+        return;
+    }
+    if (m->is_hub && !from_hub) {
+        n->client_until = mg_now(m->opts.clock) + CLIENT_MS;
+    }
+    if (n->report_incarnation == msg->u.report.incarnation &&
+        n->report_seq >= msg->u.report.seq) {
         return;
     }
     n->report_incarnation = msg->u.report.incarnation;
     n->report_seq = msg->u.report.seq;
+    n->heard_ms = mg_now(m->opts.clock);
+    n->live = true;
     m->opts.on_report(m->opts.user, name, msg->u.report.incarnation,
                       msg->u.report.loads);
-    if (pass_on && m->is_hub) {
-        mg_msg_encode(msg, &m->reports);
+    if (!m->is_hub) {
+        return;
+    }
+    mg_msg_encode(msg, &m->to_clients.reports);
+    if (!from_hub) {
+        mg_msg_encode(msg, &m->to_hubs.reports);
     }
 }
 
@@ -258,9 +390,10 @@
     msg.u.report.incarnation = m->self.incarnation;
     msg.u.report.seq = ++m->report_seq;
     msg.u.report.loads = loads;
-    send_to_hubs(m, &msg);
+    send_regular(m, &msg);
     if (m->is_hub) {
-        mg_msg_encode(&msg, &m->reports);
+        mg_msg_encode(&msg, &m->to_hubs.reports);
+        mg_msg_encode(&msg, &m->to_clients.reports);
     }
 }
 
@@ -276,19 +409,21 @@
     }
 }
 
+/* from a hub's batch */
 static void
 take_passed(mg_mesh *m, const mg_msg *msg)
 {
     switch (msg->type) {
     case MG_MSG_NODE:
-        /* a hub hears every node itself: nothing goes round */
-        take_node(m, &msg->u.node);
+        if (take_node(m, &msg->u.node) && m->is_hub) {
+            mg_msg_encode(msg, &m->to_clients.nodes);
+        }
         break;
     case MG_MSG_INSTANCE:
-        take_instance(m, &msg->u.instance);
+        take_instance(m, &msg->u.instance, true);
         break;
     case MG_MSG_REPORT:
-        take_report(m, msg, false);
+        take_report(m, msg, true);
         break;
     default:
         break;
@@ -298,7 +433,10 @@
 bool
 mg_mesh_receive(mg_mesh *m, const char *peer, const mg_msg *msg)
 {
-    (void)peer;
+    hub *h = find_hub(m, peer);
+    if (h != NULL) {
+        h->heard_ms = mg_now(m->opts.clock);
+    }
     switch (msg->type) {
     case MG_MSG_NODE:
         pass_node(m, msg);
@@ -307,13 +445,13 @@
         take_each(m, msg->u.nodes.nodes, take_passed);
         return true;
     case MG_MSG_INSTANCE:
-        take_instance(m, &msg->u.instance);
+        take_instance(m, &msg->u.instance, false);
         return true;
     case MG_MSG_INSTANCES:
         take_each(m, msg->u.instances.instances, take_passed);
         return true;
     case MG_MSG_REPORT:
-        take_report(m, msg, true);
+        take_report(m, msg, false);
         return true;
     case MG_MSG_REPORTS:
         take_each(m, msg->u.reports.reports, take_passed);
@@ -358,40 +496,41 @@
 }
 
 static void
-send_batches(mg_mesh *m)
+send_batch(mg_mesh *m, batch *b, void (*send)(mg_mesh *m, const mg_msg *msg))
 {
     mg_msg msg;
-    if (m->news.n > 0) {
+    if (b->nodes.n > 0) {
         msg.type = MG_MSG_NODES;
-        msg.u.nodes.nodes = mg_str_buf(&m->news);
-        send_to_nodes(m, &msg);
+        msg.u.nodes.nodes = mg_str_buf(&b->nodes);
+        send(m, &msg);
     }
-    if (m->instances.n > 0) {
+    if (b->instances.n > 0) {
         msg.type = MG_MSG_INSTANCES;
-        msg.u.instances.instances = mg_str_buf(&m->instances);
-        send_to_nodes(m, &msg);
-    }
-    if (m->reports.n > 0) {
-        msg.type = MG_MSG_REPORTS;
-        msg.u.reports.reports = mg_str_buf(&m->reports);
-        send_to_nodes(m, &msg);
-    }
-    m->news.n = 0;
-    m->instances.n = 0;
-    m->reports.n = 0;
+        msg.u.instances.instances = mg_str_buf(&b->instances);
+        send(m, &msg);
+    }
+    /* also when there are none: the batch says that the hub is alive */
+    msg.type = MG_MSG_REPORTS;
+    msg.u.reports.reports = mg_str_buf(&b->reports);
+    send(m, &msg);
+    b->nodes.n = 0;
+    b->instances.n = 0;
+    b->reports.n = 0;
 }
 
 void
 mg_mesh_tick(mg_mesh *m)
 {
     int64_t now = mg_now(m->opts.clock);
+    choose_primary(m, now);
+    expire_nodes(m, now);
     if (now >= m->hello_at) {
-        say_hello(m);
-        expire_nodes(m, now);
+        say_hello(m, false);
     }
     if (m->is_hub && now >= m->batch_at) {
         m->batch_at = now + BATCH_MS;
-        send_batches(m);
+        send_batch(m, &m->to_hubs, send_to_hubs);
+        send_batch(m, &m->to_clients, send_to_clients);
     }
 }
 
@@ -426,7 +565,7 @@
 {
     size_t up = m->is_hub;
     for (size_t i = 0; i < m->hub_count; i++) {
-        up += mg_net_up(m->opts.net, m->hubs[i]);
+        up += mg_net_up(m->opts.net, m->hubs[i].node);
     }
     return 2 * up > m->hub_count + m->is_hub;
 }
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -1,10 +1,13 @@
 /*
  * mesh - how nodes find each other and what they tell each other
  *
- * Some nodes are hubs. Every node keeps a link to every hub; a hub passes on
- * to all what one node says: which nodes are live, which target instances
- * announced themselves, what each entry has under way. So that nothing goes
- * from each node to each other, and the loss of a hub loses nothing.
+ * Some nodes are hubs. Every node keeps a link to every hub. Changes (a node
+ * or a target that comes, leaves, changes its state) go to all hubs and from
+ * each of them to all nodes at once. What is said all the time (signs of
+ * life, what each entry has under way) goes to one hub, of the node's own
+ * failure domain if possible, from there in batches to the other hubs, and
+ * from each to the nodes that use it. A node that no longer hears some other
+ * node uses all hubs until it does.
  *
  * The mesh decides nothing about instances and reports; the node's tables
  * tell by their outcome whether something is news and is passed on.
@@ -32,6 +35,7 @@
     bool disk;
     bool live;
     int64_t heard_ms;
+    int64_t client_until; /* of a hub: the node gets batches until then */
     uint64_t report_incarnation;
     uint64_t report_seq;
 } mg_mesh_node;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,7 +9,7 @@
 #include "control/state.h"
 
 #define TICK_MS 50
-#define REPORT_MS 150
+#define REPORT_MS 100
 #define SWEEP_MS 1000
 /* callers learn within this that the node is to be left, ms */
 #define DRAIN_LEAST_MS 2500
