Requests that can't be on time stand behind those that can, and leave early

Cause: in a burst the oldest (soon late) requests went first, so that nearly all became late, and they waited until their deadline. Now each tier has two ranks; a late one waits half its goal more and is then refused with a spread Retry-After; who would wait longer is refused at once; one slot of each target is left for higher tiers that were seen lately.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -172,6 +172,37 @@
 
 /* ------------------------------------------------------------- retries */
 
+static void
+set_timer(mg_flow *f, int64_t at)
+{
+    int64_t now = now_of(f);
+    uv_timer_start(&f->timer, on_timer, (uint64_t)(at > now ? at - now : 1),
+                   0);
+}
+
+/* requests that would be taken up before this one */
+static uint64_t
+ahead_of(const mg_flow *f)
+{
+    uint64_t n = 0;
+    for (unsigned rank = 0; rank <= 2 * f->tier; rank++) {
+        n += mg_tierq_tier_count(f->pool->waiting, rank);
+    }
+    return n;
+}
+
+static void
+refuse_busy(mg_flow *f, const char *why)
+{
+    mg_gateway *gw = f->gw;
+    int64_t now = now_of(f);
+    int64_t wait = mg_takeup_wait_ms(&f->pool->takeup, ahead_of(f), now);
+    refuse(f, 503,
+           mg_retry_after_ms(wait, f->deadline_ms - now,
+                             mg_rng_unit(&gw->rng)),
+           why);
+}
+
 static void
 wait_for_target(mg_flow *f)
 {
@@ -182,11 +213,18 @@
     mg_events_reset(&f->events);
     mg_tierq_add(f->pool->waiting, &f->ticket);
     mg_gw_pool_due(f->gw, f->pool);
-    uv_timer_start(&f->timer, on_timer,
-                   (uint64_t)(f->deadline_ms > now_of(f)
-                                  ? f->deadline_ms - now_of(f)
-                                  : 1),
-                   0);
+    set_timer(f, f->runs > 0 || f->started ? f->deadline_ms
+                                           : f->patience.on_time_until);
+}
+
+/* it can't be on time any more: behind those of its tier that can */
+static void
+wait_as_late(mg_flow *f)
+{
+    mg_tierq_remove(f->pool->waiting, &f->ticket);
+    f->ticket.tier = 2 * f->tier + 1;
+    mg_tierq_add(f->pool->waiting, &f->ticket);
+    set_timer(f, f->patience.refuse_at);
 }
 
 static bool
@@ -472,10 +510,8 @@
            f->target->running, f->target->reported,
            f->target->backlog + f->target->reported_backlog,
            mg_gw_target_pace(f->target), f->kept_channel,
-           f->ticket.tier, now - f->arrived_ms, to.left_ms);
-    uv_timer_start(&f->timer, on_timer,
-                   (uint64_t)(f->deadline_ms > now ? f->deadline_ms - now : 1),
-                   0);
+           f->tier, now - f->arrived_ms, to.left_ms);
+    set_timer(f, f->deadline_ms);
     mg_channel_send(f->channel, mg_str_buf(&head), mg_http_body(f->call.http),
                     mg_str_is(mg_http_method(f->call.http), "HEAD"));
     mg_buf_free(&head);
@@ -507,12 +543,8 @@
         return;
     }
     f->state = MG_FLOW_CONNECTING;
-    int64_t left = f->deadline_ms - now_of(f);
-    uv_timer_start(&f->timer, on_timer,
-                   (uint64_t)(left < 1            ? 1
-                              : left < CONNECT_MS ? left
-                                                  : CONNECT_MS),
-                   0);
+    int64_t until = now_of(f) + CONNECT_MS;
+    set_timer(f, until < f->deadline_ms ? until : f->deadline_ms);
     f->channel = mg_gw_new_channel(t, &f->user);
 }
 
@@ -526,6 +558,15 @@
         on_end(&f->user, MG_CHANNEL_UNREACHED);
         return;
     }
+    if (f->state == MG_FLOW_WAITING && !late) {
+        if (f->ticket.tier == 2 * f->tier && f->runs == 0 && !f->started) {
+            wait_as_late(f);
+        }
+        else {
+            refuse_busy(f, "waited");
+        }
+        return;
+    }
     drop_channel(f);
     leave_target(f);
     if (f->started || f->runs == 0) {
@@ -544,12 +585,13 @@
     mg_ticket *t = &f->ticket;
     const mg_call *c = &f->call;
     t->id = ++f->gw->next_ticket;
-    t->tier = f->workspace != NULL && f->workspace->has_tier
+    f->tier = f->workspace != NULL && f->workspace->has_tier
                   ? f->workspace->tier
                   : f->route->tier;
-    if (t->tier >= MG_TIER_MAX) {
-        t->tier = MG_TIER_MAX - 1;
+    if (f->tier >= MG_TIER_MAX) {
+        f->tier = MG_TIER_MAX - 1;
     }
+    t->tier = 2 * f->tier;
     t->weight = 1;
     t->prefill = c->prompt_tokens;
     t->decode = c->output_hint   ? c->output_hint
@@ -656,10 +698,20 @@
     set_ticket(f);
     mg_service *s = mg_route_choose(f->route, mg_rng_unit(&gw->rng));
     f->pool = mg_gw_pool_of(gw, s->name);
+    f->pool->tier_seen[f->tier] = f->arrived_ms;
     if (f->call.resumes) {
         f->has_last = true;
         f->last_id = f->call.resume_after;
     }
+    f->patience =
+        mg_patience_of(f->arrived_ms, f->deadline_ms, f->route->goal_ms,
+                       mg_gw_least_first_ms(gw, f));
+    int64_t wait = mg_takeup_wait_ms(&f->pool->takeup, ahead_of(f),
+                                     f->arrived_ms);
+    if (f->arrived_ms + wait > f->patience.refuse_at) {
+        refuse_busy(f, "queue");
+        return;
+    }
     wait_for_target(f);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -50,6 +50,7 @@
             return;
         }
         mg_tierq_serve(p->waiting, ticket);
+        mg_takeup_count(&p->takeup, mg_now(gw->opts.clock));
         mg_flow_dispatch(f, t);
     }
 }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -10,6 +10,7 @@
 #include "gateway/budget.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
+#include "gateway/patience.h"
 #include "gateway/quota.h"
 #include "policy/tierq.h"
 #include "wire/channel.h"
@@ -41,6 +42,8 @@
     char service[MG_NAME_SIZE];
     mg_tierq *waiting;
     mg_budget budget;
+    mg_takeup takeup;
+    int64_t tier_seen[MG_TIER_MAX]; /* last request of each tier */
     bool due; /* is to be run at the end of this turn */
     struct list_head link;
 } mg_gw_pool;
@@ -106,6 +109,8 @@
     uint32_t sends;    /* requests written to targets */
     uint32_t runs;     /* of them, those that may have run */
     uint32_t unreached;
+    uint32_t tier;
+    mg_patience patience;
     int64_t arrived_ms;
     int64_t deadline_ms;
     int64_t sent_ms;
@@ -142,6 +147,9 @@
 mg_gw_target_of(mg_gateway *gw, mg_instance *i);
 mg_gw_target *
 mg_gw_choose(mg_gateway *gw, const mg_flow *f);
+/* Predicted time to the first event at the pool's fastest target, ms. */
+int64_t
+mg_gw_least_first_ms(mg_gateway *gw, const mg_flow *f);
 /*
  * An idle channel to the target, or NULL. sure: only one that is fit for a
  * request that may not be repeated.
--- /dev/null
+++ b/src/gateway/patience.c
@@ -0,0 +1,83 @@
+#include "gateway/patience.h"
+
+#include <string.h>
+
+/* of the goal, that a request waits on when it can't be on time any more */
+#define LATE_PART 0.5
+#define SLICE_MS 125
+#define SLICES 8
+#define LONG_WAIT_MS 60000
+#define RETRY_LEAST_MS 150
+#define RETRY_MOST_MS 3000
+
+mg_patience
+mg_patience_of(int64_t arrived_ms, int64_t deadline_ms, int64_t goal_ms,
+               int64_t first_ms)
+{
+    mg_patience p;
+    int64_t slack = goal_ms > first_ms ? goal_ms - first_ms : 0;
+    int64_t last = deadline_ms - first_ms;
+    p.on_time_until = arrived_ms + slack;
+    p.refuse_at =
+        p.on_time_until + (int64_t)(LATE_PART * (double)goal_ms) + 1;
+    if (p.refuse_at > last) {
+        p.refuse_at = last > arrived_ms ? last : arrived_ms + 1;
+    }
+    if (p.on_time_until > p.refuse_at) {
+        p.on_time_until = p.refuse_at;
+    }
+    return p;
+}
+
+static void
+advance(mg_takeup *t, int64_t now)
+{
+    int64_t slice = now / SLICE_MS;
+    if (slice - t->slice > SLICES) {
+        memset(t->taken, 0, sizeof(t->taken));
+        t->slice = slice;
+    }
+    while (t->slice < slice) {
+        t->slice++;
+        t->taken[t->slice % SLICES] = 0;
+    }
+}
+
+void
+mg_takeup_count(mg_takeup *t, int64_t now)
+{
+    advance(t, now);
+    t->taken[t->slice % SLICES]++;
+}
+
+double
+mg_takeup_rate(mg_takeup *t, int64_t now)
+{
+    uint32_t n = 0;
+    advance(t, now);
+    for (int i = 0; i < SLICES; i++) {
+        n += t->taken[i];
+    }
+    return (double)n * 1000.0 / (SLICE_MS * SLICES);
+}
+
+int64_t
+mg_takeup_wait_ms(mg_takeup *t, uint64_t ahead, int64_t now)
+{
+    double rate = mg_takeup_rate(t, now);
+    if (rate <= 0) {
+        return ahead > 0 ? LONG_WAIT_MS : 0;
+    }
+    double ms = (double)ahead * 1000.0 / rate;
+    return ms < LONG_WAIT_MS ? (int64_t)ms : LONG_WAIT_MS;
+}
+
+int64_t
+mg_retry_after_ms(int64_t wait_ms, int64_t left_ms, double spread)
+{
+    int64_t ms = wait_ms > RETRY_LEAST_MS ? wait_ms : RETRY_LEAST_MS;
+    ms = (int64_t)((double)ms * (0.75 + 0.75 * spread));
+    ms = ms < RETRY_MOST_MS ? ms : RETRY_MOST_MS;
+    int64_t most = left_ms / 3;
+    return ms < most ? ms : most > 1 ? most : 1;
+}
--- /dev/null
+++ b/src/gateway/patience.h
@@ -0,0 +1,55 @@
+/*
+ * patience - how long a request waits for a target, and when it is refused
+ *
+ * Pure. Answers a load that is more than the targets can serve for a while:
+ *  - a request that can still be on time stands before those of its tier
+ *    that can't, so that a queue that is too long does not make all late;
+ *  - one that can't be on time any more waits only a little longer, behind
+ *    the others of its tier: its caller does better to come again;
+ *  - one that would have to wait beyond that for what stands before it is
+ *    refused at once.
+ */
+#ifndef MG_PATIENCE_H
+#define MG_PATIENCE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct mg_patience {
+    int64_t on_time_until; /* dispatched by then it is on time */
+    int64_t refuse_at;     /* and by then it is refused */
+} mg_patience;
+
+/*
+ * deadline_ms: when the caller or the route gives up; goal_ms: from arrival
+ * to the first event; first_ms: predicted from dispatch to the first event.
+ */
+mg_patience
+mg_patience_of(int64_t arrived_ms, int64_t deadline_ms, int64_t goal_ms,
+               int64_t first_ms);
+
+/* rate at which a pool takes up requests that wait */
+typedef struct mg_takeup {
+    int64_t slice;
+    uint32_t taken[8];
+} mg_takeup;
+
+void
+mg_takeup_count(mg_takeup *t, int64_t now);
+/* Requests taken up in a second, lately. */
+double
+mg_takeup_rate(mg_takeup *t, int64_t now);
+/* Predicted wait behind so many requests, ms; a long time when none is
+   taken up. */
+int64_t
+mg_takeup_wait_ms(mg_takeup *t, uint64_t ahead, int64_t now);
+
+/*
+ * When a refused caller should come again, ms: after the predicted wait,
+ * spread so that not all come at once, in a third of the time left at most.
+ * spread: uniform in [0, 1).
+ */
+int64_t
+mg_retry_after_ms(int64_t wait_ms, int64_t left_ms, double spread);
+
+#endif
--- a/src/gateway/pick.c
+++ b/src/gateway/pick.c
@@ -16,11 +16,17 @@
     return STEP_MS + (prompt_tokens + backlog) * READ_MS_PER_TOKEN;
 }
 
+double
+mg_pick_first_ms(const mg_pick_request *r, const mg_candidate *c)
+{
+    double unread = r->prompt_tokens * (1.0 - c->warm);
+    return c->pace * mg_pick_work_ms(unread, c->backlog);
+}
+
 static double
 cost_of(const mg_pick_request *r, const mg_candidate *c)
 {
-    double unread = r->prompt_tokens * (1.0 - c->warm);
-    double first = c->pace * mg_pick_work_ms(unread, c->backlog);
+    double first = mg_pick_first_ms(r, c);
     double cost = r->goal_ms > 0 ? first / r->goal_ms : first / 1000.0;
     cost = cost > COMFORT ? cost : COMFORT;
     cost += OCCUPANCY_COST * c->running / (double)c->slots;
@@ -39,7 +45,10 @@
     size_t start = (size_t)(tie * (double)n);
     for (size_t k = 0; k < n; k++) {
         size_t i = (start + k) % n;
-        if (c[i].running >= c[i].slots || (sound && c[i].doubtful)) {
+        /* a target with few slots spares none */
+        double slots = c[i].slots > 2 * r->spare ? c[i].slots - r->spare
+                                                 : c[i].slots;
+        if (c[i].running >= slots || (sound && c[i].doubtful)) {
             continue;
         }
         double cost = cost_of(r, &c[i]);
--- a/src/gateway/pick.h
+++ b/src/gateway/pick.h
@@ -28,11 +28,15 @@
 typedef struct mg_pick_request {
     double prompt_tokens;
     double goal_ms; /* to the first event, or the answer */
+    uint32_t spare; /* slots of each target that are left for others */
 } mg_pick_request;
 
 /* Predicted time to the first event at a target of pace 1, ms. */
 double
 mg_pick_work_ms(double prompt_tokens, double backlog);
+/* Predicted time to the first event at that target, ms. */
+double
+mg_pick_first_ms(const mg_pick_request *r, const mg_candidate *c);
 /*
  * Index of the best candidate with room, -1 when there is none. Doubtful
  * ones are taken only when no other exists. tie, uniform in [0, 1), spreads
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -18,6 +18,9 @@
 #define AVOID_MAX_MS 4000
 #define AVOID_DOUBLINGS 4
 #define SLOTS_DEFAULT 4
+/* of each target, for higher tiers that were seen lately */
+#define SPARE_SLOTS 1
+#define TIER_SEEN_MS 2000
 /* time in which a learned sample loses most of its weight, ms */
 #define FADE_MS 8000.0
 #define FADE_STEP_MS 100
@@ -88,6 +91,54 @@
     };
 }
 
+/* slots that are left for requests of higher tiers, which come too */
+static uint32_t
+spare_slots(const mg_flow *f, int64_t now)
+{
+    for (uint32_t i = 0; i < f->tier && i < MG_TIER_MAX; i++) {
+        int64_t seen = f->pool->tier_seen[i];
+        if (seen != 0 && now - seen < TIER_SEEN_MS) {
+            return SPARE_SLOTS;
+        }
+    }
+    return 0;
+}
+
+static mg_pick_request
+pick_request(const mg_flow *f, int64_t now)
+{
+    return (mg_pick_request){
+        .prompt_tokens = f->call.prompt_tokens,
+        .goal_ms = (double)f->route->goal_ms,
+        .spare = spare_slots(f, now),
+    };
+}
+
+int64_t
+mg_gw_least_first_ms(mg_gateway *gw, const mg_flow *f)
+{
+    mg_instance_group *g =
+        mg_registry_service(gw->opts.registry, f->pool->service);
+    int64_t now = mg_now(gw->opts.clock);
+    mg_pick_request r = pick_request(f, now);
+    double least = -1;
+    if (g == NULL) {
+        return 0;
+    }
+    list_for_each(el, &g->instances)
+    {
+        mg_instance *i = list_entry(el, mg_instance, link);
+        if (i->is.state != MG_INSTANCE_READY) {
+            continue;
+        }
+        mg_candidate c = candidate_of(mg_gw_target_of(gw, i), now);
+        c.backlog = 0;
+        double ms = mg_pick_first_ms(&r, &c);
+        least = least < 0 || ms < least ? ms : least;
+    }
+    return least < 0 ? 0 : (int64_t)least;
+}
+
 mg_gw_target *
 mg_gw_choose(mg_gateway *gw, const mg_flow *f)
 {
@@ -110,7 +161,7 @@
         candidates[n] = candidate_of(targets[n], now);
         n++;
     }
-    mg_pick_request r = {f->call.prompt_tokens, (double)f->route->goal_ms};
+    mg_pick_request r = pick_request(f, now);
     int at = mg_pick(&r, candidates, n, mg_rng_unit(&gw->rng));
     return at < 0 ? NULL : targets[at];
 }
--- a/src/policy/tierq.c
+++ b/src/policy/tierq.c
@@ -26,7 +26,7 @@
 };
 
 struct mg_tierq {
-    struct tier tiers[MG_TIER_MAX];
+    struct tier tiers[MG_RANK_MAX];
     uint64_t next_order;
 };
 
@@ -34,7 +34,7 @@
 mg_tierq_new(void)
 {
     mg_tierq *q = mg_alloc(sizeof(*q));
-    for (size_t i = 0; i < MG_TIER_MAX; i++) {
+    for (size_t i = 0; i < MG_RANK_MAX; i++) {
         init_list_head(&q->tiers[i].waiting);
     }
     return q;
@@ -43,7 +43,7 @@
 void
 mg_tierq_free(mg_tierq *q)
 {
-    for (size_t i = 0; i < MG_TIER_MAX; i++) {
+    for (size_t i = 0; i < MG_RANK_MAX; i++) {
         mg_share *s;
         mg_share *s1;
         HASH_ITER(hh, q->tiers[i].shares, s, s1)
@@ -97,7 +97,7 @@
 void
 mg_tierq_add(mg_tierq *q, mg_ticket *t)
 {
-    MG_INVARIANT(t->tier < MG_TIER_MAX && t->share == NULL);
+    MG_INVARIANT(t->tier < MG_RANK_MAX && t->share == NULL);
     struct tier *tier = &q->tiers[t->tier];
     mg_share *s = find_share(tier, t);
     t->order = q->next_order++;
@@ -225,7 +225,7 @@
 mg_ticket *
 mg_tierq_head(const mg_tierq *q)
 {
-    for (size_t i = 0; i < MG_TIER_MAX; i++) {
+    for (size_t i = 0; i < MG_RANK_MAX; i++) {
         if (q->tiers[i].count > 0) {
             return next_of_tier(&q->tiers[i]);
         }
@@ -244,7 +244,7 @@
 mg_tierq_count(const mg_tierq *q)
 {
     size_t n = 0;
-    for (size_t i = 0; i < MG_TIER_MAX; i++) {
+    for (size_t i = 0; i < MG_RANK_MAX; i++) {
         n += q->tiers[i].count;
     }
     return n;
@@ -259,7 +259,7 @@
 int
 mg_tierq_lowest(const mg_tierq *q)
 {
-    for (int i = MG_TIER_MAX - 1; i >= 0; i--) {
+    for (int i = MG_RANK_MAX - 1; i >= 0; i--) {
         if (q->tiers[i].count > 0) {
             return i;
         }
@@ -280,7 +280,7 @@
 void
 mg_tierq_each(mg_tierq *q, void (*f)(void *user, mg_ticket *t), void *user)
 {
-    for (size_t i = 0; i < MG_TIER_MAX; i++) {
+    for (size_t i = 0; i < MG_RANK_MAX; i++) {
         list_for_each_safe(el, el1, &q->tiers[i].waiting)
         {
             mg_share *s = list_entry(el, mg_share, link);
--- a/src/policy/tierq.h
+++ b/src/policy/tierq.h
@@ -21,6 +21,9 @@
 #include "base/list.h"
 #include "topology/config.h"
 
+/* a tier may take two ranks: requests on time, and late ones behind them */
+#define MG_RANK_MAX (2 * MG_TIER_MAX)
+
 typedef struct mg_share mg_share;
 
 typedef struct mg_ticket {
@@ -33,7 +36,7 @@
     char entry[MG_NAME_SIZE];
     char workspace[MG_NAME_SIZE];
     char route[MG_NAME_SIZE];
-    unsigned tier; /* rank, below MG_TIER_MAX */
+    unsigned tier; /* rank, below MG_RANK_MAX */
     uint32_t weight;
     uint32_t prefill; /* predicted tokens */
     uint32_t decode;
