Seats of the replicated log follow the hosts; a drain refuses what comes late

Now the table of seats is a record of the log, kept beside it on disk and told from node to node; a dead holder's seat is vacated, then given to a host that offers itself.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -28,6 +28,7 @@
     X(204, WARN, STORE_TORN, "torn tail of the log cut off at start")       \
     X(205, ERROR, STORE_FAILED, "data folder could not be written or read") \
     X(206, INFO, GROUP_LEADER, "node follows another leader of the group")  \
+    X(207, INFO, SEATS, "seats of the group; who holds them")               \
     X(210, INFO, DOC_ACCEPTED, "document change accepted")                  \
     X(211, WARN, DOC_REFUSED, "document change refused; why")               \
     X(212, INFO, DOC_IN_FORCE, "revision in force at every leased entry")   \
@@ -63,6 +64,7 @@
     X(360, INFO, DRAIN, "drain of an entry: stage")                         \
     X(361, INFO, NODE_UP, "entry is live, as a hub says")                   \
     X(362, WARN, NODE_DOWN, "entry is no longer live; why")                 \
+    X(364, INFO, HUBS, "hosts that pass on what nodes say have changed")    \
     X(363, INFO, SETTINGS, "settings read again; what changed")             \
     X(400, WARN, BAD_INPUT, "malformed input refused")
 
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -15,6 +15,7 @@
     uint64_t round; /* last round it answered */
     uint64_t uid;   /* identity that match belongs to */
     bool voter;
+    bool vacant; /* nobody holds the seat */
     bool granted;
     int64_t heard_at;
     int64_t sent_at;
@@ -280,6 +281,9 @@
 send_append(mg_raft *r, unsigned to)
 {
     struct peer *p = &r->peers[to];
+    if (p->vacant) {
+        return;
+    }
     if (p->next <= r->snap_index) {
         send_snapshot(r, to);
         return;
@@ -399,7 +403,7 @@
     r->leader = r->id;
     for (unsigned i = 1; i <= r->n; i++) {
         struct peer *p = &r->peers[i];
-        *p = (struct peer){0};
+        *p = (struct peer){.vacant = p->vacant};
         p->next = last_index(r) + 1;
         p->heard_at = now;
     }
@@ -676,8 +680,8 @@
 {
     unsigned n = 1;
     for (unsigned i = 1; i <= r->n; i++) {
-        n +=
-            i != r->id && now - r->peers[i].heard_at < MG_RAFT_ELECTION_MAX_MS;
+        n += i != r->id && !r->peers[i].vacant &&
+             now - r->peers[i].heard_at < MG_RAFT_ELECTION_MAX_MS;
     }
     return n >= majority(r);
 }
@@ -709,6 +713,38 @@
     }
 }
 
+void
+mg_raft_set_seat(mg_raft *r, unsigned seat, bool taken)
+{
+    MG_INVARIANT(seat >= 1 && seat <= MG_RAFT_MAX_MEMBERS && seat != r->id);
+    if (seat > r->n) {
+        r->n = seat;
+    }
+    r->peers[seat] = (struct peer){
+        .next = last_index(r) + 1,
+        .vacant = !taken,
+        .heard_at = mg_now(r->clock),
+    };
+}
+
+int64_t
+mg_raft_seat_age(const mg_raft *r, unsigned seat)
+{
+    return seat == r->id ? 0
+                         : mg_now(r->clock) - r->peers[seat].heard_at;
+}
+
+bool
+mg_raft_all_vote(const mg_raft *r)
+{
+    for (unsigned i = 1; i <= r->n; i++) {
+        if (i != r->id && !r->peers[i].vacant && !r->peers[i].voter) {
+            return false;
+        }
+    }
+    return r->meta.voter;
+}
+
 void
 mg_raft_tick(mg_raft *r)
 {
@@ -730,7 +766,8 @@
 void
 mg_raft_receive(mg_raft *r, unsigned from, const mg_msg *m)
 {
-    if (r->stopped || from == 0 || from > r->n || from == r->id) {
+    if (r->stopped || from == 0 || from > r->n || from == r->id ||
+        r->peers[from].vacant) {
         return;
     }
     switch (m->type) {
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -6,7 +6,10 @@
  * An mg_raft is a pure state machine: it is fed messages and the time, and
  * acts through the calls of mg_raft_host. It opens no socket and no file.
  *
- * Members are the numbers 1..n, fixed for the life of a group; n <= 7.
+ * Members are the seats 1..n, n <= 7. Who holds a seat is the host's matter:
+ * it tells with mg_raft_set_seat() when a committed entry has changed that,
+ * one seat at a time, a seat being vacant before it has another holder. A
+ * majority is of all n seats.
  *
  * What always holds:
  *  - an entry is reported committed only when a majority of voters has it on
@@ -100,6 +103,18 @@
 void
 mg_raft_free(mg_raft *r);
 
+/*
+ * A seat has another holder (taken) or none. A new holder is not counted
+ * until it is readmitted. A seat above n makes the group larger.
+ */
+void
+mg_raft_set_seat(mg_raft *r, unsigned seat, bool taken);
+/* Since a seat's holder was heard by this leader, ms. */
+int64_t
+mg_raft_seat_age(const mg_raft *r, unsigned seat);
+/* Whether every holder of a seat votes, as this leader knows. */
+bool
+mg_raft_all_vote(const mg_raft *r);
 void
 mg_raft_tick(mg_raft *r);
 void
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -14,6 +14,7 @@
 
 #define META_MAGIC UINT64_C(0x314154454d474d00)
 #define SNAP_MAGIC UINT64_C(0x31504e53474d0000)
+#define NOTE_MAGIC UINT64_C(0x3145544f4e474d00)
 #define LOG_MAGIC UINT64_C(0x31474f4c474d0000)
 #define RECORD_DATA_MAX (64u << 20)
 
@@ -162,6 +163,33 @@
     return rc;
 }
 
+mg_rc
+mg_store_save_note(mg_store *s, mg_str text)
+{
+    mg_buf b = {0};
+    uint64_t v[4] = {0};
+    put_file_head(&b, NOTE_MAGIC, v, text);
+    mg_rc rc = replace_file(s, "note", &b);
+    mg_buf_free(&b);
+    return rc;
+}
+
+mg_rc
+mg_store_load_note(mg_store *s, mg_buf *out)
+{
+    mg_buf b = {0};
+    struct file_head h;
+    mg_rc rc = read_file(s, "note", &b);
+    if (rc == MG_OK) {
+        rc = check_file_head(&b, NOTE_MAGIC, &h);
+    }
+    if (rc == MG_OK) {
+        mg_buf_put(out, b.p + sizeof(h), b.n - sizeof(h));
+    }
+    mg_buf_free(&b);
+    return rc;
+}
+
 static mg_rc
 load_snapshot(mg_store *s, mg_store_image *image)
 {
--- a/src/control/store.h
+++ b/src/control/store.h
@@ -5,6 +5,7 @@
  *   meta      term, vote, identity; replaced whole, synced, renamed
  *   snapshot  state at an index; replaced whole, synced, renamed
  *   log       entries after the snapshot, appended, synced by mg_store_sync
+ *   note      the host's own, replaced whole, synced, renamed
  *   lock      held while a process uses the folder
  *
  * A record of the log is length, checksum, term, index, data. At open a
@@ -43,6 +44,12 @@
 mg_rc
 mg_store_open(mg_store **out, const char *dir, bool voter,
               mg_store_image *image, mg_error *err);
+/* A small file beside the log, replaced whole and synced. */
+mg_rc
+mg_store_save_note(mg_store *s, mg_str text);
+/* MG_E_NOT_FOUND when none was saved. */
+mg_rc
+mg_store_load_note(mg_store *s, mg_buf *out);
 void
 mg_store_image_free(mg_store_image *image);
 void
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -675,6 +675,10 @@
 admit(mg_flow *f)
 {
     mg_gateway *gw = f->gw;
+    if (gw->closed) {
+        refuse(f, 503, 0, "draining");
+        return;
+    }
     if (gw->routing == NULL) {
         refuse(f, 503, RETRY_AFTER_MS, "no_document");
         return;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -281,6 +281,12 @@
     }
 }
 
+void
+mg_gateway_close(mg_gateway *gw)
+{
+    gw->closed = true;
+}
+
 size_t
 mg_gateway_open(const mg_gateway *gw)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -109,6 +109,9 @@
 /* Frees what the gateway holds of an instance that is forgotten. */
 void
 mg_gateway_forget(mg_instance *i);
+/* From now on requests are refused; those in hand go on. */
+void
+mg_gateway_close(mg_gateway *gw);
 /* Requests in hand. */
 size_t
 mg_gateway_open(const mg_gateway *gw);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -76,6 +76,7 @@
     struct list_head flows;
     size_t open;
     size_t entries;
+    bool closed;
     uint64_t next_ticket;
     int64_t sweep_at;
 };
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -25,6 +25,12 @@
 #define CHANGES_MAX_BYTES (256u << 10)
 /* after a failure of the data folder, before it is opened again */
 #define REOPEN_MS 500
+/* the leader looks after the seats, ms */
+#define SEATS_MS 200
+/* a host without a seat offers itself, ms */
+#define OFFER_MS 300
+#define CANDIDATES_MAX 32
+#define SEATS_KEY "seats"
 
 /* a proposed command that waits to be applied */
 struct proposal {
@@ -56,13 +62,21 @@
     char key[MG_NAME_SIZE];
     char link_addr[MG_ADDR_SIZE];
     char data_dir[MG_TEXT_SIZE];
-    char seeds[MG_GROUP_SEEDS_MAX][MG_NAME_SIZE];
-    unsigned seed_count;
-    unsigned id;
+    char ip[MG_NAME_SIZE];
+    mg_seats seats;
+    mg_seats first;
+    unsigned wanted;
+    unsigned id; /* own seat from 1, 0: none */
     uint16_t link_port;
     bool new_group;
+    bool seats_changed; /* the log took this member's seat away */
+    mg_seat_candidate candidates[CANDIDATES_MAX];
+    size_t candidate_count;
+    uint64_t seat_index; /* entry of a step under way, 0: none */
+    int64_t seats_at;
+    int64_t offer_at;
     mg_net *net;
-    mg_raft *raft; /* NULL while the data folder can't be used */
+    mg_raft *raft; /* NULL while the data folder can't be used, or no seat */
     mg_store *store;
     mg_state *state;
     struct proposal *proposals;
@@ -84,7 +98,9 @@
 static void
 host_send(mg_raft_host *h, unsigned to, const mg_msg *m)
 {
-    mg_net_send(group_of(h)->net, group_of(h)->seeds[to - 1], m);
+    char peer[MG_NAME_SIZE];
+    mg_group_peer_name(peer, group_of(h)->seats.holder[to - 1]);
+    mg_net_send(group_of(h)->net, peer, m);
 }
 
 static mg_rc
@@ -137,6 +153,98 @@
     free(p);
 }
 
+/* the table that the state machine holds */
+static bool
+read_seats(const mg_group *g, mg_seats *out)
+{
+    mg_str value;
+    uint64_t rev;
+    mg_msg m;
+    return mg_state_get(g->state, MG_KIND_SEATS, mg_str_of(SEATS_KEY), &value,
+                        &rev) &&
+           mg_msg_decode(value, &m) == MG_OK && m.type == MG_MSG_SEATS &&
+           mg_seats_parse(out, rev, m.u.seats.holders) == MG_OK;
+}
+
+static void
+dial_holder(mg_group *g, const char *ip)
+{
+    char peer[MG_NAME_SIZE];
+    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    if (ip[0] == '\0' || strcmp(ip, g->ip) == 0) {
+        return;
+    }
+    mg_group_peer_name(peer, ip);
+    snprintf(addr, sizeof(addr), "%s:%u", ip, g->link_port);
+    mg_net_dial(g->net, peer, addr);
+}
+
+static void
+use_table(mg_group *g, const mg_seats *t)
+{
+    char peer[MG_NAME_SIZE];
+    for (unsigned i = 0; i < g->seats.count; i++) {
+        const char *old = g->seats.holder[i];
+        if (old[0] != '\0' && mg_seats_of(t, old) == 0) {
+            mg_group_peer_name(peer, old);
+            mg_net_undial(g->net, peer);
+        }
+    }
+    g->seats = *t;
+    for (unsigned i = 0; i < t->count; i++) {
+        dial_holder(g, t->holder[i]);
+    }
+}
+
+static void
+save_table(mg_group *g)
+{
+    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
+    char note[sizeof(holders) + 32];
+    mg_seats_print(&g->seats, holders);
+    snprintf(note, sizeof(note), "%" PRIu64 ":%s", g->seats.rev, holders);
+    mg_log(MG_EV_SEATS, "rev=%" PRIu64 " holders=%s own=%u", g->seats.rev,
+           holders, g->id);
+    if (mg_store_save_note(g->store, mg_str_of(note)) != MG_OK) {
+        mg_log(MG_EV_STORE_FAILED, "dir=%s what=note", g->data_dir);
+        g->failed = true;
+        g->reopen_at = mg_now(g->clock) + REOPEN_MS;
+    }
+}
+
+/* a committed table: the log goes on with its voters */
+static void
+follow_table(mg_group *g, const mg_seats *t)
+{
+    mg_seats old = g->seats;
+    if (t->rev <= old.rev) {
+        return;
+    }
+    use_table(g, t);
+    for (unsigned i = 0; i < t->count; i++) {
+        bool is_new = i >= old.count;
+        if (!is_new && strcmp(old.holder[i], t->holder[i]) == 0) {
+            continue;
+        }
+        if (i + 1 == g->id) {
+            g->seats_changed = true;
+        }
+        else if (g->raft != NULL) {
+            mg_raft_set_seat(g->raft, i + 1, t->holder[i][0] != '\0');
+        }
+    }
+    save_table(g);
+}
+
+static void
+follow_state_seats(mg_group *g)
+{
+    mg_seats t;
+    if (read_seats(g, &t)) {
+        follow_table(g, &t);
+    }
+}
+
 static void
 host_apply(mg_raft_host *h, const mg_raft_entry *e)
 {
@@ -144,6 +252,7 @@
     mg_apply_reply reply;
     struct proposal *p;
     mg_state_apply(g->state, e->data, &reply);
+    follow_state_seats(g);
     HASH_FIND(hh, g->proposals, &e->index, sizeof(e->index), p);
     if (p == NULL) {
         return;
@@ -159,13 +268,19 @@
 {
     mg_rc rc = mg_state_load(group_of(h)->state, data);
     MG_INVARIANT(rc == MG_OK);
+    follow_state_seats(group_of(h));
 }
 
 static const char *
 leader_name(const mg_group *g)
 {
+    static char name[MG_NAME_SIZE];
     unsigned leader = g->raft ? mg_raft_leader(g->raft) : 0;
-    return leader ? g->seeds[leader - 1] : "";
+    if (leader == 0 || g->seats.holder[leader - 1][0] == '\0') {
+        return "";
+    }
+    mg_group_peer_name(name, g->seats.holder[leader - 1]);
+    return name;
 }
 
 static void
@@ -326,22 +441,156 @@
     }
 }
 
+/* --------------------------------------------------------------- seats */
+
 static unsigned
 member_of(const mg_group *g, const char *peer)
 {
-    for (unsigned i = 0; i < g->seed_count; i++) {
-        if (strcmp(g->seeds[i], peer) == 0) {
+    char name[MG_NAME_SIZE];
+    for (unsigned i = 0; i < g->seats.count; i++) {
+        mg_group_peer_name(name, g->seats.holder[i]);
+        if (g->seats.holder[i][0] != '\0' && strcmp(name, peer) == 0) {
             return i + 1;
         }
     }
     return 0;
 }
 
+static void
+tell_seats(mg_group *g, const char *peer)
+{
+    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
+    mg_msg m = {.type = MG_MSG_SEATS};
+    mg_seats_print(&g->seats, holders);
+    m.u.seats.rev = g->seats.rev;
+    m.u.seats.holders = mg_str_of(holders);
+    mg_net_send(g->net, peer, &m);
+}
+
+static void
+on_candidate(mg_group *g, const char *peer, mg_str node)
+{
+    mg_seat_candidate *c = NULL;
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), node);
+    for (size_t i = 0; i < g->candidate_count; i++) {
+        if (strcmp(g->candidates[i].node, name) == 0) {
+            c = &g->candidates[i];
+        }
+    }
+    if (c == NULL && g->candidate_count < CANDIDATES_MAX) {
+        c = &g->candidates[g->candidate_count++];
+        mg_str_copy(c->node, sizeof(c->node), node);
+    }
+    if (c != NULL) {
+        c->heard_ms = mg_now(g->clock);
+    }
+    tell_seats(g, peer);
+}
+
+static void
+propose_seats(mg_group *g, const mg_seat_plan *plan)
+{
+    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
+    uint64_t term;
+    mg_buf value = {0};
+    mg_buf command = {0};
+    mg_seats t = g->seats;
+    mg_seats_apply(&t, plan);
+    mg_seats_print(&t, holders);
+    mg_msg rec = {.type = MG_MSG_SEATS};
+    rec.u.seats.holders = mg_str_of(holders);
+    mg_msg_encode(&rec, &value);
+    mg_msg put = {.type = MG_MSG_CMD_PUT};
+    put.u.cmd_put.kind = MG_KIND_SEATS;
+    put.u.cmd_put.key = mg_str_of(SEATS_KEY);
+    put.u.cmd_put.expect_rev = g->seats.rev;
+    put.u.cmd_put.value = mg_str_buf(&value);
+    mg_msg_encode(&put, &command);
+    mg_log(MG_EV_SEATS, "proposed=%s step=%d seat=%u node=%s", holders,
+           plan->step, plan->seat + 1, plan->node);
+    if (mg_raft_propose(g->raft, mg_str_buf(&command), &g->seat_index,
+                        &term) != MG_OK) {
+        g->seat_index = 0;
+    }
+    mg_buf_free(&value);
+    mg_buf_free(&command);
+}
+
+/* the leader gives seats of dead holders to hosts that offer themselves */
+static void
+look_after_seats(mg_group *g, int64_t now)
+{
+    int64_t age[MG_SEATS_MAX];
+    g->seats_at = now + SEATS_MS;
+    if (!mg_raft_ready(g->raft) ||
+        (g->seat_index != 0 && mg_raft_applied(g->raft) < g->seat_index)) {
+        return;
+    }
+    for (unsigned i = 0; i < g->seats.count; i++) {
+        age[i] = mg_raft_seat_age(g->raft, i + 1);
+    }
+    mg_seat_plan plan = {MG_SEAT_KEEP, 0, ""};
+    if (g->seats.rev == 0) {
+        /* the first table becomes a record, so that all hear of it */
+        propose_seats(g, &plan);
+        return;
+    }
+    plan = mg_seats_plan(&g->seats, g->wanted, age, mg_raft_all_vote(g->raft),
+                      g->candidates, g->candidate_count, now);
+    if (plan.step != MG_SEAT_KEEP) {
+        propose_seats(g, &plan);
+    }
+}
+
+static void
+offer(mg_group *g, int64_t now)
+{
+    mg_msg m = {.type = MG_MSG_CANDIDATE};
+    m.u.candidate.node = mg_str_of(g->ip);
+    g->offer_at = now + OFFER_MS;
+    for (unsigned i = 0; i < g->seats.count; i++) {
+        char peer[MG_NAME_SIZE];
+        mg_group_peer_name(peer, g->seats.holder[i]);
+        mg_net_send(g->net, peer, &m);
+    }
+}
+
+static void
+close_log(mg_group *g);
+
+/* a table from elsewhere: for a member without a seat, or that lost it */
+static void
+on_seats(mg_group *g, const mg_seats_msg *q)
+{
+    mg_seats t;
+    if (q->rev <= g->seats.rev ||
+        mg_seats_parse(&t, q->rev, q->holders) != MG_OK) {
+        return;
+    }
+    bool holds = mg_seats_of(&t, g->ip) != 0;
+    if (g->id != 0 && holds) {
+        return; /* the log itself will tell */
+    }
+    use_table(g, &t);
+    if (g->id != 0 || holds) {
+        g->seats_changed = true;
+    }
+}
+
 static void
 on_message(void *user, const char *peer, const mg_msg *m)
 {
     mg_group *g = user;
     struct question *q;
+    if (m->type == MG_MSG_SEATS) {
+        on_seats(g, &m->u.seats);
+        return;
+    }
+    if (m->type == MG_MSG_CANDIDATE) {
+        on_candidate(g, peer, m->u.candidate.node);
+        return;
+    }
     if (g->raft == NULL) {
         return;
     }
@@ -370,6 +619,15 @@
     }
 }
 
+static void
+on_up(void *user, const char *peer)
+{
+    mg_group *g = user;
+    if (g->seats.rev > 0) {
+        tell_seats(g, peer);
+    }
+}
+
 /* ----------------------------------------------------------- the thread */
 
 static void
@@ -385,6 +643,62 @@
     g->raft = NULL;
     g->store = NULL;
     g->state = NULL;
+    g->id = 0;
+    g->seat_index = 0;
+    g->seats_changed = false;
+}
+
+/* the table that was saved, or the first one of a new group */
+static void
+load_table(mg_group *g, bool fresh)
+{
+    mg_buf note = {0};
+    mg_seats t;
+    mg_str holders;
+    uint64_t rev = 0;
+    mg_rc rc = mg_store_load_note(g->store, &note);
+    if (rc == MG_OK) {
+        mg_str head = mg_str_cut(mg_str_buf(&note), ':', &holders);
+        for (size_t i = 0; i < head.n; i++) {
+            rev = rev * 10 + (uint64_t)(head.p[i] - '0');
+        }
+        if (rev >= g->seats.rev &&
+            mg_seats_parse(&t, rev, holders) == MG_OK) {
+            use_table(g, &t);
+        }
+    }
+    else if (fresh && g->new_group && g->seats.rev == 0) {
+        use_table(g, &g->first);
+    }
+    mg_buf_free(&note);
+}
+
+static void
+start_raft(mg_group *g, const mg_store_image *image)
+{
+    unsigned seat = mg_seats_of(&g->seats, g->ip);
+    unsigned members = g->seats.count;
+    g->id = seat;
+    g->raft = mg_raft_new(&(mg_raft_options){
+        .id = seat,
+        .members = members,
+        .host = &g->host,
+        .clock = g->clock,
+        .seed = mg_random_id(),
+        .meta = image->meta,
+        .snapshot_index = image->snapshot_index,
+        .snapshot_term = image->snapshot_term,
+        .snapshot = mg_str_buf(&image->snapshot),
+        .entries = image->entries,
+        .entry_count = image->entry_count,
+    });
+    for (unsigned i = 0; i < g->seats.count; i++) {
+        bool taken = g->seats.holder[i][0] != '\0';
+        if (i + 1 != seat && (!taken || i >= members)) {
+            mg_raft_set_seat(g->raft, i + 1, taken);
+        }
+    }
+    save_table(g);
 }
 
 static mg_rc
@@ -401,25 +715,27 @@
         mg_log(MG_EV_STORE_TORN, "dir=%s entries=%zu", g->data_dir,
                image.entry_count);
     }
+    bool founding = image.fresh && g->new_group && g->seats.rev == 0;
+    load_table(g, image.fresh);
+    if (!founding && image.fresh) {
+        /* only a founder votes with an empty folder */
+        image.meta.voter = 0;
+    }
     if (!image.meta.voter) {
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
-    g->state = mg_state_new(CLAIMS_MAX);
-    g->raft = mg_raft_new(&(mg_raft_options){
-        .id = g->id,
-        .members = g->seed_count,
-        .host = &g->host,
-        .clock = g->clock,
-        .seed = mg_random_id(),
-        .meta = image.meta,
-        .snapshot_index = image.snapshot_index,
-        .snapshot_term = image.snapshot_term,
-        .snapshot = mg_str_buf(&image.snapshot),
-        .entries = image.entries,
-        .entry_count = image.entry_count,
-    });
+    if (mg_seats_of(&g->seats, g->ip) != 0) {
+        g->state = mg_state_new(CLAIMS_MAX);
+        start_raft(g, &image);
+    }
+    else {
+        image.meta.voter = 0;
+        rc = mg_store_save_meta(g->store, &image.meta);
+        mg_store_close(g->store);
+        g->store = NULL;
+    }
     mg_store_image_free(&image);
-    return MG_OK;
+    return rc;
 }
 
 static void
@@ -434,6 +750,22 @@
         mg_log(MG_EV_STORE_FAILED, "dir=%s why=%s", g->data_dir, err.text);
         g->reopen_at = mg_now(g->clock) + REOPEN_MS;
     }
+    else if (g->raft == NULL) {
+        /* no seat: wait for a table that has one */
+        g->reopen_at = INT64_MAX;
+    }
+}
+
+static void
+close_if_needed(mg_group *g)
+{
+    if (g->seats_changed) {
+        g->reopen_at = 0;
+        close_log(g);
+    }
+    else if (g->failed) {
+        close_log(g);
+    }
 }
 
 static void
@@ -444,8 +776,8 @@
         return;
     }
     mg_raft_flush(g->raft);
-    if (g->failed) {
-        close_log(g);
+    close_if_needed(g);
+    if (g->raft == NULL) {
         return;
     }
     g->open_round = 0;
@@ -473,15 +805,23 @@
 on_tick(uv_timer_t *t)
 {
     mg_group *g = t->data;
+    int64_t now = mg_now(g->clock);
+    close_if_needed(g);
     if (g->raft == NULL) {
         reopen_log(g);
+    }
+    if (g->raft == NULL) {
+        if (now >= g->offer_at) {
+            offer(g, now);
+        }
         return;
     }
     mg_raft_tick(g->raft);
     compact_if_long(g);
-    if (g->failed) {
-        close_log(g);
+    if (now >= g->seats_at) {
+        look_after_seats(g, now);
     }
+    close_if_needed(g);
 }
 
 static void
@@ -504,7 +844,7 @@
 }
 
 static mg_rc
-open_links(mg_group *g, const mg_group_options *opts, mg_error *err)
+open_links(mg_group *g, mg_error *err)
 {
     mg_rc rc = mg_net_open(&g->net,
                            &(mg_net_options){
@@ -515,6 +855,7 @@
                                .listen_addr = g->link_addr,
                                .incarnation = mg_random_id(),
                                .on_message = on_message,
+                               .on_up = on_up,
                                .on_turn = on_turn,
                                .user = g,
                            },
@@ -522,13 +863,8 @@
     if (rc != MG_OK) {
         return rc;
     }
-    for (unsigned i = 0; i < g->seed_count; i++) {
-        char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
-        if (i + 1 == g->id) {
-            continue;
-        }
-        snprintf(addr, sizeof(addr), "%s:%u", opts->seeds[i], g->link_port);
-        mg_net_dial(g->net, g->seeds[i], addr);
+    for (unsigned i = 0; i < g->first.count; i++) {
+        dial_holder(g, g->first.holder[i]);
     }
     return MG_OK;
 }
@@ -545,21 +881,17 @@
     };
     g->clock = mg_system_clock();
     mg_group_peer_name(g->node, opts->node);
+    mg_str_copy(g->ip, sizeof(g->ip), mg_str_of(opts->node));
     mg_str_copy(g->key, sizeof(g->key), mg_str_of(opts->key));
     mg_str_copy(g->link_addr, sizeof(g->link_addr),
                 mg_str_of(opts->link_addr));
     mg_str_copy(g->data_dir, sizeof(g->data_dir), mg_str_of(opts->data_dir));
     g->link_port = opts->link_port;
     g->new_group = opts->new_group;
-    for (size_t i = 0; i < opts->seed_count && i < MG_GROUP_SEEDS_MAX; i++) {
-        mg_group_peer_name(g->seeds[i], opts->seeds[i]);
-        g->seed_count++;
-    }
-    g->id = member_of(g, g->node);
-    if (g->id == 0) {
-        free(g);
-        return mg_fail(err, MG_E_INPUT, "%s is no voter", opts->node);
-    }
+    g->first = opts->first;
+    g->first.rev = 0;
+    g->seats = g->first;
+    g->wanted = opts->wanted;
     init_list_head(&g->pulls);
     init_list_head(&g->confirms);
     uv_loop_init(&g->loop);
@@ -567,7 +899,7 @@
     g->stop.data = g;
     uv_timer_init(&g->loop, &g->timer);
     g->timer.data = g;
-    rc = open_links(g, opts, err);
+    rc = open_links(g, err);
     if (rc != MG_OK) {
         return rc;
     }
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -11,15 +11,16 @@
  *   CONFIRM  the revision up to which a read is current: answered by a
  *            leader that a majority has confirmed after the question came
  *
- * Members name each other by IP address; the voters of a new group are the
- * seeds.
+ * Members name each other by IP address. The voters of a new group are the
+ * seeds; later the log itself says who holds which seat (group/seats.h), and
+ * a host with a disk and no seat offers itself:
+ *   CANDIDATE  from such a host; answered with SEATS
+ *   SEATS      the table, where a newer one is known
  */
 #ifndef MG_GROUP_H
 #define MG_GROUP_H
 
-#include "base/check.h"
-
-#define MG_GROUP_SEEDS_MAX 7
+#include "group/seats.h"
 
 typedef struct mg_group mg_group;
 
@@ -28,13 +29,12 @@
     const char *key;       /* of the links */
     const char *link_addr; /* IP:PORT to listen on */
     const char *data_dir;
-    const char (*seeds)[MG_NAME_SIZE]; /* IP addresses of the voters */
-    size_t seed_count;
+    mg_seats first; /* rev 0: the seeds, who are the voters of a new group */
+    unsigned wanted; /* seats that the group should have */
     uint16_t link_port; /* of every voter */
     bool new_group;     /* this folder's first start, with all the others */
 } mg_group_options;
 
-/* MG_E_INPUT when the node is not among the seeds. */
 mg_rc
 mg_group_start(mg_group **out, const mg_group_options *opts, mg_error *err);
 /* Ends the thread and waits for it. */
--- a/src/group/group_client.c
+++ b/src/group/group_client.c
@@ -31,7 +31,7 @@
 
 struct mg_group_client {
     mg_group_client_options opts;
-    char members[MG_GROUP_SEEDS_MAX][MG_NAME_SIZE];
+    char members[MG_SEATS_MAX][MG_NAME_SIZE];
     size_t member_count;
     char leader[MG_NAME_SIZE];
     size_t turn; /* member to ask when the leader is not known */
@@ -58,17 +58,41 @@
     return c;
 }
 
+static bool
+is_member(const char (*names)[MG_NAME_SIZE], size_t n, const char *name)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
-mg_group_client_add(mg_group_client *c, const char *ip, uint16_t port)
+mg_group_client_set_members(mg_group_client *c, const mg_seats *seats,
+                            uint16_t port)
 {
-    char addr[MG_ADDR_SIZE];
-    if (c->member_count == MG_GROUP_SEEDS_MAX) {
-        return;
+    char names[MG_SEATS_MAX][MG_NAME_SIZE] = {{0}};
+    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    size_t n = 0;
+    for (unsigned i = 0; i < seats->count; i++) {
+        if (seats->holder[i][0] != '\0') {
+            mg_group_peer_name(names[n], seats->holder[i]);
+            snprintf(addr, sizeof(addr), "%s:%u", seats->holder[i], port);
+            mg_net_dial(c->opts.net, names[n++], addr);
+        }
+    }
+    for (size_t i = 0; i < c->member_count; i++) {
+        if (!is_member(names, n, c->members[i])) {
+            mg_net_undial(c->opts.net, c->members[i]);
+        }
+    }
+    memcpy(c->members, names, sizeof(names));
+    c->member_count = n;
+    if (!is_member(names, n, c->leader)) {
+        c->leader[0] = '\0';
     }
-    char *name = c->members[c->member_count++];
-    mg_group_peer_name(name, ip);
-    snprintf(addr, sizeof(addr), "%s:%u", ip, port);
-    mg_net_dial(c->opts.net, name, addr);
 }
 
 uint64_t
@@ -168,8 +192,7 @@
     if (r->rev > c->rev) {
         while (mg_msg_next(&rest, &m) == MG_OK) {
             if (m.type == MG_MSG_RECORD) {
-                c->opts.on_record(c->opts.user, m.u.record.kind,
-                                  m.u.record.key, m.u.record.value);
+                c->opts.on_record(c->opts.user, &m.u.record);
             }
         }
         c->rev = r->rev;
--- a/src/group/group_client.h
+++ b/src/group/group_client.h
@@ -24,7 +24,7 @@
     mg_net *net;
     mg_clock *clock;
     /* a record has changed; strings live during the call */
-    void (*on_record)(void *user, uint64_t kind, mg_str key, mg_str value);
+    void (*on_record)(void *user, const mg_record_msg *r);
     void *user;
 } mg_group_client_options;
 
@@ -34,9 +34,10 @@
 
 mg_group_client *
 mg_group_client_new(const mg_group_client_options *opts);
-/* A voter, by IP address; its links are on port. */
+/* The voters; their links are on port. */
 void
-mg_group_client_add(mg_group_client *c, const char *ip, uint16_t port);
+mg_group_client_set_members(mg_group_client *c, const mg_seats *seats,
+                            uint16_t port);
 void
 mg_group_client_receive(mg_group_client *c, const char *peer,
                         const mg_msg *m);
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -69,19 +69,30 @@
 }
 
 void
-mg_mesh_add_hub(mg_mesh *m, const char *ip, uint16_t port)
+mg_mesh_set_hubs(mg_mesh *m, const mg_seats *seats, uint16_t port)
 {
-    char addr[MG_ADDR_SIZE];
-    if (strcmp(ip, m->self.node) == 0) {
-        m->is_hub = true;
-        return;
-    }
-    if (m->hub_count == MG_MESH_HUBS_MAX) {
-        return;
+    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    for (size_t i = 0; i < m->hub_count; i++) {
+        if (mg_seats_of(seats, m->hubs[i].node) == 0) {
+            mg_net_undial(m->opts.net, m->hubs[i].node);
+        }
     }
-    mg_str_copy(m->hubs[m->hub_count++].node, MG_NAME_SIZE, mg_str_of(ip));
-    snprintf(addr, sizeof(addr), "%s:%u", ip, port);
-    mg_net_dial(m->opts.net, ip, addr);
+    m->is_hub = mg_seats_of(seats, m->self.node) != 0;
+    m->hub_count = 0;
+    m->primary = NULL;
+    for (unsigned i = 0; i < seats->count; i++) {
+        const char *ip = seats->holder[i];
+        if (ip[0] == '\0' || strcmp(ip, m->self.node) == 0) {
+            continue;
+        }
+        hub *h = &m->hubs[m->hub_count++];
+        *h = (hub){0};
+        mg_str_copy(h->node, sizeof(h->node), mg_str_of(ip));
+        snprintf(addr, sizeof(addr), "%s:%u", ip, port);
+        mg_net_dial(m->opts.net, ip, addr);
+    }
+    mg_log(MG_EV_HUBS, "rev=%llu hubs=%zu own=%d",
+           (unsigned long long)seats->rev, m->hub_count, m->is_hub);
 }
 
 static mg_mesh_node *
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -17,6 +17,7 @@
 
 #include "base/check.h"
 #include "base/clock.h"
+#include "group/seats.h"
 #include "topology/registry.h"
 #include "wire/link.h"
 
@@ -64,9 +65,9 @@
 
 mg_mesh *
 mg_mesh_new(const mg_mesh_options *opts);
-/* A hub, by IP address; it may be this node itself. */
+/* The hubs, by IP address; this node may be among them. */
 void
-mg_mesh_add_hub(mg_mesh *m, const char *ip, uint16_t port);
+mg_mesh_set_hubs(mg_mesh *m, const mg_seats *seats, uint16_t port);
 /* false when the message is not the mesh's. */
 bool
 mg_mesh_receive(mg_mesh *m, const char *peer, const mg_msg *msg);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -36,6 +36,7 @@
     uv_prepare_t prepare;
     int64_t report_at;
     int64_t sweep_at;
+    mg_seats seats;  /* voters of the log, who are hubs too */
     mg_buf document; /* text in force */
     uint64_t document_version;
     int64_t drain_since; /* 0: not draining */
@@ -67,16 +68,55 @@
 }
 
 static void
-on_record(void *user, uint64_t kind, mg_str key, mg_str value)
+dial_own_group(mg_node *n);
+
+/* to one peer, or to all */
+static void
+tell_seats(mg_node *n, const char *peer)
+{
+    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
+    mg_msg m = {.type = MG_MSG_SEATS};
+    mg_seats_print(&n->seats, holders);
+    m.u.seats.rev = n->seats.rev;
+    m.u.seats.holders = mg_str_of(holders);
+    if (peer == NULL) {
+        mg_net_send_all(n->net, &m);
+    }
+    else {
+        mg_net_send(n->net, peer, &m);
+    }
+}
+
+/* the voters of the log have changed, or another node knows of it */
+static void
+on_seats(mg_node *n, uint64_t rev, mg_str holders)
 {
+    mg_seats t;
+    if (rev <= n->seats.rev || mg_seats_parse(&t, rev, holders) != MG_OK) {
+        return;
+    }
+    n->seats = t;
+    mg_mesh_set_hubs(n->mesh, &t, (uint16_t)(n->settings.link_port + 1));
+    mg_group_client_set_members(n->client, &t,
+                                (uint16_t)n->settings.link_port);
+    dial_own_group(n);
+    tell_seats(n, NULL);
+}
+
+static void
+on_record(void *user, const mg_record_msg *r)
+{
+    mg_node *n = user;
     mg_msg m;
-    (void)key;
-    if (mg_msg_decode(value, &m) != MG_OK) {
-        mg_log(MG_EV_BAD_INPUT, "what=record kind=%" PRIu64, kind);
+    if (mg_msg_decode(r->value, &m) != MG_OK) {
+        mg_log(MG_EV_BAD_INPUT, "what=record kind=%" PRIu64, r->kind);
         return;
     }
     if (m.type == MG_MSG_REC_SECTION) {
-        on_section(user, &m.u.rec_section);
+        on_section(n, &m.u.rec_section);
+    }
+    else if (m.type == MG_MSG_SEATS) {
+        on_seats(n, r->rev, m.u.seats.holders);
     }
 }
 
@@ -244,7 +284,10 @@
 on_message(void *user, const char *peer, const mg_msg *m)
 {
     mg_node *n = user;
-    if (!mg_mesh_receive(n->mesh, peer, m)) {
+    if (m->type == MG_MSG_SEATS) {
+        on_seats(n, m->u.seats.rev, m->u.seats.holders);
+    }
+    else if (!mg_mesh_receive(n->mesh, peer, m)) {
         mg_group_client_receive(n->client, peer, m);
     }
 }
@@ -256,6 +299,9 @@
     if (strchr(peer, '/') == NULL) {
         mg_mesh_link_up(n->mesh, peer);
     }
+    if (n->seats.rev > 0) {
+        tell_seats(n, peer);
+    }
 }
 
 /* ----------------------------------------------------------------- time */
@@ -271,6 +317,10 @@
 {
     int64_t age = now - n->drain_since;
     int64_t most = (int64_t)(n->settings.grace_s * 1000) - DRAIN_MARGIN_MS;
+    if (age >= DRAIN_LEAST_MS) {
+        /* what begins now might not end in time */
+        mg_gateway_close(n->gateway);
+    }
     size_t open = mg_gateway_open(n->gateway);
     if (age >= most || (open == 0 && age >= DRAIN_LEAST_MS)) {
         mg_log(MG_EV_DRAIN, "stage=end open=%zu ms=%" PRId64, open, age);
@@ -321,16 +371,23 @@
     mg_gateway_handle(n->gateway, r);
 }
 
+static void
+read_seeds(mg_node *n)
+{
+    const mg_node_settings *s = &n->settings;
+    n->seats = (mg_seats){0};
+    for (size_t i = 0; i < s->seed_count; i++) {
+        mg_str_copy(n->seats.holder[n->seats.count++], MG_NAME_SIZE,
+                    mg_str_of(s->seeds[i]));
+    }
+}
+
 static mg_rc
 open_group(mg_node *n, mg_error *err)
 {
     const mg_node_settings *s = &n->settings;
     char addr[MG_ADDR_SIZE * 2];
-    bool is_seed = false;
-    for (size_t i = 0; i < s->seed_count; i++) {
-        is_seed = is_seed || strcmp(s->seeds[i], s->ip) == 0;
-    }
-    if (!is_seed || s->data_dir[0] == '\0') {
+    if (s->data_dir[0] == '\0') {
         return MG_OK;
     }
     snprintf(addr, sizeof(addr), "%s:%d", s->ip, (int)s->link_port);
@@ -340,14 +397,29 @@
                               .key = s->link_key,
                               .link_addr = addr,
                               .data_dir = s->data_dir,
-                              .seeds = s->seeds,
-                              .seed_count = s->seed_count,
+                              .first = n->seats,
+                              .wanted = 2 * (unsigned)s->faults + 1,
                               .link_port = (uint16_t)s->link_port,
                               .new_group = s->new_group,
                           },
                           err);
 }
 
+/* a host with a disk speaks to its own part of the group, seat or not */
+static void
+dial_own_group(mg_node *n)
+{
+    char peer[MG_NAME_SIZE];
+    char addr[MG_ADDR_SIZE * 2];
+    if (n->group == NULL) {
+        return;
+    }
+    mg_group_peer_name(peer, n->settings.ip);
+    snprintf(addr, sizeof(addr), "%s:%d", n->settings.ip,
+             (int)n->settings.link_port);
+    mg_net_dial(n->net, peer, addr);
+}
+
 static mg_rc
 open_links(mg_node *n, mg_error *err)
 {
@@ -391,10 +463,9 @@
         .on_record = on_record,
         .user = n,
     });
-    for (size_t i = 0; i < s->seed_count; i++) {
-        mg_mesh_add_hub(n->mesh, s->seeds[i], mesh_port);
-        mg_group_client_add(n->client, s->seeds[i], (uint16_t)s->link_port);
-    }
+    mg_mesh_set_hubs(n->mesh, &n->seats, mesh_port);
+    mg_group_client_set_members(n->client, &n->seats, (uint16_t)s->link_port);
+    dial_own_group(n);
     return MG_OK;
 }
 
@@ -454,6 +525,7 @@
             .quota_window_ms = (int64_t)(n->settings.quota_window_s * 1000),
         },
     });
+    read_seeds(n);
     mg_rc rc = open_group(n, err);
     if (rc == MG_OK) {
         rc = open_links(n, err);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -26,7 +26,7 @@
     char ready_addr[MG_TEXT_SIZE];
     char control_addr[MG_TEXT_SIZE];
     char directory_addr[MG_TEXT_SIZE];
-    char seeds[MG_GROUP_SEEDS_MAX][MG_NAME_SIZE]; /* IP addresses */
+    char seeds[MG_SEATS_MAX][MG_NAME_SIZE]; /* IP addresses */
     size_t seed_count;
     double retry_ratio;
     int64_t retry_slack;
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -554,3 +554,15 @@
     queue_message(c, m);
     return MG_OK;
 }
+
+void
+mg_net_send_all(mg_net *net, const mg_msg *m)
+{
+    list_for_each(el, &net->conns)
+    {
+        conn *c = list_entry(el, conn, link);
+        if (c->greeted && !c->closing) {
+            queue_message(c, m);
+        }
+    }
+}
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -66,5 +66,8 @@
 /* MG_E_CLOSED when no connection to the peer is up: the message is lost. */
 mg_rc
 mg_net_send(mg_net *net, const char *peer, const mg_msg *m);
+/* To the other end of every greeted connection. */
+void
+mg_net_send_all(mg_net *net, const mg_msg *m);
 
 #endif
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -148,6 +148,9 @@
 #define MG_FIELDS_PULL_REP(F) \
     F(U64, seq) F(U64, rev) F(U64, partial) F(STR, leader) F(BIN, records)
 #define MG_FIELDS_CONFIRM(F) F(U64, seq)
+/* who holds which seat, by commas; a host with a disk and no seat */
+#define MG_FIELDS_SEATS(F) F(U64, rev) F(STR, holders)
+#define MG_FIELDS_CANDIDATE(F) F(STR, node)
 #define MG_FIELDS_CONFIRM_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
 #define MG_FIELDS_PROPOSED(F) F(U64, seq) F(U64, rc) F(U64, rev) F(STR, why)
 
@@ -230,6 +233,8 @@
     M(102, CONFIRM, confirm) \
     M(103, CONFIRM_REP, confirm_rep) \
     M(104, PROPOSED, proposed) \
+    M(105, SEATS, seats) \
+    M(106, CANDIDATE, candidate) \
     M(110, NODE, node) \
     M(111, NODES, nodes) \
     M(112, INSTANCE, instance) \
@@ -275,6 +280,7 @@
     MG_KIND_POOL,
     MG_KIND_MOVE,
     MG_KIND_QUARANTINE,
+    MG_KIND_SEATS, /* a SEATS message; its rev is that of the record */
 } mg_record_kind;
 
 /* Name for logs. */
