--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -299,6 +299,7 @@
     f->state = MG_FLOW_ANSWERING;
     f->status = a.status;
     f->not_run = a.not_run;
+    f->unframed = !head->has_length && !head->chunked;
     f->streaming = f->route->stream && a.status == 200 && !a.not_run;
     if (!f->started) {
         keep_head(f, head);
@@ -385,6 +386,20 @@
     finish(f);
 }
 
+static void
+reply_body(mg_flow *f)
+{
+    mg_str body = mg_str_buf(&f->body);
+    if (!f->unframed || body.n == 0) {
+        mg_http_reply(f->call.http, f->status, NULL, f->head.p, body);
+        return;
+    }
+    /* nothing proves that it is whole: the caller gets it as it came */
+    mg_http_start_unframed(f->call.http, f->status, NULL, f->head.p);
+    mg_http_write(f->call.http, body);
+    mg_http_finish(f->call.http);
+}
+
 static void
 end_plain(mg_flow *f)
 {
@@ -424,8 +439,7 @@
     }
     f->first_ms = now_of(f);
     log_answered(f);
-    mg_http_reply(f->call.http, f->status, NULL, f->head.p,
-                  mg_str_buf(&f->body));
+    reply_body(f);
     finish(f);
 }
 
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -120,7 +120,7 @@
     bool not_run; /* as the present answer says */
     bool streaming;
     bool started; /* the caller has the head */
-    bool has_length;
+    bool unframed; /* the answer's body ends with its connection */
     mg_buf head; /* header lines for the caller */
     mg_buf body;
     mg_events events;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -93,6 +93,10 @@
 void
 mg_http_start_sized(mg_http_req *r, int status, const char *type,
                     const char *extra, uint64_t length);
+/* An answer whose body ends with the connection. */
+void
+mg_http_start_unframed(mg_http_req *r, int status, const char *type,
+                       const char *extra);
 void
 mg_http_write(mg_http_req *r, mg_str data);
 void
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -640,13 +640,20 @@
                   (unsigned long long)length);
 }
 
+void
+mg_http_start_unframed(mg_http_req *r, int status, const char *type,
+                       const char *extra)
+{
+    r->conn->close_after = true;
+    put_head(r, status, type, extra);
+    mg_buf_put(&r->conn->out, "\r\n", 2);
+}
+
 void
 mg_http_start(mg_http_req *r, int status, const char *type, const char *extra)
 {
     if (r->head.minor == 0) {
-        r->conn->close_after = true;
-        put_head(r, status, type, extra);
-        mg_buf_put(&r->conn->out, "\r\n", 2);
+        mg_http_start_unframed(r, status, type, extra);
         return;
     }
     put_head(r, status, type, extra);
