--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -39,6 +39,7 @@
     mg_mesh_node self;
     hub hubs[MG_MESH_HUBS_MAX]; /* others */
     size_t hub_count;
+    mg_seats contacts;
     hub *primary; /* the hub in use, NULL: none yet */
     int64_t primary_since;
     bool is_hub;
@@ -68,12 +69,27 @@
     return m;
 }
 
+void
+mg_mesh_set_contacts(mg_mesh *m, const mg_seats *contacts, uint16_t port)
+{
+    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    m->contacts = *contacts;
+    for (unsigned i = 0; i < contacts->count; i++) {
+        const char *ip = contacts->holder[i];
+        if (strcmp(ip, m->self.node) != 0) {
+            snprintf(addr, sizeof(addr), "%s:%u", ip, port);
+            mg_net_dial(m->opts.net, ip, addr);
+        }
+    }
+}
+
 void
 mg_mesh_set_hubs(mg_mesh *m, const mg_seats *seats, uint16_t port)
 {
     char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
     for (size_t i = 0; i < m->hub_count; i++) {
-        if (mg_seats_of(seats, m->hubs[i].node) == 0) {
+        if (mg_seats_of(seats, m->hubs[i].node) == 0 &&
+            mg_seats_of(&m->contacts, m->hubs[i].node) == 0) {
             mg_net_undial(m->opts.net, m->hubs[i].node);
         }
     }
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -65,6 +65,10 @@
 
 mg_mesh *
 mg_mesh_new(const mg_mesh_options *opts);
+/* Nodes that links are kept to beside those to the hubs: who starts anew may
+   know only them. */
+void
+mg_mesh_set_contacts(mg_mesh *m, const mg_seats *contacts, uint16_t port);
 /* The hubs, by IP address; this node may be among them. */
 void
 mg_mesh_set_hubs(mg_mesh *m, const mg_seats *seats, uint16_t port);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -463,6 +463,7 @@
         .on_record = on_record,
         .user = n,
     });
+    mg_mesh_set_contacts(n->mesh, &n->seats, mesh_port);
     mg_mesh_set_hubs(n->mesh, &n->seats, mesh_port);
     mg_group_client_set_members(n->client, &n->seats, (uint16_t)s->link_port);
     dial_own_group(n);
