Order by the workspace's tier, then by the route's

Cause: all workspaces of a document had the same tier, which took the place of the route's, so that long prompts, short ones and low-value digests waited in one line.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -518,13 +518,15 @@
     mg_count(MG_C_DISPATCHED, 1);
     mg_log(MG_EV_REQ_DISPATCHED,
            "id=%.*s target=%s own=%u others=%.0f backlog=%.0f pace=%.2f "
-           "kept=%d tier=%u "
-           "waited_ms=%" PRId64 " left_ms=%" PRId64,
+           "kept=%d tier=%u late=%u prompt=%u goal_ms=%" PRId64
+           " predicted_ms=%.0f waited_ms=%" PRId64 " left_ms=%" PRId64,
            MG_STR_FMT(f->call.id), f->target->instance->is.id,
            f->target->running, f->target->reported,
            f->target->backlog + f->target->reported_backlog,
            mg_gw_target_pace(f->target), f->kept_channel,
-           f->tier, now - f->arrived_ms, to.left_ms);
+           f->tier, f->ticket.tier & 1, f->call.prompt_tokens,
+           f->route->goal_ms,
+           f->work_ms * mg_gw_target_pace(f->target), now - f->arrived_ms, to.left_ms);
     set_timer(f, f->deadline_ms);
     mg_channel_send(f->channel, mg_str_buf(&head), mg_http_body(f->call.http),
                     mg_str_is(mg_http_method(f->call.http), "HEAD"));
@@ -593,18 +595,21 @@
 
 /* ----------------------------------------------------------- admission */
 
+static uint32_t
+bounded_tier(uint32_t tier)
+{
+    return tier < MG_TIER_MAX ? tier : MG_TIER_MAX - 1;
+}
+
 static void
 set_ticket(mg_flow *f)
 {
     mg_ticket *t = &f->ticket;
     const mg_call *c = &f->call;
     t->id = ++f->gw->next_ticket;
-    f->tier = f->workspace != NULL && f->workspace->has_tier
-                  ? f->workspace->tier
-                  : f->route->tier;
-    if (f->tier >= MG_TIER_MAX) {
-        f->tier = MG_TIER_MAX - 1;
-    }
+    uint32_t first = f->workspace != NULL ? f->workspace->tier : 0;
+    f->tier = bounded_tier(first) * MG_TIER_MAX +
+              bounded_tier(f->route->tier);
     t->tier = 2 * f->tier;
     t->weight = 1;
     t->prefill = c->prompt_tokens;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -15,6 +15,9 @@
 #include "policy/tierq.h"
 #include "wire/channel.h"
 
+/* the workspace's tier, then the route's */
+#define MG_GW_TIERS (MG_TIER_MAX * MG_TIER_MAX)
+
 /* what a gateway knows of an instance */
 typedef struct mg_gw_target {
     mg_gateway *gw;
@@ -43,7 +46,7 @@
     mg_tierq *waiting;
     mg_budget budget;
     mg_takeup takeup;
-    int64_t tier_seen[MG_TIER_MAX]; /* last request of each tier */
+    int64_t tier_seen[MG_GW_TIERS]; /* last request of each tier */
     bool due; /* is to be run at the end of this turn */
     struct list_head link;
 } mg_gw_pool;
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -95,7 +95,7 @@
 static uint32_t
 spare_slots(const mg_flow *f, int64_t now)
 {
-    for (uint32_t i = 0; i < f->tier && i < MG_TIER_MAX; i++) {
+    for (uint32_t i = 0; i < f->tier; i++) {
         int64_t seen = f->pool->tier_seen[i];
         if (seen != 0 && now - seen < TIER_SEEN_MS) {
             return SPARE_SLOTS;
--- a/src/policy/tierq.h
+++ b/src/policy/tierq.h
@@ -21,8 +21,11 @@
 #include "base/list.h"
 #include "topology/config.h"
 
-/* a tier may take two ranks: requests on time, and late ones behind them */
-#define MG_RANK_MAX (2 * MG_TIER_MAX)
+/*
+ * Ranks of service, 0 first. A caller may order by the workspace's tier, then
+ * by the route's, and put late requests behind those on time.
+ */
+#define MG_RANK_MAX (2 * MG_TIER_MAX * MG_TIER_MAX)
 
 typedef struct mg_share mg_share;
 
--- a/src/topology/routing.h
+++ b/src/topology/routing.h
@@ -59,8 +59,7 @@
 typedef struct mg_client_workspace {
     UT_hash_handle hh;
     char name[MG_NAME_SIZE];
-    bool has_tier; /* goes before the route's */
-    uint32_t tier;
+    uint32_t tier; /* goes before the route's */
     bool by_tokens;        /* quota counts tokens, else requests */
     uint32_t plain_tokens; /* of a request without a token count */
     double rate;           /* per second; 0: no quota */
