--- /dev/null
+++ b/tests/unit/gateway_test.c
@@ -0,0 +1,335 @@
+/* decisions of a gateway, each against a naive version */
+#include "suite.h"
+
+#include "gateway/budget.h"
+#include "gateway/events.h"
+#include "gateway/patience.h"
+#include "gateway/pick.h"
+#include "topology/routing.h"
+
+/* ---------------------------------------------------------------- events */
+
+static const char *
+events_history(uint64_t seed)
+{
+    mg_rng r;
+    mg_buf wire = {0};
+    mg_buf out = {0};
+    mg_events e = {0};
+    uint64_t next = 1;
+    const char *broken = NULL;
+    mg_rng_init(&r, seed);
+    uint32_t count = mg_rng_below(&r, 20);
+    const char *eol = mg_rng_below(&r, 2) ? "\n" : "\r\n";
+    for (uint32_t i = 1; i <= count; i++) {
+        mg_buf_printf(&wire, "id: %u%s", i, eol);
+        for (uint32_t k = mg_rng_below(&r, 4); k > 0; k--) {
+            mg_buf_printf(&wire, "data: %u%s", mg_rng_below(&r, 1000), eol);
+        }
+        mg_buf_printf(&wire, "%s", eol);
+    }
+    size_t whole = wire.n;
+    mg_buf_printf(&wire, "id: 99%sdata: cut of", eol);
+    for (size_t at = 0; at < wire.n;) {
+        mg_stream_event ev;
+        size_t k = 1 + mg_rng_below(&r, 40);
+        k = k < wire.n - at ? k : wire.n - at;
+        mg_events_put(&e, (mg_str){wire.p + at, k});
+        at += k;
+        while (mg_events_next(&e, &ev)) {
+            mg_buf_put(&out, ev.bytes.p, ev.bytes.n);
+            if (!ev.has_id || ev.id != next++) {
+                broken = "an event's id was misread";
+            }
+        }
+    }
+    if (out.n != whole || (whole > 0 && memcmp(out.p, wire.p, whole) != 0)) {
+        broken = "other bytes came out, or part of an event";
+    }
+    mg_buf_free(&wire);
+    mg_buf_free(&out);
+    mg_events_free(&e);
+    return broken;
+}
+
+static void
+test_events(void)
+{
+    run_histories(events_history, HISTORIES);
+}
+
+/* ------------------------------------------------------------------ pick */
+
+static const char *
+pick_history(uint64_t seed)
+{
+    mg_rng r;
+    mg_candidate c[8];
+    mg_rng_init(&r, seed);
+    size_t n = mg_rng_below(&r, 9);
+    mg_pick_request q = {mg_rng_below(&r, 4000), 100 + mg_rng_below(&r, 900),
+                         mg_rng_below(&r, 2)};
+    bool any = false;
+    bool any_sound = false;
+    for (size_t i = 0; i < n; i++) {
+        c[i] = (mg_candidate){
+            .slots = 1 + mg_rng_below(&r, 8),
+            .running = mg_rng_below(&r, 9),
+            .backlog = mg_rng_below(&r, 5000),
+            .pace = 0.5 + mg_rng_unit(&r) * 3,
+            .near = mg_rng_below(&r, 2),
+            .doubtful = mg_rng_below(&r, 4) == 0,
+        };
+        double room = c[i].slots > 2 * q.spare ? c[i].slots - q.spare
+                                               : c[i].slots;
+        any_sound = any_sound || !c[i].doubtful;
+        any = any || c[i].running < room;
+    }
+    int at = mg_pick(&q, c, n, mg_rng_unit(&r));
+    if (at < 0) {
+        for (size_t i = 0; i < n; i++) {
+            double room = c[i].slots > 2 * q.spare ? c[i].slots - q.spare
+                                                   : c[i].slots;
+            if (c[i].running < room && (!c[i].doubtful || !any_sound)) {
+                return "none was picked though one has room";
+            }
+        }
+        return NULL;
+    }
+    if (!any) {
+        return "picked though none has room";
+    }
+    if (c[at].running >= c[at].slots) {
+        return "picked one without room";
+    }
+    if (c[at].doubtful && any_sound) {
+        return "picked a doubtful one beside sound ones";
+    }
+    for (size_t i = 0; i < n; i++) {
+        double goal = 0.3 * q.goal_ms;
+        if (c[i].doubtful == c[at].doubtful && c[i].running < c[i].slots &&
+            c[i].slots - q.spare > c[i].running && c[i].near &&
+            c[i].running / c[i].slots <= c[at].running / c[at].slots &&
+            mg_pick_first_ms(&q, &c[i]) < mg_pick_first_ms(&q, &c[at]) &&
+            mg_pick_first_ms(&q, &c[at]) > goal) {
+            return "another one is sooner, less busy and near";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_pick(void)
+{
+    run_histories(pick_history, HISTORIES);
+}
+
+/* a long prompt does not go where another one is still being read */
+static void
+test_pick_long_prompts_apart(void)
+{
+    mg_candidate c[2] = {
+        {.slots = 7, .running = 1, .backlog = 12000, .pace = 1, .near = true},
+        {.slots = 7, .running = 4, .backlog = 0, .pace = 1, .near = false},
+    };
+    mg_pick_request q = {3000, 600, 0};
+    CU_ASSERT_EQUAL(mg_pick(&q, c, 2, 0), 1);
+}
+
+/* short prompts leave the fast target to long ones */
+static void
+test_pick_short_prompts_go_to_slow_targets(void)
+{
+    mg_candidate c[2] = {
+        {.slots = 7, .running = 3, .pace = 0.6, .near = true},
+        {.slots = 7, .running = 1, .pace = 1.7, .near = true},
+    };
+    mg_pick_request small = {300, 400, 0};
+    mg_pick_request large = {12000, 600, 0};
+    CU_ASSERT_EQUAL(mg_pick(&small, c, 2, 0), 1);
+    CU_ASSERT_EQUAL(mg_pick(&large, c, 2, 0), 0);
+}
+
+/* -------------------------------------------------------------- patience */
+
+static const char *
+patience_history(uint64_t seed)
+{
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    int64_t arrived = mg_rng_below(&r, 100000);
+    int64_t left = 1 + mg_rng_below(&r, 8000);
+    int64_t goal = 1 + mg_rng_below(&r, 1000);
+    int64_t first = mg_rng_below(&r, 1200);
+    mg_patience p = mg_patience_of(arrived, arrived + left, goal, first);
+    if (p.on_time_until > p.refuse_at) {
+        return "refused while it could still be on time";
+    }
+    if (p.refuse_at > arrived + left && p.refuse_at > arrived + 1) {
+        return "waits beyond its deadline";
+    }
+    if (p.on_time_until > arrived && p.on_time_until + first > arrived + goal &&
+        p.on_time_until > arrived + 1) {
+        return "thought on time when it would be late";
+    }
+    int64_t wait = mg_rng_below(&r, 20000);
+    int64_t after = mg_retry_after_ms(wait, left, mg_rng_unit(&r));
+    return after < 1 || (after > left / 3 && after > 1)
+               ? "to come back in more than a third of the time left"
+               : NULL;
+}
+
+static void
+test_patience(void)
+{
+    run_histories(patience_history, HISTORIES);
+}
+
+static void
+test_takeup(void)
+{
+    mg_takeup t = {0};
+    CU_ASSERT_EQUAL(mg_takeup_wait_ms(&t, 0, 5000), 0);
+    CU_ASSERT_TRUE(mg_takeup_wait_ms(&t, 1, 5000) > 10000);
+    for (int64_t now = 5000; now < 6000; now += 10) {
+        mg_takeup_count(&t, now);
+    }
+    CU_ASSERT_DOUBLE_EQUAL(mg_takeup_rate(&t, 5999), 100, 13);
+    CU_ASSERT_TRUE(mg_takeup_wait_ms(&t, 50, 5999) < 600);
+    CU_ASSERT_DOUBLE_EQUAL(mg_takeup_rate(&t, 9000), 0, 0);
+}
+
+/* ---------------------------------------------------------------- budget */
+
+static const char *
+budget_history(uint64_t seed)
+{
+    static uint8_t first_at[4000];
+    static uint8_t repeat_at[4000];
+    mg_budget b;
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    memset(first_at, 0, sizeof(first_at));
+    memset(repeat_at, 0, sizeof(repeat_at));
+    mg_budget_init(&b, 1000);
+    double ratio = 0.1 + mg_rng_unit(&r) * 0.3;
+    double slack = 1 + mg_rng_below(&r, 20);
+    int64_t slices = 1000 / b.slice_ms;
+    for (int64_t now = 0; now < 4000; now += 1 + mg_rng_below(&r, 30)) {
+        if (mg_rng_below(&r, 3) != 0) {
+            mg_budget_first(&b, now);
+            first_at[now]++;
+            continue;
+        }
+        if (!mg_budget_repeat(&b, ratio, slack, now)) {
+            continue;
+        }
+        repeat_at[now]++;
+        /* first sends fade too: the sum is judged when something is sent */
+        double firsts = 0;
+        double repeats = 0;
+        for (int64_t t = now; t >= 0 && t > now - 1000; t--) {
+            firsts += first_at[t];
+            repeats += t > now - (slices - 1) * b.slice_ms ? repeat_at[t] : 0;
+        }
+        if (repeats > ratio * firsts + slack) {
+            return "more repeats than the budget of the window";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_budget(void)
+{
+    run_histories(budget_history, HISTORIES);
+}
+
+/* --------------------------------------------------------------- routing */
+
+static void
+add_route(mg_routing *t, const char *name, const char *host,
+          const char *prefix)
+{
+    mg_route *r = mg_alloc(sizeof(*r));
+    snprintf(r->name, sizeof(r->name), "%s", name);
+    CU_ASSERT_EQUAL(
+        mg_routing_add_route(t, r, mg_str_of(host), mg_str_of(prefix)), MG_OK);
+}
+
+static const char *
+found(const mg_routing *t, const char *host, const char *path)
+{
+    const mg_route *r = mg_routing_find(t, mg_str_of(host), mg_str_of(path));
+    return r ? r->name : "";
+}
+
+static void
+test_longest_prefix(void)
+{
+    mg_routing *t = mg_routing_new();
+    add_route(t, "root", "a.example", "/");
+    add_route(t, "x", "a.example", "/x/");
+    add_route(t, "xy", "a.example", "/x/y/");
+    add_route(t, "other", "b.example", "/x/");
+    CU_ASSERT_STRING_EQUAL(found(t, "a.example", "/x/y/z"), "xy");
+    CU_ASSERT_STRING_EQUAL(found(t, "a.example", "/x/y"), "x");
+    CU_ASSERT_STRING_EQUAL(found(t, "A.Example:8080", "/q"), "root");
+    CU_ASSERT_STRING_EQUAL(found(t, "b.example", "/y/"), "");
+    CU_ASSERT_STRING_EQUAL(found(t, "c.example", "/x/"), "");
+    CU_ASSERT_STRING_EQUAL(found(t, "", "/x/"), "");
+    mg_routing_unref(t);
+}
+
+static const char *
+split_history(uint64_t seed)
+{
+    mg_rng r;
+    mg_service s[4] = {0};
+    mg_route route = {0};
+    mg_rng_init(&r, seed);
+    route.split_count = 1 + mg_rng_below(&r, 4);
+    for (size_t i = 0; i < route.split_count; i++) {
+        route.splits[i] = (mg_split){&s[i], mg_rng_below(&r, 10)};
+        route.weight_sum += route.splits[i].weight;
+    }
+    if (route.weight_sum == 0) {
+        return NULL;
+    }
+    double at = mg_rng_unit(&r);
+    mg_service *chosen = mg_route_choose(&route, at);
+    double low = 0;
+    for (size_t i = 0; i < route.split_count; i++) {
+        double high = low + route.splits[i].weight;
+        if (at * route.weight_sum >= low && at * route.weight_sum < high) {
+            return chosen == &s[i] ? NULL : "another service than its part";
+        }
+        low = high;
+    }
+    return "no part";
+}
+
+static void
+test_splits(void)
+{
+    run_histories(split_history, HISTORIES);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"streams cut into events", test_events},
+        {"picks against a naive choice", test_pick},
+        {"long prompts apart", test_pick_long_prompts_apart},
+        {"short prompts on slow targets",
+         test_pick_short_prompts_go_to_slow_targets},
+        {"patience", test_patience},
+        {"rate of taking up", test_takeup},
+        {"budget of repeats", test_budget},
+        {"longest prefix", test_longest_prefix},
+        {"splits by weight", test_splits},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("gateway", tests);
+}
