--- a/src/control/control.c
+++ b/src/control/control.c
@@ -37,7 +37,8 @@
 host_append(mg_raft_host *h, const mg_raft_entry *e)
 {
     mg_count(MG_C_RAFT_ENTRIES, 1);
-    return mg_store_append(control_of(h)->store, e);
+    return mg_store_append(control_of(h)->store, e,
+                           mg_raft_commit(control_of(h)->raft));
 }
 
 static mg_rc
@@ -467,6 +468,7 @@
         .snapshot = mg_str_buf(&image.snapshot),
         .entries = image.entries,
         .entry_count = image.entry_count,
+        .commit = image.commit,
     });
     mg_store_image_free(&image);
     return MG_OK;
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -99,12 +99,24 @@
     return check_storage(r, r->host->save_meta(r->host, &r->meta));
 }
 
+static void
+set_election_timer(mg_raft *r, uint32_t min_ms, uint32_t max_ms)
+{
+    r->election_at =
+        mg_now(r->clock) + min_ms + mg_rng_below(&r->rng, max_ms - min_ms);
+}
+
 static void
 reset_election_timer(mg_raft *r)
 {
-    uint32_t spread = MG_RAFT_ELECTION_MAX_MS - MG_RAFT_ELECTION_MIN_MS;
-    r->election_at = mg_now(r->clock) + MG_RAFT_ELECTION_MIN_MS +
-                     mg_rng_below(&r->rng, spread);
+    set_election_timer(r, MG_RAFT_ELECTION_MIN_MS, MG_RAFT_ELECTION_MAX_MS);
+}
+
+/* pre-votes disturb nobody: they may be asked for sooner */
+static void
+set_retry_timer(mg_raft *r)
+{
+    set_election_timer(r, MG_RAFT_RETRY_MIN_MS, MG_RAFT_RETRY_MAX_MS);
 }
 
 static void
@@ -378,7 +390,12 @@
         }
     }
     r->leader = 0;
-    reset_election_timer(r);
+    if (pre) {
+        set_retry_timer(r);
+    }
+    else {
+        reset_election_timer(r);
+    }
     set_role(r, pre ? MG_RAFT_PRE_CANDIDATE : MG_RAFT_CANDIDATE);
     for (unsigned i = 1; i <= r->n; i++) {
         r->peers[i].granted = i == r->id;
@@ -756,7 +773,7 @@
         tick_leader(r, now);
     }
     else if (now >= r->election_at) {
-        reset_election_timer(r);
+        set_retry_timer(r);
         if (r->meta.voter) {
             start_election(r, true);
         }
@@ -896,10 +913,15 @@
     }
     r->synced = last_index(r);
     r->leader_heard = mg_now(r->clock) - MG_RAFT_ELECTION_MIN_MS;
-    reset_election_timer(r);
+    set_retry_timer(r);
     if (r->snap_index > 0) {
         r->host->restore(r->host, mg_str_buf(&r->snap));
     }
+    if (opts->commit > r->commit) {
+        r->commit = opts->commit < last_index(r) ? opts->commit
+                                                 : last_index(r);
+        apply_committed(r);
+    }
     return r;
 }
 
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -33,6 +33,10 @@
 #define MG_RAFT_HEARTBEAT_MS 100
 #define MG_RAFT_ELECTION_MIN_MS 500
 #define MG_RAFT_ELECTION_MAX_MS 900
+/* a member that has just started, or asks for pre-votes, hears of a leader
+   within this if there is one */
+#define MG_RAFT_RETRY_MIN_MS 150
+#define MG_RAFT_RETRY_MAX_MS 400
 /* a member may get its READMIT within a snapshot, which does not tell it */
 #define MG_RAFT_READMIT_RETRY_MS 1000
 #define MG_RAFT_BATCH_BYTES (1u << 20)
@@ -96,6 +100,7 @@
     mg_str snapshot;
     const mg_raft_entry *entries; /* copied */
     size_t entry_count;
+    uint64_t commit; /* known to be committed: applied at once */
 } mg_raft_options;
 
 mg_raft *
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -15,7 +15,7 @@
 #define META_MAGIC UINT64_C(0x314154454d474d00)
 #define SNAP_MAGIC UINT64_C(0x31504e53474d0000)
 #define NOTE_MAGIC UINT64_C(0x3145544f4e474d00)
-#define LOG_MAGIC UINT64_C(0x31474f4c474d0000)
+#define LOG_MAGIC UINT64_C(0x32474f4c474d0000)
 #define RECORD_DATA_MAX (64u << 20)
 
 struct record_head {
@@ -23,6 +23,7 @@
     uint64_t sum;  /* of term, index and data */
     uint64_t term;
     uint64_t index;
+    uint64_t commit; /* known when it was appended */
 };
 
 struct file_head {
@@ -214,7 +215,7 @@
 static uint64_t
 record_sum(const struct record_head *h, const char *data)
 {
-    return XXH3_64bits_withSeed(data, h->size, XXH3_64bits(&h->term, 16));
+    return XXH3_64bits_withSeed(data, h->size, XXH3_64bits(&h->term, 24));
 }
 
 /* a sound record at offset at, or false */
@@ -276,6 +277,9 @@
             }
             image->entries[image->entry_count++] = (mg_raft_entry){
                 h.term, h.index, {b->p + at + sizeof(h), h.size}};
+            if (h.commit > image->commit) {
+                image->commit = h.commit;
+            }
         }
         at = next;
     }
@@ -414,10 +418,10 @@
 }
 
 mg_rc
-mg_store_append(mg_store *s, const mg_raft_entry *e)
+mg_store_append(mg_store *s, const mg_raft_entry *e, uint64_t commit)
 {
     MG_INVARIANT(e->index == s->first_index + s->count);
-    struct record_head h = {e->data.n, 0, e->term, e->index};
+    struct record_head h = {e->data.n, 0, e->term, e->index, commit};
     h.sum = record_sum(&h, e->data.p);
     note_offset(s, s->log_end + (off_t)s->pending.n);
     mg_buf_put(&s->pending, &h, sizeof(h));
--- a/src/control/store.h
+++ b/src/control/store.h
@@ -8,7 +8,8 @@
  *   note      the host's own, replaced whole, synced, renamed
  *   lock      held while a process uses the folder
  *
- * A record of the log is length, checksum, term, index, data. At open a
+ * A record of the log is length, checksum, term, index, the commit index
+ * that was known when it was appended, and data. At open a
  * damaged record with no sound record behind it is a torn tail: it was
  * never synced, and is cut off. Damage before sound records is MG_E_CORRUPT:
  * an acknowledged entry is lost, and the member must come back empty, with
@@ -29,6 +30,7 @@
     uint64_t snapshot_index;
     uint64_t snapshot_term;
     mg_buf snapshot;
+    uint64_t commit; /* entries up to it are known to be committed */
     mg_raft_entry *entries; /* data points into log_bytes */
     size_t entry_count;
     mg_buf log_bytes;
@@ -58,7 +60,7 @@
 mg_rc
 mg_store_save_meta(mg_store *s, const mg_raft_meta *meta);
 mg_rc
-mg_store_append(mg_store *s, const mg_raft_entry *e);
+mg_store_append(mg_store *s, const mg_raft_entry *e, uint64_t commit);
 mg_rc
 mg_store_truncate(mg_store *s, uint64_t index);
 mg_rc
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -113,7 +113,8 @@
 host_append(mg_raft_host *h, const mg_raft_entry *e)
 {
     mg_count(MG_C_RAFT_ENTRIES, 1);
-    return mg_store_append(group_of(h)->store, e);
+    return mg_store_append(group_of(h)->store, e,
+                           mg_raft_commit(group_of(h)->raft));
 }
 
 static mg_rc
@@ -691,6 +692,7 @@
         .snapshot = mg_str_buf(&image->snapshot),
         .entries = image->entries,
         .entry_count = image->entry_count,
+        .commit = image->commit,
     });
     for (unsigned i = 0; i < g->seats.count; i++) {
         bool taken = g->seats.holder[i][0] != '\0';
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -375,7 +375,10 @@
     if (c->closing) {
         return;
     }
-    if (!c->greeted && now - c->opened_at > MG_LINK_GREETING_MS) {
+    if (!c->connected && now - c->opened_at > MG_LINK_CONNECT_MS) {
+        close_conn(c, "connect_timeout");
+    }
+    else if (!c->greeted && now - c->opened_at > MG_LINK_GREETING_MS) {
         close_conn(c, "greeting_timeout");
     }
     else if (now - c->heard_at > MG_LINK_SILENCE_MS) {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -25,6 +25,8 @@
 #define MG_LINK_PROTOCOL 1
 #define MG_LINK_PING_MS 400
 #define MG_LINK_SILENCE_MS 1200
+/* a lost opening packet is repeated by the system only after a second */
+#define MG_LINK_CONNECT_MS 250
 #define MG_LINK_GREETING_MS 1000
 #define MG_LINK_GREETING_MAX 1024
 #define MG_LINK_UNSENT_MAX (64u << 20)
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -55,7 +55,7 @@
     char data[64];
     int n = snprintf(data, sizeof(data), "entry %d", (int)index);
     mg_raft_entry e = {term, index, {data, (size_t)n}};
-    CU_ASSERT_EQUAL(mg_store_append(s, &e), MG_OK);
+    CU_ASSERT_EQUAL(mg_store_append(s, &e, index - 1), MG_OK);
 }
 
 static void
