Slots of a service are dealt out to the entries, others are lent

Cause: entries with old reports all sent to the slot that seemed free: up to 27 requests stood at a target of 7 slots where each entry saw 6, and the first event came 5 to 50 times later than predicted. Now an entry fills its own slots, which it knows exactly, and of those that seem free elsewhere takes its part only, until the next report.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -58,6 +58,7 @@
 {
     if (f->target != NULL) {
         end_backlog(f);
+        f->pool->running--;
         f->target->running--;
         f->target->instance->users--;
         f->target = NULL;
@@ -420,6 +421,7 @@
                 return;
             }
             f->target = failed;
+            f->pool->running++;
             failed->running++;
             failed->instance->users++;
         }
@@ -549,6 +551,10 @@
                                  t->backlog + t->reported_backlog);
     f->backlog = f->call.prompt_tokens;
     t->backlog += f->backlog;
+    if (t->running >= t->share && t->loans > 0) {
+        t->loans--;
+    }
+    f->pool->running++;
     t->running++;
     t->instance->users++;
     f->channel = mg_gw_idle_channel(t, sure);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -72,7 +72,10 @@
 static void
 report_target(void *user, mg_instance *i)
 {
-    const mg_gw_target *t = i->owner_data;
+    mg_gw_target *t = i->owner_data;
+    if (t != NULL) {
+        mg_gw_target_lend(t);
+    }
     if (t == NULL || (t->running == 0 && t->work_ms < 1)) {
         return;
     }
@@ -232,6 +235,7 @@
     init_list_head(&gw->flows);
     init_list_head(&gw->due_pools);
     gw->entries = 1;
+    gw->gen = 1;
     return gw;
 }
 
@@ -261,6 +265,7 @@
 mg_gateway_instance_changed(mg_gateway *gw, mg_instance *i)
 {
     mg_gw_target *t = mg_gw_target_of(gw, i);
+    gw->gen++;
     if (i->is.state == MG_INSTANCE_READY) {
         mg_gw_target_served(t);
         mg_gw_pool_due(gw, mg_gw_pool_of(gw, i->is.service));
@@ -294,9 +299,18 @@
 }
 
 void
-mg_gateway_set_entries(mg_gateway *gw, size_t entries)
+mg_gateway_set_entries(mg_gateway *gw, const char *self,
+                       const char *const *others, size_t n)
 {
-    gw->entries = entries > 0 ? entries : 1;
+    size_t before = 0;
+    for (size_t i = 0; i < n; i++) {
+        before += strcmp(others[i], self) < 0;
+    }
+    if (gw->entries != n + 1 || gw->self != before) {
+        gw->entries = n + 1;
+        gw->self = before;
+        gw->gen++;
+    }
 }
 
 static void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -115,9 +115,10 @@
 /* Requests in hand. */
 size_t
 mg_gateway_open(const mg_gateway *gw);
-/* Entries that are live, this one counted. */
+/* Names of the other entries that are live, and this one's. */
 void
-mg_gateway_set_entries(mg_gateway *gw, size_t entries);
+mg_gateway_set_entries(mg_gateway *gw, const char *self,
+                       const char *const *others, size_t n);
 /* What this entry has under way: LOAD_* messages. */
 void
 mg_gateway_report(mg_gateway *gw, mg_buf *loads);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -35,6 +35,8 @@
     double reported_took_ms;
     double reported_work_ms;
     int64_t faded_at;
+    uint32_t share; /* slots that belong to this entry */
+    uint32_t loans; /* of others, until the next report */
     uint32_t failures; /* in a row */
     int64_t avoid_until;
 } mg_gw_target;
@@ -47,6 +49,9 @@
     mg_budget budget;
     mg_takeup takeup;
     int64_t tier_seen[MG_GW_TIERS]; /* last request of each tier */
+    uint64_t share_gen;  /* of the entries and targets dealt with */
+    uint32_t share;      /* slots of all targets that belong to the entry */
+    uint32_t running;    /* requests of this entry */
     bool due; /* is to be run at the end of this turn */
     struct list_head link;
 } mg_gw_pool;
@@ -78,7 +83,9 @@
     mg_gw_peer *peers;
     struct list_head flows;
     size_t open;
-    size_t entries;
+    size_t entries; /* live ones */
+    size_t self;    /* this entry's place among them */
+    uint64_t gen;   /* grows when entries or targets change */
     bool closed;
     uint64_t next_ticket;
     int64_t sweep_at;
@@ -150,7 +157,7 @@
 mg_gw_target *
 mg_gw_target_of(mg_gateway *gw, mg_instance *i);
 mg_gw_target *
-mg_gw_choose(mg_gateway *gw, const mg_flow *f);
+mg_gw_choose(mg_gateway *gw, mg_flow *f);
 /* Predicted time to the first event at the pool's fastest target, ms. */
 int64_t
 mg_gw_least_first_ms(mg_gateway *gw, const mg_flow *f);
@@ -164,6 +171,9 @@
 mg_gw_new_channel(mg_gw_target *t, mg_channel_user *u);
 void
 mg_gw_close_idle(mg_gw_target *t);
+/* Slots of others that may be used until the next call. */
+void
+mg_gw_target_lend(mg_gw_target *t);
 /* How a request to the target ended, for the choice of later ones. */
 void
 mg_gw_target_failed(mg_gw_target *t);
--- a/src/gateway/pick.c
+++ b/src/gateway/pick.c
@@ -23,6 +23,15 @@
     return c->pace * mg_pick_work_ms(unread, c->backlog);
 }
 
+bool
+mg_pick_has_room(const mg_pick_request *r, const mg_candidate *c)
+{
+    if (r->may_fill && c->own < c->share) {
+        return true;
+    }
+    return c->loans > 0 && c->running + 1 <= (double)c->slots;
+}
+
 static double
 cost_of(const mg_pick_request *r, const mg_candidate *c)
 {
@@ -45,10 +54,7 @@
     size_t start = (size_t)(tie * (double)n);
     for (size_t k = 0; k < n; k++) {
         size_t i = (start + k) % n;
-        /* a target with few slots spares none */
-        double slots = c[i].slots > 2 * r->spare ? c[i].slots - r->spare
-                                                 : c[i].slots;
-        if (c[i].running >= slots || (sound && c[i].doubtful)) {
+        if (!mg_pick_has_room(r, &c[i]) || (sound && c[i].doubtful)) {
             continue;
         }
         double cost = cost_of(r, &c[i]);
--- a/src/gateway/pick.h
+++ b/src/gateway/pick.h
@@ -1,8 +1,8 @@
 /*
  * pick - which target a request goes to
  *
- * Pure: a table of candidates in, an index out. A target takes no more than
- * its slots by what this entry counts itself and what the others reported.
+ * Pure: a table of candidates in, an index out. An entry may fill the slots
+ * that belong to it, and use as many others as it was lent (gateway/share.h).
  * For those with room the time to the first event is predicted, from the
  * prompt, the prompts that the target still reads for others, and the pace
  * that was learned of it. Being faster than a part of the goal is worth
@@ -18,6 +18,9 @@
 typedef struct mg_candidate {
     uint32_t slots;
     double running; /* own and reported requests */
+    uint32_t own;   /* requests of this entry */
+    uint32_t share; /* slots that belong to this entry */
+    uint32_t loans; /* of other slots, that it may use now */
     double backlog; /* prompt tokens that it has still to read */
     double pace;    /* time that it takes, against the prediction: 1 */
     double warm;    /* part of the prompt that it holds, 0 to 1 */
@@ -28,7 +31,7 @@
 typedef struct mg_pick_request {
     double prompt_tokens;
     double goal_ms; /* to the first event, or the answer */
-    uint32_t spare; /* slots of each target that are left for others */
+    bool may_fill; /* the last free slots of the entry's shares, too */
 } mg_pick_request;
 
 /* Predicted time to the first event at a target of pace 1, ms. */
@@ -37,6 +40,9 @@
 /* Predicted time to the first event at that target, ms. */
 double
 mg_pick_first_ms(const mg_pick_request *r, const mg_candidate *c);
+/* Whether the request may be sent to that target now. */
+bool
+mg_pick_has_room(const mg_pick_request *r, const mg_candidate *c);
 /*
  * Index of the best candidate with room, -1 when there is none. Doubtful
  * ones are taken only when no other exists. tie, uniform in [0, 1), spreads
--- /dev/null
+++ b/src/gateway/share.h
@@ -0,0 +1,35 @@
+/*
+ * share - which slots of the targets belong to which entry
+ *
+ * Entries see each other's requests some hundred ms late. When all targets
+ * are nearly full, each freed slot would be taken by several of them at
+ * once. So the slots of a service are dealt out: an entry knows exactly which
+ * of its own are free. Of the others it may use, until it hears more, its part
+ * of those that seem free, so that all together don't take more than there
+ * are.
+ *
+ * Pure: the same for all entries that know the same entries and targets.
+ * Where they differ for a while, a target gets a few requests too many.
+ */
+#ifndef MG_SHARE_H
+#define MG_SHARE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Of n targets in an order that is the same everywhere, with slots[i] each,
+ * share[i] becomes the number that belongs to entry self of count entries
+ * (0-based).
+ */
+void
+mg_share_deal(const uint32_t *slots, size_t n, size_t self, size_t count,
+              uint32_t *share);
+/*
+ * Slots of others that an entry may use of a target with so many free, until
+ * the next time: at random, in [0, 1), rounded up or down.
+ */
+uint32_t
+mg_share_loans(double free_slots, size_t entries, double random);
+
+#endif
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_int.h"
 #include "gateway/pick.h"
+#include "gateway/share.h"
 
 #define CANDIDATES_MAX 512
 /* used when the peer does not say how long it keeps an idle channel, ms */
@@ -18,8 +19,8 @@
 #define AVOID_MAX_MS 4000
 #define AVOID_DOUBLINGS 4
 #define SLOTS_DEFAULT 4
-/* of each target, for higher tiers that were seen lately */
-#define SPARE_SLOTS 1
+/* one in so many of the entry's slots, for higher tiers seen lately */
+#define SPARE_PART 7
 #define TIER_SEEN_MS 2000
 /* time in which a learned sample loses most of its weight, ms */
 #define FADE_MS 8000.0
@@ -84,6 +85,9 @@
     return (mg_candidate){
         .slots = is->slots > 0 ? is->slots : SLOTS_DEFAULT,
         .running = t->running + t->reported,
+        .own = t->running,
+        .share = t->share,
+        .loans = t->loans,
         .backlog = t->backlog + t->reported_backlog,
         .pace = mg_gw_target_pace(t),
         .near = strcmp(is->domain, t->gw->domain) == 0,
@@ -91,17 +95,30 @@
     };
 }
 
-/* slots that are left for requests of higher tiers, which come too */
-static uint32_t
-spare_slots(const mg_flow *f, int64_t now)
+void
+mg_gw_target_lend(mg_gw_target *t)
+{
+    mg_gateway *gw = t->gw;
+    uint32_t slots = t->instance->is.slots;
+    double left = (double)(slots > 0 ? slots : SLOTS_DEFAULT) - t->reported -
+                  t->running;
+    t->loans = mg_share_loans(left, gw->entries, mg_rng_unit(&gw->rng));
+}
+
+/* some of the entry's slots are left for higher tiers, which come too */
+static bool
+may_fill(const mg_flow *f, int64_t now)
 {
+    const mg_gw_pool *p = f->pool;
+    if (p->running + p->share / SPARE_PART < p->share) {
+        return true;
+    }
     for (uint32_t i = 0; i < f->tier; i++) {
-        int64_t seen = f->pool->tier_seen[i];
-        if (seen != 0 && now - seen < TIER_SEEN_MS) {
-            return SPARE_SLOTS;
+        if (p->tier_seen[i] != 0 && now - p->tier_seen[i] < TIER_SEEN_MS) {
+            return false;
         }
     }
-    return 0;
+    return true;
 }
 
 static mg_pick_request
@@ -110,7 +127,7 @@
     return (mg_pick_request){
         .prompt_tokens = f->call.prompt_tokens,
         .goal_ms = (double)f->route->goal_ms,
-        .spare = spare_slots(f, now),
+        .may_fill = may_fill(f, now),
     };
 }
 
@@ -139,8 +156,50 @@
     return least < 0 ? 0 : (int64_t)least;
 }
 
+static int
+by_id(const void *a, const void *b)
+{
+    const mg_gw_target *x = *(mg_gw_target *const *)a;
+    const mg_gw_target *y = *(mg_gw_target *const *)b;
+    return strcmp(x->instance->is.id, y->instance->is.id);
+}
+
+/* deals out the slots of the pool's targets again when something changed */
+static void
+deal_slots(mg_gateway *gw, mg_gw_pool *p, const mg_instance_group *g)
+{
+    static mg_gw_target *targets[CANDIDATES_MAX];
+    static uint32_t slots[CANDIDATES_MAX];
+    static uint32_t share[CANDIDATES_MAX];
+    size_t n = 0;
+    if (p->share_gen == gw->gen) {
+        return;
+    }
+    p->share_gen = gw->gen;
+    p->share = 0;
+    list_for_each(el, &g->instances)
+    {
+        mg_instance *i = list_entry(el, mg_instance, link);
+        mg_gw_target *t = mg_gw_target_of(gw, i);
+        t->share = 0;
+        if (i->is.state == MG_INSTANCE_READY && n < CANDIDATES_MAX) {
+            targets[n++] = t;
+        }
+    }
+    qsort(targets, n, sizeof(targets[0]), by_id);
+    for (size_t i = 0; i < n; i++) {
+        uint32_t s = targets[i]->instance->is.slots;
+        slots[i] = s > 0 ? s : SLOTS_DEFAULT;
+    }
+    mg_share_deal(slots, n, gw->self, gw->entries, share);
+    for (size_t i = 0; i < n; i++) {
+        targets[i]->share = share[i];
+        p->share += share[i];
+    }
+}
+
 mg_gw_target *
-mg_gw_choose(mg_gateway *gw, const mg_flow *f)
+mg_gw_choose(mg_gateway *gw, mg_flow *f)
 {
     static mg_candidate candidates[CANDIDATES_MAX];
     static mg_gw_target *targets[CANDIDATES_MAX];
@@ -151,6 +210,7 @@
     if (g == NULL) {
         return NULL;
     }
+    deal_slots(gw, f->pool, g);
     list_for_each(el, &g->instances)
     {
         mg_instance *i = list_entry(el, mg_instance, link);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -17,6 +17,7 @@
 #define DRAIN_MARGIN_MS 700
 #define BODY_MAX (16u << 20)
 #define SECTION "document"
+#define ENTRIES_MAX 1024
 
 struct mg_node {
     uv_loop_t *loop;
@@ -328,6 +329,21 @@
     }
 }
 
+static void
+tell_entries(mg_node *n)
+{
+    const mg_mesh_node *nodes[ENTRIES_MAX];
+    const char *names[ENTRIES_MAX];
+    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, ENTRIES_MAX);
+    size_t others = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(nodes[i]->node, n->settings.ip) != 0) {
+            names[others++] = nodes[i]->node;
+        }
+    }
+    mg_gateway_set_entries(n->gateway, n->settings.ip, names, others);
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
@@ -336,7 +352,7 @@
     mg_group_client_tick(n->client);
     mg_mesh_set_ready(n->mesh, mg_node_ready(n));
     mg_mesh_tick(n->mesh);
-    mg_gateway_set_entries(n->gateway, mg_mesh_live_count(n->mesh));
+    tell_entries(n);
     if (now >= n->report_at) {
         mg_buf loads = {0};
         n->report_at = now + REPORT_MS;
