--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -57,6 +57,7 @@
 leave_target(mg_flow *f)
 {
     if (f->target != NULL) {
+        f->failed = f->target;
         end_backlog(f);
         f->pool->running--;
         f->target->running--;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -114,6 +114,7 @@
     mg_flow_state state;
     mg_channel *channel;
     mg_gw_target *target;
+    const mg_gw_target *failed; /* where it failed last: compared only */
     bool kept_channel;
     double backlog; /* its prompt counts as unread at the target */
     double work_ms; /* predicted to the first event at pace 1 */
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -222,6 +222,7 @@
         }
         targets[n] = mg_gw_target_of(gw, i);
         candidates[n] = candidate_of(targets[n], now);
+        candidates[n].doubtful |= targets[n] == f->failed;
         n++;
     }
     mg_pick_request r = pick_request(f, now);
--- a/src/group/seats.c
+++ b/src/group/seats.c
@@ -4,6 +4,8 @@
 
 /* a candidate that was not heard for so long is none, ms */
 #define CANDIDATE_MS 1500
+/* a seat is vacated only while all others were heard within this, ms */
+#define WELL_MS 500
 
 unsigned
 mg_seats_of(const mg_seats *s, const char *node)
@@ -41,6 +43,22 @@
     return p;
 }
 
+/* the seat of a dead holder when all others are well, else -1 */
+static int
+lone_dead(const mg_seats *s, const int64_t *age_ms)
+{
+    int dead = -1;
+    for (unsigned i = 0; i < s->count; i++) {
+        if (age_ms[i] > MG_SEAT_DEAD_MS && dead < 0) {
+            dead = (int)i;
+        }
+        else if (age_ms[i] > WELL_MS) {
+            return -1;
+        }
+    }
+    return dead;
+}
+
 mg_seat_plan
 mg_seats_plan(const mg_seats *s, unsigned wanted, const int64_t *age_ms,
               bool all_vote, const mg_seat_candidate *c, size_t n, int64_t now)
@@ -54,10 +72,9 @@
             return make_plan(MG_SEAT_GIVE, i, new_one->node);
         }
     }
-    for (unsigned i = 0; i < s->count; i++) {
-        if (age_ms[i] > MG_SEAT_DEAD_MS) {
-            return make_plan(MG_SEAT_VACATE, i, "");
-        }
+    int dead = lone_dead(s, age_ms);
+    if (dead >= 0) {
+        return make_plan(MG_SEAT_VACATE, (unsigned)dead, "");
     }
     if (s->count < wanted && s->count < MG_SEATS_MAX && all_vote) {
         return make_plan(MG_SEAT_ADD, s->count, new_one->node);
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -297,7 +297,8 @@
     c->server->open_requests++;
     r->conn = c;
     r->head = *head;
-    r->head_bytes = mg_strndup(c->in.p, head->size);
+    r->head_bytes = mg_alloc(head->size);
+    memcpy(r->head_bytes, c->in.p, head->size);
     mg_h1_rebase(&r->head, c->in.p, r->head_bytes);
     mg_buf_skip(&c->in, head->size);
     c->close_after = head->close;
