--- a/src/group/group.c
+++ b/src/group/group.c
@@ -1,21 +1,13 @@
-#include "group/group.h"
+#include "group/group_int.h"
 
 #include <inttypes.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
-
 #include "base/counter.h"
 #include "base/event.h"
-#include "base/list.h"
-#include "control/raft.h"
-#include "control/state.h"
-#include "control/store.h"
 #include "group/group_client.h"
-#include "wire/link.h"
 
 #define TICK_MS 20
 #define CLAIMS_MAX 1024
@@ -23,69 +15,6 @@
 #define SNAPSHOT_ENTRIES 64
 /* records in one answer, bytes; one more record may follow */
 #define CHANGES_MAX_BYTES (256u << 10)
-/* after a failure of the data folder, before it is opened again */
-#define REOPEN_MS 500
-/* the leader looks after the seats, ms */
-#define SEATS_MS 200
-/* a host without a seat offers itself, ms */
-#define OFFER_MS 300
-#define CANDIDATES_MAX 32
-#define SEATS_KEY "seats"
-
-/* a proposed command that waits to be applied */
-struct proposal {
-    UT_hash_handle hh;
-    uint64_t index;
-    uint64_t term;
-    char peer[MG_NAME_SIZE];
-    uint64_t seq;
-};
-
-/* a question that waits: for records, or for a round of the log */
-struct question {
-    struct list_head link;
-    char peer[MG_NAME_SIZE];
-    uint64_t seq;
-    uint64_t rev;
-    uint64_t round;
-    int64_t until;
-};
-
-struct mg_group {
-    mg_raft_host host; /* first: raft gives it back */
-    pthread_t thread;
-    uv_loop_t loop;
-    uv_timer_t timer;
-    uv_async_t stop;
-    mg_clock *clock;
-    char node[MG_NAME_SIZE];
-    char key[MG_NAME_SIZE];
-    char link_addr[MG_ADDR_SIZE];
-    char data_dir[MG_TEXT_SIZE];
-    char ip[MG_NAME_SIZE];
-    mg_seats seats;
-    mg_seats first;
-    unsigned wanted;
-    unsigned id; /* own seat from 1, 0: none */
-    uint16_t link_port;
-    bool new_group;
-    bool seats_changed; /* the log took this member's seat away */
-    mg_seat_candidate candidates[CANDIDATES_MAX];
-    size_t candidate_count;
-    uint64_t seat_index; /* entry of a step under way, 0: none */
-    int64_t seats_at;
-    int64_t offer_at;
-    mg_net *net;
-    mg_raft *raft; /* NULL while the data folder can't be used, or no seat */
-    mg_store *store;
-    mg_state *state;
-    struct proposal *proposals;
-    struct list_head pulls;
-    struct list_head confirms;
-    uint64_t open_round; /* round of this turn's questions, 0 for none */
-    int64_t reopen_at;
-    bool failed;
-};
 
 /* ---------------------------------------------------------- raft's host */
 
@@ -154,98 +83,6 @@
     free(p);
 }
 
-/* the table that the state machine holds */
-static bool
-read_seats(const mg_group *g, mg_seats *out)
-{
-    mg_str value;
-    uint64_t rev;
-    mg_msg m;
-    return mg_state_get(g->state, MG_KIND_SEATS, mg_str_of(SEATS_KEY), &value,
-                        &rev) &&
-           mg_msg_decode(value, &m) == MG_OK && m.type == MG_MSG_SEATS &&
-           mg_seats_parse(out, rev, m.u.seats.holders) == MG_OK;
-}
-
-static void
-dial_holder(mg_group *g, const char *ip)
-{
-    char peer[MG_NAME_SIZE];
-    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
-    if (ip[0] == '\0' || strcmp(ip, g->ip) == 0) {
-        return;
-    }
-    mg_group_peer_name(peer, ip);
-    snprintf(addr, sizeof(addr), "%s:%u", ip, g->link_port);
-    mg_net_dial(g->net, peer, addr);
-}
-
-static void
-use_table(mg_group *g, const mg_seats *t)
-{
-    char peer[MG_NAME_SIZE];
-    for (unsigned i = 0; i < g->seats.count; i++) {
-        const char *old = g->seats.holder[i];
-        if (old[0] != '\0' && mg_seats_of(t, old) == 0) {
-            mg_group_peer_name(peer, old);
-            mg_net_undial(g->net, peer);
-        }
-    }
-    g->seats = *t;
-    for (unsigned i = 0; i < t->count; i++) {
-        dial_holder(g, t->holder[i]);
-    }
-}
-
-static void
-save_table(mg_group *g)
-{
-    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
-    char note[sizeof(holders) + 32];
-    mg_seats_print(&g->seats, holders);
-    snprintf(note, sizeof(note), "%" PRIu64 ":%s", g->seats.rev, holders);
-    mg_log(MG_EV_SEATS, "rev=%" PRIu64 " holders=%s own=%u", g->seats.rev,
-           holders, g->id);
-    if (mg_store_save_note(g->store, mg_str_of(note)) != MG_OK) {
-        mg_log(MG_EV_STORE_FAILED, "dir=%s what=note", g->data_dir);
-        g->failed = true;
-        g->reopen_at = mg_now(g->clock) + REOPEN_MS;
-    }
-}
-
-/* a committed table: the log goes on with its voters */
-static void
-follow_table(mg_group *g, const mg_seats *t)
-{
-    mg_seats old = g->seats;
-    if (t->rev <= old.rev) {
-        return;
-    }
-    use_table(g, t);
-    for (unsigned i = 0; i < t->count; i++) {
-        bool is_new = i >= old.count;
-        if (!is_new && strcmp(old.holder[i], t->holder[i]) == 0) {
-            continue;
-        }
-        if (i + 1 == g->id) {
-            g->seats_changed = true;
-        }
-        else if (g->raft != NULL) {
-            mg_raft_set_seat(g->raft, i + 1, t->holder[i][0] != '\0');
-        }
-    }
-    save_table(g);
-}
-
-static void
-follow_state_seats(mg_group *g)
-{
-    mg_seats t;
-    if (read_seats(g, &t)) {
-        follow_table(g, &t);
-    }
-}
-
 static void
 host_apply(mg_raft_host *h, const mg_raft_entry *e)
 {
@@ -253,7 +90,7 @@
     mg_apply_reply reply;
     struct proposal *p;
     mg_state_apply(g->state, e->data, &reply);
-    follow_state_seats(g);
+    mg_group_follow_state(g);
     HASH_FIND(hh, g->proposals, &e->index, sizeof(e->index), p);
     if (p == NULL) {
         return;
@@ -269,7 +106,7 @@
 {
     mg_rc rc = mg_state_load(group_of(h)->state, data);
     MG_INVARIANT(rc == MG_OK);
-    follow_state_seats(group_of(h));
+    mg_group_follow_state(group_of(h));
 }
 
 static const char *
@@ -329,7 +166,7 @@
     mg_group *g = group_of(h);
     mg_log(MG_EV_STORE_FAILED, "dir=%s rc=%s", g->data_dir, mg_rc_name(rc));
     g->failed = true;
-    g->reopen_at = mg_now(g->clock) + REOPEN_MS;
+    g->reopen_at = mg_now(g->clock) + MG_GROUP_REOPEN_MS;
 }
 
 /* ------------------------------------------------------------ questions */
@@ -442,154 +279,17 @@
     }
 }
 
-/* --------------------------------------------------------------- seats */
-
-static unsigned
-member_of(const mg_group *g, const char *peer)
-{
-    char name[MG_NAME_SIZE];
-    for (unsigned i = 0; i < g->seats.count; i++) {
-        mg_group_peer_name(name, g->seats.holder[i]);
-        if (g->seats.holder[i][0] != '\0' && strcmp(name, peer) == 0) {
-            return i + 1;
-        }
-    }
-    return 0;
-}
-
-static void
-tell_seats(mg_group *g, const char *peer)
-{
-    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
-    mg_msg m = {.type = MG_MSG_SEATS};
-    mg_seats_print(&g->seats, holders);
-    m.u.seats.rev = g->seats.rev;
-    m.u.seats.holders = mg_str_of(holders);
-    mg_net_send(g->net, peer, &m);
-}
-
-static void
-on_candidate(mg_group *g, const char *peer, mg_str node)
-{
-    mg_seat_candidate *c = NULL;
-    char name[MG_NAME_SIZE];
-    mg_str_copy(name, sizeof(name), node);
-    for (size_t i = 0; i < g->candidate_count; i++) {
-        if (strcmp(g->candidates[i].node, name) == 0) {
-            c = &g->candidates[i];
-        }
-    }
-    if (c == NULL && g->candidate_count < CANDIDATES_MAX) {
-        c = &g->candidates[g->candidate_count++];
-        mg_str_copy(c->node, sizeof(c->node), node);
-    }
-    if (c != NULL) {
-        c->heard_ms = mg_now(g->clock);
-    }
-    tell_seats(g, peer);
-}
-
-static void
-propose_seats(mg_group *g, const mg_seat_plan *plan)
-{
-    char holders[MG_SEATS_MAX * MG_NAME_SIZE];
-    uint64_t term;
-    mg_buf value = {0};
-    mg_buf command = {0};
-    mg_seats t = g->seats;
-    mg_seats_apply(&t, plan);
-    mg_seats_print(&t, holders);
-    mg_msg rec = {.type = MG_MSG_SEATS};
-    rec.u.seats.holders = mg_str_of(holders);
-    mg_msg_encode(&rec, &value);
-    mg_msg put = {.type = MG_MSG_CMD_PUT};
-    put.u.cmd_put.kind = MG_KIND_SEATS;
-    put.u.cmd_put.key = mg_str_of(SEATS_KEY);
-    put.u.cmd_put.expect_rev = g->seats.rev;
-    put.u.cmd_put.value = mg_str_buf(&value);
-    mg_msg_encode(&put, &command);
-    mg_log(MG_EV_SEATS, "proposed=%s step=%d seat=%u node=%s", holders,
-           plan->step, plan->seat + 1, plan->node);
-    if (mg_raft_propose(g->raft, mg_str_buf(&command), &g->seat_index,
-                        &term) != MG_OK) {
-        g->seat_index = 0;
-    }
-    mg_buf_free(&value);
-    mg_buf_free(&command);
-}
-
-/* the leader gives seats of dead holders to hosts that offer themselves */
-static void
-look_after_seats(mg_group *g, int64_t now)
-{
-    int64_t age[MG_SEATS_MAX];
-    g->seats_at = now + SEATS_MS;
-    if (!mg_raft_ready(g->raft) ||
-        (g->seat_index != 0 && mg_raft_applied(g->raft) < g->seat_index)) {
-        return;
-    }
-    for (unsigned i = 0; i < g->seats.count; i++) {
-        age[i] = mg_raft_seat_age(g->raft, i + 1);
-    }
-    mg_seat_plan plan = {MG_SEAT_KEEP, 0, ""};
-    if (g->seats.rev == 0) {
-        /* the first table becomes a record, so that all hear of it */
-        propose_seats(g, &plan);
-        return;
-    }
-    plan = mg_seats_plan(&g->seats, g->wanted, age, mg_raft_all_vote(g->raft),
-                         g->candidates, g->candidate_count, now);
-    if (plan.step != MG_SEAT_KEEP) {
-        propose_seats(g, &plan);
-    }
-}
-
-static void
-offer(mg_group *g, int64_t now)
-{
-    mg_msg m = {.type = MG_MSG_CANDIDATE};
-    m.u.candidate.node = mg_str_of(g->ip);
-    g->offer_at = now + OFFER_MS;
-    for (unsigned i = 0; i < g->seats.count; i++) {
-        char peer[MG_NAME_SIZE];
-        mg_group_peer_name(peer, g->seats.holder[i]);
-        mg_net_send(g->net, peer, &m);
-    }
-}
-
-static void
-close_log(mg_group *g);
-
-/* a table from elsewhere: for a member without a seat, or that lost it */
-static void
-on_seats(mg_group *g, const mg_seats_msg *q)
-{
-    mg_seats t;
-    if (q->rev <= g->seats.rev ||
-        mg_seats_parse(&t, q->rev, q->holders) != MG_OK) {
-        return;
-    }
-    bool holds = mg_seats_of(&t, g->ip) != 0;
-    if (g->id != 0 && holds) {
-        return; /* the log itself will tell */
-    }
-    use_table(g, &t);
-    if (g->id != 0 || holds) {
-        g->seats_changed = true;
-    }
-}
-
 static void
 on_message(void *user, const char *peer, const mg_msg *m)
 {
     mg_group *g = user;
     struct question *q;
     if (m->type == MG_MSG_SEATS) {
-        on_seats(g, &m->u.seats);
+        mg_group_on_seats(g, &m->u.seats);
         return;
     }
     if (m->type == MG_MSG_CANDIDATE) {
-        on_candidate(g, peer, m->u.candidate.node);
+        mg_group_on_candidate(g, peer, m->u.candidate.node);
         return;
     }
     if (g->raft == NULL) {
@@ -601,7 +301,7 @@
     case MG_MSG_APPEND:
     case MG_MSG_APPEND_REP:
     case MG_MSG_SNAPSHOT:
-        mg_raft_receive(g->raft, member_of(g, peer), m);
+        mg_raft_receive(g->raft, mg_group_member_of(g, peer), m);
         break;
     case MG_MSG_PULL:
         q = add_question(&g->pulls, peer, m->u.pull.seq);
@@ -625,7 +325,7 @@
 {
     mg_group *g = user;
     if (g->seats.rev > 0) {
-        tell_seats(g, peer);
+        mg_group_tell_seats(g, peer);
     }
 }
 
@@ -664,11 +364,11 @@
             rev = rev * 10 + (uint64_t)(head.p[i] - '0');
         }
         if (rev >= g->seats.rev && mg_seats_parse(&t, rev, holders) == MG_OK) {
-            use_table(g, &t);
+            mg_group_use_table(g, &t);
         }
     }
     else if (fresh && g->new_group && g->seats.rev == 0) {
-        use_table(g, &g->first);
+        mg_group_use_table(g, &g->first);
     }
     mg_buf_free(&note);
 }
@@ -699,7 +399,7 @@
             mg_raft_set_seat(g->raft, i + 1, taken);
         }
     }
-    save_table(g);
+    mg_group_save_table(g);
 }
 
 static mg_rc
@@ -749,7 +449,7 @@
     g->failed = false;
     if (open_log(g, &err) != MG_OK) {
         mg_log(MG_EV_STORE_FAILED, "dir=%s why=%s", g->data_dir, err.text);
-        g->reopen_at = mg_now(g->clock) + REOPEN_MS;
+        g->reopen_at = mg_now(g->clock) + MG_GROUP_REOPEN_MS;
     }
     else if (g->raft == NULL) {
         /* no seat: wait for a table that has one */
@@ -813,14 +513,14 @@
     }
     if (g->raft == NULL) {
         if (now >= g->offer_at) {
-            offer(g, now);
+            mg_group_offer(g, now);
         }
         return;
     }
     mg_raft_tick(g->raft);
     compact_if_long(g);
     if (now >= g->seats_at) {
-        look_after_seats(g, now);
+        mg_group_look_after_seats(g, now);
     }
     close_if_needed(g);
 }
@@ -865,7 +565,7 @@
         return rc;
     }
     for (unsigned i = 0; i < g->first.count; i++) {
-        dial_holder(g, g->first.holder[i]);
+        mg_group_dial_holder(g, g->first.holder[i]);
     }
     return MG_OK;
 }
