A stream goes on elsewhere when its target falls silent

Where a stream may be resumed (or a request repeated) another target takes over after twice the longest pause on time, 0.8 s at least, within attempts and budget; else its answer is waited for to the end. The platform test has such a target and fails without this.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -14,6 +14,12 @@
 /* targets that may say "not run" to one request */
 #define REJECTED_MAX 3
 #define CONNECT_MS 400
+/* a stream that may be resumed goes on elsewhere when its target was silent
+   for so many times the longest pause on time, and at least so long, ms */
+#define SILENT_GAPS 2
+#define SILENT_LEAST_MS 800
+/* before the first byte: times the goal */
+#define SILENT_GOALS 2
 /* how much sooner than its caller a request is given up, ms */
 #define DEADLINE_MARGIN_MS 20
 /* not said by the caller and the route */
@@ -209,6 +215,7 @@
 {
     f->state = MG_FLOW_WAITING;
     f->streaming = false;
+    f->heard_ms = 0;
     f->head.n = 0;
     f->body.n = 0;
     mg_events_reset(&f->events);
@@ -251,21 +258,37 @@
     }
 }
 
-/* the request failed at its target, and may have run */
 static bool
-try_again(mg_flow *f)
+may_try_again(const mg_flow *f)
 {
     if (f->route->repeat == MG_REPEAT_NEVER ||
-        f->runs >= f->route->targets_max || !may_repeat(f)) {
+        f->runs >= f->route->targets_max) {
         return false;
     }
-    if (f->started && f->route->repeat != MG_REPEAT_RESUME) {
+    return !f->started || f->route->repeat == MG_REPEAT_RESUME;
+}
+
+/* the request failed at its target, and may have run */
+static bool
+try_again(mg_flow *f)
+{
+    if (!may_try_again(f) || !may_repeat(f)) {
         return false;
     }
     wait_for_target(f);
     return true;
 }
 
+/* looks after ms whether the target has fallen silent, if that matters */
+static void
+watch_silence(mg_flow *f, int64_t ms)
+{
+    ms = ms > SILENT_LEAST_MS ? ms : SILENT_LEAST_MS;
+    int64_t at = now_of(f) + ms;
+    bool matters = may_try_again(f) && at < f->deadline_ms;
+    set_timer(f, matters ? at : f->deadline_ms);
+}
+
 /* ------------------------------------------------------------- answers */
 
 static void
@@ -325,6 +348,7 @@
         mg_http_start(f->call.http, f->status, NULL, f->head.p);
     }
     mg_http_write(f->call.http, ev->bytes);
+    f->heard_ms = now_of(f);
     if (ev->has_id) {
         f->has_last = true;
         f->last_id = ev->id;
@@ -353,6 +377,10 @@
         return;
     }
     mg_events_put(&f->events, data);
+    if (f->heard_ms == 0) {
+        f->heard_ms = now_of(f);
+        watch_silence(f, f->route->gap_goal_ms * SILENT_GAPS);
+    }
     while (mg_events_next(&f->events, &ev)) {
         if (skips_events(f, &ev)) {
             drop_channel(f);
@@ -527,7 +555,7 @@
            f->ticket.tier & 1, f->call.prompt_tokens, f->route->goal_ms,
            f->work_ms * mg_gw_target_pace(f->target), now - f->arrived_ms,
            to.left_ms);
-    set_timer(f, f->deadline_ms);
+    watch_silence(f, f->route->goal_ms * SILENT_GOALS);
     mg_channel_send(f->channel, mg_str_buf(&head), mg_http_body(f->call.http),
                     mg_str_is(mg_http_method(f->call.http), "HEAD"));
     mg_buf_free(&head);
@@ -568,6 +596,31 @@
     f->channel = mg_gw_new_channel(t, &f->user);
 }
 
+/* the target says nothing: another one may, where that is allowed */
+static void
+on_silence(mg_flow *f)
+{
+    int64_t ms = f->route->gap_goal_ms * SILENT_GAPS;
+    ms = ms > SILENT_LEAST_MS ? ms : SILENT_LEAST_MS;
+    if (f->heard_ms != 0 && now_of(f) - f->heard_ms < ms) {
+        watch_silence(f, ms - (now_of(f) - f->heard_ms));
+        return;
+    }
+    if (!may_try_again(f) || !may_repeat(f)) {
+        /* its answer may still come: wait for it to the end */
+        set_timer(f, f->deadline_ms);
+        return;
+    }
+    mg_log(MG_EV_REQ_CONNECT_FAILED,
+           "id=%.*s target=%s why=silent last=%" PRIu64 " ms=%" PRId64,
+           MG_STR_FMT(f->call.id), f->target->instance->is.id, f->last_id,
+           now_of(f) - f->arrived_ms);
+    drop_channel(f);
+    mg_gw_target_failed(f->target, false);
+    leave_target(f);
+    wait_for_target(f);
+}
+
 static void
 on_timer(uv_timer_t *t)
 {
@@ -578,6 +631,10 @@
         on_end(&f->user, MG_CHANNEL_UNREACHED);
         return;
     }
+    if ((f->state == MG_FLOW_SENT || f->state == MG_FLOW_ANSWERING) && !late) {
+        on_silence(f);
+        return;
+    }
     if (f->state == MG_FLOW_WAITING && !late) {
         if (f->ticket.tier == 2 * f->tier && f->runs == 0 && !f->started) {
             wait_as_late(f);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -130,6 +130,7 @@
     int64_t deadline_ms;
     int64_t sent_ms;
     int64_t first_ms; /* of the first byte passed on */
+    int64_t heard_ms; /* last event from the present target, 0: none */
     int status;
     bool not_run; /* as the present answer says */
     bool streaming;
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -101,13 +101,16 @@
                                   : "0",
                               NULL, 10);
     mg_http_start(r, 200, "text/event-stream", extra);
-    for (uint64_t i = after + 1; i <= EVENTS; i++) {
+    bool mute = mg_str_is(mg_http_query(r), "mute") && after == 0;
+    for (uint64_t i = after + 1; i <= (mute ? 2 : EVENTS); i++) {
         char event[128];
         int n = snprintf(event, sizeof(event), "id: %llu\ndata: %.*s\n\n",
                          (unsigned long long)i, MG_STR_FMT(id));
         mg_http_write(r, (mg_str){event, (size_t)n});
     }
-    mg_http_finish(r);
+    if (!mute) {
+        mg_http_finish(r);
+    }
 }
 
 static void
@@ -340,6 +343,7 @@
     ask(ip, "non-idempotent", "POST", "/b/x", "k1", 200);
     ask(ip, "unknown key", "GET", "/r/x", "k9", 401);
     ask(ip, "unknown route", "GET", "/none/", "k1", 404);
+    ask(ip, "silent in the middle", "POST", "/d/x?mute", "k1", 200);
     ask(ip, "unframed answer", "POST", "/b/x?unframed", "k1", 200);
 }
 
