--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -174,8 +174,11 @@
 mg_gw_idle_channel(mg_gw_target *t, bool sure);
 mg_channel *
 mg_gw_new_channel(mg_gw_target *t, mg_channel_user *u);
+/* Closes idle channels that are no longer of use, or all. */
 void
 mg_gw_close_idle(mg_gw_target *t);
+void
+mg_gw_close_all(mg_gw_target *t);
 /* The same, told by another entry. */
 void
 mg_gw_target_hear(mg_gw_target *t, double took_ms, double work_ms);
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -301,6 +301,16 @@
     }
 }
 
+/* a target without users has idle channels only */
+void
+mg_gw_close_all(mg_gw_target *t)
+{
+    list_for_each_safe(el, el1, &t->idle)
+    {
+        mg_channel_close(mg_channel_of_link(el));
+    }
+}
+
 mg_channel *
 mg_gw_new_channel(mg_gw_target *t, mg_channel_user *u)
 {
