--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -300,7 +300,8 @@
 mg_gateway_forget(mg_instance *i)
 {
     mg_gw_target *t = i->owner_data;
-    i->owner_data = NULL;    if (t != NULL) {
+    i->owner_data = NULL;
+    if (t != NULL) {
         mg_gw_close_all(t);
         free(t);
     }
