One read buffer for each thread, one function for the three that stood

Cause: links, channels and the HTTP server each had a static buffer of their own for reads; that of the links is used by the node's thread and by the replicated log's at once, so that one could read into what the other was decoding.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -6,7 +6,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define READ_SIZE 65536
+#include "wire/scratch.h"
+
 #define HEAD_MAX 32768
 /* an unanswered segment or probe ends the connection after about this, ms */
 #define PEER_SILENT_MS 2500
@@ -208,15 +209,6 @@
     }
 }
 
-static void
-on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
-{
-    static char scratch[READ_SIZE];
-    (void)h;
-    (void)suggested;
-    *buf = uv_buf_init(scratch, sizeof(scratch));
-}
-
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -270,7 +262,7 @@
     c->state = CHANNEL_OPEN;
     uv_tcp_nodelay(&c->tcp, 1);
     set_peer_timeouts(c);
-    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+    uv_read_start((uv_stream_t *)&c->tcp, mg_scratch_alloc, on_read);
     c->user->on_open(c->user);
 }
 
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -7,10 +7,12 @@
 #include "base/list.h"
 #include "wire/h1.h"
 #include "wire/http.h"
+#include "wire/scratch.h"
 
 #define BACKLOG 1024
 #define SWEEP_MS 250
-#define READ_SIZE 65536
+/* bytes behind a request in hand that are kept for the next one */
+#define AHEAD_MAX 65536
 /* how long a closing connection waits for the peer to close, ms */
 #define LINGER_MS 1000
 #define CONTINUE "HTTP/1.1 100 Continue\r\n\r\n"
@@ -350,15 +352,6 @@
     }
 }
 
-static void
-on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
-{
-    static char scratch[READ_SIZE];
-    (void)h;
-    (void)suggested;
-    *buf = uv_buf_init(scratch, sizeof(scratch));
-}
-
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -386,7 +379,7 @@
         break;
     case CONN_BUSY:
         if (c->in.n + (size_t)n >
-            c->server->opts.limits.head_max + READ_SIZE) {
+            c->server->opts.limits.head_max + AHEAD_MAX) {
             close_conn(c);
             return;
         }
@@ -417,7 +410,7 @@
         return;
     }
     uv_tcp_nodelay(&c->tcp, 1);
-    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+    uv_read_start((uv_stream_t *)&c->tcp, mg_scratch_alloc, on_read);
 }
 
 static void
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/event.h"
 #include "base/list.h"
+#include "wire/scratch.h"
 
 #define TICK_MS 100
 #define BACKLOG 128
@@ -228,15 +229,6 @@
     mg_buf_skip(&c->in, taken);
 }
 
-static void
-on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
-{
-    static char scratch[65536];
-    (void)h;
-    (void)suggested;
-    *buf = uv_buf_init(scratch, sizeof(scratch));
-}
-
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -259,7 +251,7 @@
 {
     c->connected = true;
     uv_tcp_nodelay(&c->tcp, 1);
-    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+    uv_read_start((uv_stream_t *)&c->tcp, mg_scratch_alloc, on_read);
 }
 
 static void
