Reading of the change: a waiting request that was sent is never told it did not run

- A timer may fire a little before the clock that decides says so; a repeated request that waited for its second target could then be refused with 503 as if it had not run.
The step is a pure decision now, with a test.
- A failed answer was left and taken up again to be passed on; the target is left only when the request goes on.
The flows' list and the count of a target's channels had no reader; numbers had two readers; slots of a target were defaulted in three places; the clock was read once for each candidate of a pick, and the settings twice at start.

--- a/src/base/bytes.c
+++ b/src/base/bytes.c
@@ -70,6 +70,23 @@
     return (mg_str){s.p, n};
 }
 
+bool
+mg_str_number(mg_str s, uint64_t *out)
+{
+    uint64_t n = 0;
+    if (s.n == 0 || s.n > 18) {
+        return false;
+    }
+    for (size_t i = 0; i < s.n; i++) {
+        if (s.p[i] < '0' || s.p[i] > '9') {
+            return false;
+        }
+        n = n * 10 + (uint64_t)(s.p[i] - '0');
+    }
+    *out = n;
+    return true;
+}
+
 static void
 reserve(mg_buf *b, size_t extra)
 {
--- a/src/base/bytes.h
+++ b/src/base/bytes.h
@@ -45,6 +45,10 @@
 mg_str
 mg_str_cut(mg_str s, char sep, mg_str *tail);
 
+/* Decimal digits only, 18 at most; false when it is anything else. */
+bool
+mg_str_number(mg_str s, uint64_t *out);
+
 void
 mg_buf_put(mg_buf *b, const void *p, size_t n);
 void
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -96,7 +96,6 @@
     f->state = MG_FLOW_DONE;
     drop_channel(f);
     leave_target(f);
-    list_del(&f->link);
     f->gw->open--;
     uv_close((uv_handle_t *)&f->timer, on_timer_closed);
 }
@@ -210,6 +209,19 @@
         why);
 }
 
+static bool
+may_have_run(const mg_flow *f)
+{
+    return f->runs > 0 || f->started;
+}
+
+/* it stands behind those of its tier that can be on time */
+static bool
+is_late(const mg_flow *f)
+{
+    return f->ticket.tier != 2 * f->tier;
+}
+
 static void
 wait_for_target(mg_flow *f)
 {
@@ -221,8 +233,7 @@
     mg_events_reset(&f->events);
     mg_tierq_add(f->pool->waiting, &f->ticket);
     mg_gw_pool_due(f->gw, f->pool);
-    set_timer(f, f->runs > 0 || f->started ? f->deadline_ms
-                                           : f->patience.on_time_until);
+    set_timer(f, may_have_run(f) ? f->deadline_ms : f->patience.on_time_until);
 }
 
 /* it can't be on time any more: behind those of its tier that can */
@@ -275,15 +286,23 @@
     if (!may_try_again(f) || !may_repeat(f)) {
         return false;
     }
+    leave_target(f);
     wait_for_target(f);
     return true;
 }
 
+/* how long a target may be silent: parts times a time that is on time */
+static int64_t
+silent_ms(int64_t on_time_ms, int64_t parts)
+{
+    int64_t ms = on_time_ms * parts;
+    return ms > SILENT_LEAST_MS ? ms : SILENT_LEAST_MS;
+}
+
 /* looks after ms whether the target has fallen silent, if that matters */
 static void
 watch_silence(mg_flow *f, int64_t ms)
 {
-    ms = ms > SILENT_LEAST_MS ? ms : SILENT_LEAST_MS;
     int64_t at = now_of(f) + ms;
     bool matters = may_try_again(f) && at < f->deadline_ms;
     set_timer(f, matters ? at : f->deadline_ms);
@@ -379,7 +398,7 @@
     mg_events_put(&f->events, data);
     if (f->heard_ms == 0) {
         f->heard_ms = now_of(f);
-        watch_silence(f, f->route->gap_goal_ms * SILENT_GAPS);
+        watch_silence(f, silent_ms(f->route->gap_goal_ms, SILENT_GAPS));
     }
     while (mg_events_next(&f->events, &ev)) {
         if (skips_events(f, &ev)) {
@@ -403,7 +422,6 @@
 {
     if (ends_inside_event(f) || !f->started) {
         mg_gw_target_failed(f->target, false);
-        leave_target(f);
         if (!try_again(f)) {
             give_up(f, "stream_ended_early");
         }
@@ -441,17 +459,8 @@
     }
     if (f->status >= 500) {
         mg_gw_target_failed(f->target, true);
-        mg_gw_target *failed = f->target;
-        if (f->route->repeat != MG_REPEAT_NEVER &&
-            f->runs < f->route->targets_max) {
-            leave_target(f);
-            if (try_again(f)) {
-                return;
-            }
-            f->target = failed;
-            f->pool->running++;
-            failed->running++;
-            failed->instance->users++;
+        if (try_again(f)) {
+            return;
         }
         if (f->started) {
             give_up(f, "resumption_failed");
@@ -504,9 +513,9 @@
     if (!stale_channel) {
         mg_gw_target_failed(f->target, false);
     }
-    leave_target(f);
     if (end == MG_CHANNEL_UNREACHED) {
         mg_count(MG_C_CONNECT_FAILED, 1);
+        leave_target(f);
         if (++f->unreached < UNREACHED_MAX) {
             wait_for_target(f);
         }
@@ -527,6 +536,7 @@
     mg_gateway *gw = f->gw;
     mg_buf head = {0};
     int64_t now = now_of(f);
+    double pace = mg_gw_target_pace(f->target, now);
     mg_dispatch to = {
         .target = f->target->instance,
         .workspace = mg_str_of(f->workspace ? f->workspace->name : NULL),
@@ -544,18 +554,16 @@
     f->sent_ms = now;
     f->state = MG_FLOW_SENT;
     mg_count(MG_C_DISPATCHED, 1);
-    mg_log(MG_EV_REQ_DISPATCHED,
-           "id=%.*s target=%s own=%u others=%.0f backlog=%.0f pace=%.2f "
-           "kept=%d tier=%u late=%u prompt=%u goal_ms=%" PRId64
-           " predicted_ms=%.0f waited_ms=%" PRId64 " left_ms=%" PRId64,
-           MG_STR_FMT(f->call.id), f->target->instance->is.id,
-           f->target->running, f->target->reported,
-           f->target->backlog + f->target->reported_backlog,
-           mg_gw_target_pace(f->target), f->kept_channel, f->tier,
-           f->ticket.tier & 1, f->call.prompt_tokens, f->route->goal_ms,
-           f->work_ms * mg_gw_target_pace(f->target), now - f->arrived_ms,
-           to.left_ms);
-    watch_silence(f, f->route->goal_ms * SILENT_GOALS);
+    mg_log(
+        MG_EV_REQ_DISPATCHED,
+        "id=%.*s target=%s own=%u others=%.0f backlog=%.0f pace=%.2f "
+        "kept=%d tier=%u late=%u prompt=%u goal_ms=%" PRId64
+        " predicted_ms=%.0f waited_ms=%" PRId64 " left_ms=%" PRId64,
+        MG_STR_FMT(f->call.id), f->target->instance->is.id, f->target->running,
+        f->target->reported, f->target->backlog + f->target->reported_backlog,
+        pace, f->kept_channel, f->tier, is_late(f), f->call.prompt_tokens,
+        f->route->goal_ms, f->work_ms * pace, now - f->arrived_ms, to.left_ms);
+    watch_silence(f, silent_ms(f->route->goal_ms, SILENT_GOALS));
     mg_channel_send(f->channel, mg_str_buf(&head), mg_http_body(f->call.http),
                     mg_str_is(mg_http_method(f->call.http), "HEAD"));
     mg_buf_free(&head);
@@ -600,8 +608,7 @@
 static void
 on_silence(mg_flow *f)
 {
-    int64_t ms = f->route->gap_goal_ms * SILENT_GAPS;
-    ms = ms > SILENT_LEAST_MS ? ms : SILENT_LEAST_MS;
+    int64_t ms = silent_ms(f->route->gap_goal_ms, SILENT_GAPS);
     if (f->heard_ms != 0 && now_of(f) - f->heard_ms < ms) {
         watch_silence(f, ms - (now_of(f) - f->heard_ms));
         return;
@@ -621,6 +628,22 @@
     wait_for_target(f);
 }
 
+static void
+on_waited(mg_flow *f)
+{
+    switch (mg_patience_step(is_late(f), may_have_run(f))) {
+    case MG_WAIT_AS_LATE:
+        wait_as_late(f);
+        break;
+    case MG_WAIT_REFUSE:
+        refuse_busy(f, "waited");
+        break;
+    case MG_WAIT_ON:
+        set_timer(f, f->deadline_ms);
+        break;
+    }
+}
+
 static void
 on_timer(uv_timer_t *t)
 {
@@ -636,12 +659,7 @@
         return;
     }
     if (f->state == MG_FLOW_WAITING && !late) {
-        if (f->ticket.tier == 2 * f->tier && f->runs == 0 && !f->started) {
-            wait_as_late(f);
-        }
-        else {
-            refuse_busy(f, "waited");
-        }
+        on_waited(f);
         return;
     }
     drop_channel(f);
@@ -812,7 +830,6 @@
     f->arrived_ms = now_of(f);
     uv_timer_init(gw->opts.loop, &f->timer);
     f->timer.data = f;
-    list_add_tail(&f->link, &gw->flows);
     gw->open++;
     mg_count(MG_C_REQUESTS, 1);
     mg_http_on_gone(r, on_gone, f);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -247,7 +247,6 @@
     gw->opts = *opts;
     mg_str_copy(gw->domain, sizeof(gw->domain), mg_str_of(opts->domain));
     mg_rng_init(&gw->rng, opts->seed);
-    init_list_head(&gw->flows);
     init_list_head(&gw->due_pools);
     gw->entries = 1;
     gw->gen = 1;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -23,10 +23,9 @@
     mg_gateway *gw;
     mg_instance *instance;
     struct list_head idle; /* channels, the last used one last */
-    unsigned channels;
-    uint32_t running; /* requests of this entry */
-    double reported;  /* requests of the other entries */
-    double backlog;   /* prompt tokens of this entry, not read yet */
+    uint32_t running;      /* requests of this entry */
+    double reported;       /* requests of the other entries */
+    double backlog;        /* prompt tokens of this entry, not read yet */
     double reported_backlog;
     /* what first events took, and what was predicted at pace 1: sums that
        fade, of this entry and of the others */
@@ -84,7 +83,6 @@
     struct list_head due_pools;
     mg_gw_usage *usage;
     mg_gw_peer *peers;
-    struct list_head flows;
     size_t open;
     size_t entries; /* live ones */
     size_t self;    /* this entry's place among them */
@@ -104,7 +102,6 @@
 
 typedef struct mg_flow {
     mg_channel_user user; /* first: a channel gives it back */
-    struct list_head link;
     mg_gateway *gw;
     mg_call call;
     mg_routing *routing;
@@ -198,6 +195,6 @@
 mg_gw_target_learn(mg_gw_target *t, double took_ms, double work_ms);
 /* Time that the target takes against the prediction. */
 double
-mg_gw_target_pace(mg_gw_target *t);
+mg_gw_target_pace(mg_gw_target *t, int64_t now);
 
 #endif
--- a/src/gateway/patience.c
+++ b/src/gateway/patience.c
@@ -28,6 +28,15 @@
     return p;
 }
 
+mg_wait_step
+mg_patience_step(bool late, bool may_have_run)
+{
+    if (may_have_run) {
+        return MG_WAIT_ON;
+    }
+    return late ? MG_WAIT_REFUSE : MG_WAIT_AS_LATE;
+}
+
 static void
 advance(mg_takeup *t, int64_t now)
 {
--- a/src/gateway/patience.h
+++ b/src/gateway/patience.h
@@ -28,6 +28,20 @@
 mg_patience_of(int64_t arrived_ms, int64_t deadline_ms, int64_t goal_ms,
                int64_t first_ms);
 
+/* what to do when a waiting request's timer fires */
+typedef enum mg_wait_step {
+    MG_WAIT_AS_LATE, /* behind those of its tier that can be on time */
+    MG_WAIT_REFUSE,  /* it has not run: its caller may come again */
+    MG_WAIT_ON,      /* it may have run: only its deadline ends it */
+} mg_wait_step;
+
+/*
+ * late: it waits as a late one already. may_have_run: it was sent before, so
+ * that nothing may say that it has not run, however early the timer fired.
+ */
+mg_wait_step
+mg_patience_step(bool late, bool may_have_run);
+
 /* rate at which a pool takes up requests that wait */
 typedef struct mg_takeup {
     int64_t slice;
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -86,25 +86,32 @@
 }
 
 double
-mg_gw_target_pace(mg_gw_target *t)
+mg_gw_target_pace(mg_gw_target *t, int64_t now)
 {
-    fade(t, mg_now(t->gw->opts.clock));
+    fade(t, now);
     return (t->took_ms + t->reported_took_ms + PRIOR_WORK_MS) /
            (t->work_ms + t->reported_work_ms + PRIOR_WORK_MS);
 }
 
+static uint32_t
+slots_of(const mg_gw_target *t)
+{
+    uint32_t slots = t->instance->is.slots;
+    return slots > 0 ? slots : SLOTS_DEFAULT;
+}
+
 static mg_candidate
 candidate_of(mg_gw_target *t, int64_t now)
 {
     const mg_announcement *is = &t->instance->is;
     return (mg_candidate){
-        .slots = is->slots > 0 ? is->slots : SLOTS_DEFAULT,
+        .slots = slots_of(t),
         .running = t->running + t->reported,
         .own = t->running,
         .share = t->share,
         .loans = t->loans,
         .backlog = t->backlog + t->reported_backlog,
-        .pace = mg_gw_target_pace(t),
+        .pace = mg_gw_target_pace(t, now),
         .near = strcmp(is->domain, t->gw->domain) == 0,
         .doubtful = is_doubtful(t, now),
     };
@@ -114,8 +121,7 @@
 mg_gw_target_lend(mg_gw_target *t)
 {
     mg_gateway *gw = t->gw;
-    uint32_t slots = t->instance->is.slots;
-    slots = slots > 0 ? slots : SLOTS_DEFAULT;
+    uint32_t slots = slots_of(t);
     double left = (double)slots - t->reported - t->running;
     size_t waiting =
         (size_t)mg_gw_pool_of(gw, t->instance->is.service)->waiting_entries;
@@ -206,8 +212,7 @@
     }
     qsort(targets, n, sizeof(targets[0]), by_id);
     for (size_t i = 0; i < n; i++) {
-        uint32_t s = targets[i]->instance->is.slots;
-        slots[i] = s > 0 ? s : SLOTS_DEFAULT;
+        slots[i] = slots_of(targets[i]);
     }
     mg_share_deal(slots, n, gw->self, gw->entries, share);
     for (size_t i = 0; i < n; i++) {
@@ -250,8 +255,7 @@
 static void
 on_channel_gone(void *owner, mg_channel *c)
 {
-    mg_gw_target *t = owner;
-    t->channels--;
+    (void)owner;
     list_del(mg_channel_link(c));
 }
 
@@ -323,7 +327,6 @@
     /* announcements with another address are refused */
     mg_rc rc = mg_addr_parse(t->instance->is.addr, &opts.addr);
     MG_INVARIANT(rc == MG_OK);
-    t->channels++;
     return mg_channel_new(&opts, u);
 }
 
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -122,9 +122,8 @@
 }
 
 static void
-drop_questions(mg_group *g, struct list_head *questions)
+drop_questions(struct list_head *questions)
 {
-    (void)g;
     list_for_each_safe(el, el1, questions)
     {
         list_del(el);
@@ -142,7 +141,7 @@
     {
         finish_proposal(g, p, &reply);
     }
-    drop_questions(g, &g->confirms);
+    drop_questions(&g->confirms);
     g->open_round = 0;
 }
 
@@ -335,7 +334,7 @@
 close_log(mg_group *g)
 {
     drop_leadership(g);
-    drop_questions(g, &g->pulls);
+    drop_questions(&g->pulls);
     mg_raft_free(g->raft);
     mg_store_close(g->store);
     if (g->state != NULL) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -26,7 +26,6 @@
     uv_loop_t *loop;
     mg_clock *clock;
     mg_node_settings settings;
-    mg_dialect *dialect;
     mg_document_codec *codec;
     uint64_t incarnation;
     mg_net *net;
@@ -44,7 +43,6 @@
     mg_buf document; /* text in force */
     uint64_t document_version;
     int64_t drain_since; /* 0: not draining */
-    bool was_ready;
 };
 
 /* ------------------------------------------------------------ documents */
@@ -548,7 +546,6 @@
     n->loop = opts->loop;
     n->clock = mg_system_clock();
     n->settings = *opts->settings;
-    n->dialect = opts->dialect;
     n->codec = opts->codec;
     n->incarnation = mg_random_id();
     n->registry = mg_registry_new(n->clock);
@@ -556,7 +553,7 @@
         .loop = n->loop,
         .clock = n->clock,
         .registry = n->registry,
-        .dialect = n->dialect,
+        .dialect = opts->dialect,
         .domain = n->settings.domain,
         .seed = n->incarnation,
         .limits = limits_of(&n->settings),
--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -89,23 +89,6 @@
     return false;
 }
 
-static mg_rc
-parse_length(mg_str v, uint64_t *out)
-{
-    uint64_t n = 0;
-    if (v.n == 0 || v.n > 18) {
-        return MG_E_INPUT;
-    }
-    for (size_t i = 0; i < v.n; i++) {
-        if (v.p[i] < '0' || v.p[i] > '9') {
-            return MG_E_INPUT;
-        }
-        n = n * 10 + (uint64_t)(v.p[i] - '0');
-    }
-    *out = n;
-    return MG_OK;
-}
-
 /* the parser lets some ambiguous heads pass */
 static mg_rc
 check_framing(mg_h1_head *h)
@@ -120,7 +103,7 @@
             return MG_E_INPUT;
         }
         if (mg_h1_name_is(name, "content-length")) {
-            if (h->has_length || parse_length(value, &h->length) != MG_OK) {
+            if (h->has_length || !mg_str_number(value, &h->length)) {
                 return MG_E_INPUT;
             }
             h->has_length = true;
--- a/tests/unit/gateway_test.c
+++ b/tests/unit/gateway_test.c
@@ -334,6 +334,16 @@
     run_histories(patience_history, HISTORIES);
 }
 
+/* a request that may have run is never told that it has not */
+static void
+test_waiting_steps(void)
+{
+    CU_ASSERT_EQUAL(mg_patience_step(false, false), MG_WAIT_AS_LATE);
+    CU_ASSERT_EQUAL(mg_patience_step(true, false), MG_WAIT_REFUSE);
+    CU_ASSERT_EQUAL(mg_patience_step(false, true), MG_WAIT_ON);
+    CU_ASSERT_EQUAL(mg_patience_step(true, true), MG_WAIT_ON);
+}
+
 static void
 test_takeup(void)
 {
@@ -478,6 +488,7 @@
         {"few slots for many entries", test_loans_of_few_slots},
         {"burst at entries with old reports", test_burst},
         {"patience", test_patience},
+        {"steps of a request that waits", test_waiting_steps},
         {"rate of taking up", test_takeup},
         {"budget of repeats", test_budget},
         {"longest prefix", test_longest_prefix},
