--- a/src/control/control.c
+++ b/src/control/control.c
@@ -27,44 +27,6 @@
     mg_net_send(c->net, c->settings.control[to - 1].node, m);
 }
 
-static mg_rc
-host_save_meta(mg_raft_host *h, const mg_raft_meta *meta)
-{
-    return mg_store_save_meta(control_of(h)->store, meta);
-}
-
-static mg_rc
-host_append(mg_raft_host *h, const mg_raft_entry *e)
-{
-    mg_count(MG_C_RAFT_ENTRIES, 1);
-    return mg_store_append(control_of(h)->store, e,
-                           mg_raft_commit(control_of(h)->raft));
-}
-
-static mg_rc
-host_truncate(mg_raft_host *h, uint64_t index)
-{
-    return mg_store_truncate(control_of(h)->store, index);
-}
-
-static mg_rc
-host_sync(mg_raft_host *h)
-{
-    uint64_t start = uv_hrtime();
-    mg_rc rc = mg_store_sync(control_of(h)->store);
-    mg_observe(MG_H_SYNC_TIME, (int64_t)((uv_hrtime() - start) / 1000));
-    mg_count(MG_C_RAFT_SYNCS, 1);
-    return rc;
-}
-
-static mg_rc
-host_save_snapshot(mg_raft_host *h, uint64_t index, uint64_t term, mg_str data)
-{
-    mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64 " bytes=%zu",
-           index, term, data.n);
-    return mg_store_save_snapshot(control_of(h)->store, index, term, data);
-}
-
 static void
 finish_waiting(mg_control *c, struct waiting *w, const mg_apply_reply *reply)
 {
@@ -146,7 +108,7 @@
     uint64_t index;
     uint64_t term;
     mg_msg_encode(command, &data);
-    mg_rc rc = mg_raft_propose(c->raft, mg_str_buf(&data), &index, &term);
+    mg_rc rc = mg_raft_propose(c->disk.raft, mg_str_buf(&data), &index, &term);
     mg_buf_free(&data);
     if (rc != MG_OK) {
         return rc;
@@ -175,13 +137,13 @@
 const mg_raft *
 mg_control_raft(const mg_control *c)
 {
-    return c->raft;
+    return c->disk.raft;
 }
 
 const char *
 mg_control_leader(const mg_control *c)
 {
-    unsigned leader = mg_raft_leader(c->raft);
+    unsigned leader = mg_raft_leader(c->disk.raft);
     return leader ? c->settings.control[leader - 1].node : "";
 }
 
@@ -294,7 +256,7 @@
     rc->seq = seq;
     rc->is_claim = is_claim;
     mg_str_copy(rc->peer, sizeof(rc->peer), mg_str_of(peer));
-    if (!mg_raft_ready(c->raft) ||
+    if (!mg_raft_ready(c->disk.raft) ||
         mg_control_propose(c, &m, command_applied, rc) != MG_OK) {
         mg_control_reply_not_leader(c, peer, seq);
         free(rc);
@@ -310,7 +272,7 @@
     if (mg_msg_decode(q->command, &m) != MG_OK || m.type != MG_MSG_CMD_CLAIM) {
         mg_count(MG_C_BAD_INPUT, 1);
     }
-    else if (!mg_raft_ready(c->raft)) {
+    else if (!mg_raft_ready(c->disk.raft)) {
         mg_control_reply_not_leader(c, peer, q->seq);
     }
     else {
@@ -362,7 +324,7 @@
     case MG_MSG_APPEND:
     case MG_MSG_APPEND_REP:
     case MG_MSG_SNAPSHOT:
-        mg_raft_receive(c->raft, id, m);
+        mg_raft_receive(c->disk.raft, id, m);
         break;
     case MG_MSG_RENEW:
         mg_members_renew(c, peer, &m->u.renew);
@@ -392,7 +354,7 @@
 on_turn(void *user)
 {
     mg_control *c = user;
-    mg_raft_flush(c->raft);
+    mg_raft_flush(c->disk.raft);
     c->open_round = 0;
     if (!list_empty(&c->renewals)) {
         mg_members_answer(c);
@@ -412,12 +374,13 @@
 static void
 compact_if_long(mg_control *c)
 {
-    if (mg_raft_log_length(c->raft) < (size_t)c->settings.snapshot_entries) {
+    if (mg_raft_log_length(c->disk.raft) <
+        (size_t)c->settings.snapshot_entries) {
         return;
     }
     mg_buf data = {0};
     mg_state_save(c->state, &data);
-    mg_raft_compact(c->raft, mg_str_buf(&data));
+    mg_raft_compact(c->disk.raft, mg_str_buf(&data));
     mg_buf_free(&data);
 }
 
@@ -425,9 +388,9 @@
 on_tick(uv_timer_t *t)
 {
     mg_control *c = t->data;
-    mg_raft_tick(c->raft);
+    mg_raft_tick(c->disk.raft);
     note_document(c);
-    if (mg_raft_ready(c->raft) && mg_now(c->clock) >= c->watch_at) {
+    if (mg_raft_ready(c->disk.raft) && mg_now(c->clock) >= c->watch_at) {
         c->watch_at = mg_now(c->clock) + WATCH_MS;
         mg_members_watch(c);
     }
@@ -439,8 +402,8 @@
 open_raft(mg_control *c, mg_error *err)
 {
     mg_store_image image;
-    mg_rc rc =
-        mg_store_open(&c->store, c->settings.data_dir, false, &image, err);
+    mg_rc rc = mg_store_open(&c->disk.store, c->settings.data_dir, false,
+                             &image, err);
     if (rc != MG_OK) {
         return rc;
     }
@@ -451,15 +414,16 @@
     if (!image.meta.voter) {
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
-    c->host = (mg_raft_host){
-        host_send,         host_save_meta,     host_append, host_truncate,
-        host_sync,         host_save_snapshot, host_apply,  host_restore,
-        host_role_changed, host_failed,
-    };
-    c->raft = mg_raft_new(&(mg_raft_options){
+    mg_disk_host_init(&c->disk);
+    c->disk.host.send = host_send;
+    c->disk.host.apply = host_apply;
+    c->disk.host.restore = host_restore;
+    c->disk.host.role_changed = host_role_changed;
+    c->disk.host.failed = host_failed;
+    c->disk.raft = mg_raft_new(&(mg_raft_options){
         .id = c->id,
         .members = (unsigned)c->settings.control_count,
-        .host = &c->host,
+        .host = &c->disk.host,
         .clock = c->clock,
         .seed = c->incarnation,
         .meta = image.meta,
--- a/src/control/control_int.h
+++ b/src/control/control_int.h
@@ -9,7 +9,7 @@
 #include "base/list.h"
 #include "control/control.h"
 #include "control/operator.h"
-#include "control/store.h"
+#include "control/disk_host.h"
 
 /* a proposed command that waits to be applied */
 struct waiting {
@@ -47,15 +47,13 @@
 };
 
 struct mg_control {
-    mg_raft_host host; /* first: raft gives it back */
+    mg_disk_host disk; /* first: raft gives it back */
     uv_loop_t *loop;
     uv_timer_t timer;
     mg_clock *clock;
     mg_settings settings;
     unsigned id;
     uint64_t incarnation;
-    mg_raft *raft;
-    mg_store *store;
     mg_state *state;
     mg_net *net;
     mg_http_server *http;
--- a/src/control/members.c
+++ b/src/control/members.c
@@ -154,7 +154,7 @@
             return;
         }
     }
-    if (v->record_pending || !mg_raft_ready(c->raft)) {
+    if (v->record_pending || !mg_raft_ready(c->disk.raft)) {
         return;
     }
     mg_buf data = {0};
@@ -172,7 +172,7 @@
 void
 mg_members_renew(mg_control *c, const char *peer, const mg_renew_msg *q)
 {
-    if (!mg_raft_ready(c->raft)) {
+    if (!mg_raft_ready(c->disk.raft)) {
         mg_control_reply_not_leader(c, peer, q->seq);
         return;
     }
@@ -181,7 +181,7 @@
     v->incarnation = q->incarnation;
     v->rev = q->rev;
     if (c->open_round == 0) {
-        c->open_round = mg_raft_start_round(c->raft);
+        c->open_round = mg_raft_start_round(c->disk.raft);
     }
     struct renewal *r = mg_alloc(sizeof(*r));
     mg_str_copy(r->node, sizeof(r->node), mg_str_of(peer));
@@ -223,7 +223,7 @@
 void
 mg_members_answer(mg_control *c)
 {
-    uint64_t confirmed = mg_raft_confirmed_round(c->raft);
+    uint64_t confirmed = mg_raft_confirmed_round(c->disk.raft);
     list_for_each_safe(el, el1, &c->renewals)
     {
         struct renewal *r = list_entry(el, struct renewal, link);
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -32,44 +32,6 @@
     mg_net_send(group_of(h)->net, peer, m);
 }
 
-static mg_rc
-host_save_meta(mg_raft_host *h, const mg_raft_meta *meta)
-{
-    return mg_store_save_meta(group_of(h)->store, meta);
-}
-
-static mg_rc
-host_append(mg_raft_host *h, const mg_raft_entry *e)
-{
-    mg_count(MG_C_RAFT_ENTRIES, 1);
-    return mg_store_append(group_of(h)->store, e,
-                           mg_raft_commit(group_of(h)->raft));
-}
-
-static mg_rc
-host_truncate(mg_raft_host *h, uint64_t index)
-{
-    return mg_store_truncate(group_of(h)->store, index);
-}
-
-static mg_rc
-host_sync(mg_raft_host *h)
-{
-    uint64_t start = uv_hrtime();
-    mg_rc rc = mg_store_sync(group_of(h)->store);
-    mg_observe(MG_H_SYNC_TIME, (int64_t)((uv_hrtime() - start) / 1000));
-    mg_count(MG_C_RAFT_SYNCS, 1);
-    return rc;
-}
-
-static mg_rc
-host_save_snapshot(mg_raft_host *h, uint64_t index, uint64_t term, mg_str data)
-{
-    mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64 " bytes=%zu",
-           index, term, data.n);
-    return mg_store_save_snapshot(group_of(h)->store, index, term, data);
-}
-
 static void
 finish_proposal(mg_group *g, struct proposal *p, const mg_apply_reply *reply)
 {
@@ -113,7 +75,7 @@
 leader_name(const mg_group *g)
 {
     static char name[MG_NAME_SIZE];
-    unsigned leader = g->raft ? mg_raft_leader(g->raft) : 0;
+    unsigned leader = g->disk.raft ? mg_raft_leader(g->disk.raft) : 0;
     if (leader == 0 || g->seats.holder[leader - 1][0] == '\0') {
         return "";
     }
@@ -203,8 +165,9 @@
     p = mg_alloc(sizeof(*p));
     p->seq = q->seq;
     mg_str_copy(p->peer, sizeof(p->peer), mg_str_of(peer));
-    if (!mg_raft_ready(g->raft) ||
-        mg_raft_propose(g->raft, q->command, &p->index, &p->term) != MG_OK) {
+    if (!mg_raft_ready(g->disk.raft) ||
+        mg_raft_propose(g->disk.raft, q->command, &p->index, &p->term) !=
+            MG_OK) {
         reply_not_leader(g, peer, q->seq);
         free(p);
         return;
@@ -215,12 +178,12 @@
 static void
 on_confirm(mg_group *g, const char *peer, uint64_t seq)
 {
-    if (!mg_raft_ready(g->raft)) {
+    if (!mg_raft_ready(g->disk.raft)) {
         reply_not_leader(g, peer, seq);
         return;
     }
     if (g->open_round == 0) {
-        g->open_round = mg_raft_start_round(g->raft);
+        g->open_round = mg_raft_start_round(g->disk.raft);
     }
     struct question *q = add_question(&g->confirms, peer, seq);
     q->round = g->open_round;
@@ -230,7 +193,7 @@
 static void
 answer_confirms(mg_group *g)
 {
-    uint64_t confirmed = mg_raft_confirmed_round(g->raft);
+    uint64_t confirmed = mg_raft_confirmed_round(g->disk.raft);
     list_for_each_safe(el, el1, &g->confirms)
     {
         struct question *q = list_entry(el, struct question, link);
@@ -291,7 +254,7 @@
         mg_group_on_candidate(g, peer, m->u.candidate.node);
         return;
     }
-    if (g->raft == NULL) {
+    if (g->disk.raft == NULL) {
         return;
     }
     switch (m->type) {
@@ -300,7 +263,7 @@
     case MG_MSG_APPEND:
     case MG_MSG_APPEND_REP:
     case MG_MSG_SNAPSHOT:
-        mg_raft_receive(g->raft, mg_group_member_of(g, peer), m);
+        mg_raft_receive(g->disk.raft, mg_group_member_of(g, peer), m);
         break;
     case MG_MSG_PULL:
         q = add_question(&g->pulls, peer, m->u.pull.seq);
@@ -335,13 +298,13 @@
 {
     drop_leadership(g);
     drop_questions(&g->pulls);
-    mg_raft_free(g->raft);
-    mg_store_close(g->store);
+    mg_raft_free(g->disk.raft);
+    mg_store_close(g->disk.store);
     if (g->state != NULL) {
         mg_state_free(g->state);
     }
-    g->raft = NULL;
-    g->store = NULL;
+    g->disk.raft = NULL;
+    g->disk.store = NULL;
     g->state = NULL;
     g->id = 0;
     g->seat_index = 0;
@@ -356,7 +319,7 @@
     mg_seats t;
     mg_str holders;
     uint64_t rev = 0;
-    mg_rc rc = mg_store_load_note(g->store, &note);
+    mg_rc rc = mg_store_load_note(g->disk.store, &note);
     if (rc == MG_OK) {
         mg_str head = mg_str_cut(mg_str_buf(&note), ':', &holders);
         for (size_t i = 0; i < head.n; i++) {
@@ -378,10 +341,10 @@
     unsigned seat = mg_seats_of(&g->seats, g->ip);
     unsigned members = g->seats.count;
     g->id = seat;
-    g->raft = mg_raft_new(&(mg_raft_options){
+    g->disk.raft = mg_raft_new(&(mg_raft_options){
         .id = seat,
         .members = members,
-        .host = &g->host,
+        .host = &g->disk.host,
         .clock = g->clock,
         .seed = mg_random_id(),
         .meta = image->meta,
@@ -395,7 +358,7 @@
     for (unsigned i = 0; i < g->seats.count; i++) {
         bool taken = g->seats.holder[i][0] != '\0';
         if (i + 1 != seat && (!taken || i >= members)) {
-            mg_raft_set_seat(g->raft, i + 1, taken);
+            mg_raft_set_seat(g->disk.raft, i + 1, taken);
         }
     }
     mg_group_save_table(g);
@@ -406,9 +369,9 @@
 {
     mg_store_image image;
     mg_rc rc =
-        mg_store_open(&g->store, g->data_dir, g->new_group, &image, err);
+        mg_store_open(&g->disk.store, g->data_dir, g->new_group, &image, err);
     if (rc != MG_OK) {
-        g->store = NULL;
+        g->disk.store = NULL;
         return rc;
     }
     if (image.torn) {
@@ -430,9 +393,9 @@
     }
     else {
         image.meta.voter = 0;
-        rc = mg_store_save_meta(g->store, &image.meta);
-        mg_store_close(g->store);
-        g->store = NULL;
+        rc = mg_store_save_meta(g->disk.store, &image.meta);
+        mg_store_close(g->disk.store);
+        g->disk.store = NULL;
     }
     mg_store_image_free(&image);
     return rc;
@@ -450,7 +413,7 @@
         mg_log(MG_EV_STORE_FAILED, "dir=%s why=%s", g->data_dir, err.text);
         g->reopen_at = mg_now(g->clock) + MG_GROUP_REOPEN_MS;
     }
-    else if (g->raft == NULL) {
+    else if (g->disk.raft == NULL) {
         /* no seat: wait for a table that has one */
         g->reopen_at = INT64_MAX;
     }
@@ -472,12 +435,12 @@
 on_turn(void *user)
 {
     mg_group *g = user;
-    if (g->raft == NULL) {
+    if (g->disk.raft == NULL) {
         return;
     }
-    mg_raft_flush(g->raft);
+    mg_raft_flush(g->disk.raft);
     close_if_needed(g);
-    if (g->raft == NULL) {
+    if (g->disk.raft == NULL) {
         return;
     }
     g->open_round = 0;
@@ -492,12 +455,12 @@
 static void
 compact_if_long(mg_group *g)
 {
-    if (mg_raft_log_length(g->raft) < SNAPSHOT_ENTRIES) {
+    if (mg_raft_log_length(g->disk.raft) < SNAPSHOT_ENTRIES) {
         return;
     }
     mg_buf data = {0};
     mg_state_save(g->state, &data);
-    mg_raft_compact(g->raft, mg_str_buf(&data));
+    mg_raft_compact(g->disk.raft, mg_str_buf(&data));
     mg_buf_free(&data);
 }
 
@@ -507,16 +470,16 @@
     mg_group *g = t->data;
     int64_t now = mg_now(g->clock);
     close_if_needed(g);
-    if (g->raft == NULL) {
+    if (g->disk.raft == NULL) {
         reopen_log(g);
     }
-    if (g->raft == NULL) {
+    if (g->disk.raft == NULL) {
         if (now >= g->offer_at) {
             mg_group_offer(g, now);
         }
         return;
     }
-    mg_raft_tick(g->raft);
+    mg_raft_tick(g->disk.raft);
     compact_if_long(g);
     if (now >= g->seats_at) {
         mg_group_look_after_seats(g, now);
@@ -574,11 +537,12 @@
 {
     mg_group *g = mg_alloc(sizeof(*g));
     mg_rc rc;
-    g->host = (mg_raft_host){
-        host_send,         host_save_meta,     host_append, host_truncate,
-        host_sync,         host_save_snapshot, host_apply,  host_restore,
-        host_role_changed, host_failed,
-    };
+    mg_disk_host_init(&g->disk);
+    g->disk.host.send = host_send;
+    g->disk.host.apply = host_apply;
+    g->disk.host.restore = host_restore;
+    g->disk.host.role_changed = host_role_changed;
+    g->disk.host.failed = host_failed;
     g->clock = mg_system_clock();
     mg_group_peer_name(g->node, opts->node);
     mg_str_copy(g->ip, sizeof(g->ip), mg_str_of(opts->node));
--- a/src/group/group_int.h
+++ b/src/group/group_int.h
@@ -9,9 +9,8 @@
 #include <uthash.h>
 
 #include "base/list.h"
-#include "control/raft.h"
+#include "control/disk_host.h"
 #include "control/state.h"
-#include "control/store.h"
 #include "group/group.h"
 #include "wire/link.h"
 
@@ -39,7 +38,7 @@
 };
 
 struct mg_group {
-    mg_raft_host host; /* first: raft gives it back */
+    mg_disk_host disk; /* first: raft gives it back */
     pthread_t thread;
     uv_loop_t loop;
     uv_timer_t timer;
@@ -63,8 +62,6 @@
     int64_t seats_at;
     int64_t offer_at;
     mg_net *net;
-    mg_raft *raft; /* NULL while the data folder can't be used, or no seat */
-    mg_store *store;
     mg_state *state;
     struct proposal *proposals;
     struct list_head pulls;
--- a/src/group/group_seats.c
+++ b/src/group/group_seats.c
@@ -65,7 +65,7 @@
     snprintf(note, sizeof(note), "%" PRIu64 ":%s", g->seats.rev, holders);
     mg_log(MG_EV_SEATS, "rev=%" PRIu64 " holders=%s own=%u", g->seats.rev,
            holders, g->id);
-    if (mg_store_save_note(g->store, mg_str_of(note)) != MG_OK) {
+    if (mg_store_save_note(g->disk.store, mg_str_of(note)) != MG_OK) {
         mg_log(MG_EV_STORE_FAILED, "dir=%s what=note", g->data_dir);
         g->failed = true;
         g->reopen_at = mg_now(g->clock) + MG_GROUP_REOPEN_MS;
@@ -89,8 +89,8 @@
         if (i + 1 == g->id) {
             g->seats_changed = true;
         }
-        else if (g->raft != NULL) {
-            mg_raft_set_seat(g->raft, i + 1, t->holder[i][0] != '\0');
+        else if (g->disk.raft != NULL) {
+            mg_raft_set_seat(g->disk.raft, i + 1, t->holder[i][0] != '\0');
         }
     }
     mg_group_save_table(g);
@@ -171,7 +171,7 @@
     mg_msg_encode(&put, &command);
     mg_log(MG_EV_SEATS, "proposed=%s step=%d seat=%u node=%s", holders,
            plan->step, plan->seat + 1, plan->node);
-    if (mg_raft_propose(g->raft, mg_str_buf(&command), &g->seat_index,
+    if (mg_raft_propose(g->disk.raft, mg_str_buf(&command), &g->seat_index,
                         &term) != MG_OK) {
         g->seat_index = 0;
     }
@@ -185,12 +185,13 @@
 {
     int64_t age[MG_SEATS_MAX];
     g->seats_at = now + SEATS_MS;
-    if (!mg_raft_ready(g->raft) ||
-        (g->seat_index != 0 && mg_raft_applied(g->raft) < g->seat_index)) {
+    if (!mg_raft_ready(g->disk.raft) ||
+        (g->seat_index != 0 &&
+         mg_raft_applied(g->disk.raft) < g->seat_index)) {
         return;
     }
     for (unsigned i = 0; i < g->seats.count; i++) {
-        age[i] = mg_raft_seat_age(g->raft, i + 1);
+        age[i] = mg_raft_seat_age(g->disk.raft, i + 1);
     }
     mg_seat_plan plan = {MG_SEAT_KEEP, 0, ""};
     if (g->seats.rev == 0) {
@@ -198,8 +199,9 @@
         propose_seats(g, &plan);
         return;
     }
-    plan = mg_seats_plan(&g->seats, g->wanted, age, mg_raft_all_vote(g->raft),
-                         g->candidates, g->candidate_count, now);
+    plan = mg_seats_plan(&g->seats, g->wanted, age,
+                         mg_raft_all_vote(g->disk.raft), g->candidates,
+                         g->candidate_count, now);
     if (plan.step != MG_SEAT_KEEP) {
         propose_seats(g, &plan);
     }
