A node leaves a member of the log that knows no leader

Cause: a node pulled from the member that it took for the leader. That one was cut off from the other members, stepped down and went on answering "no news" with no leader named; the node kept its belief and never asked the others.

Change: an answer that names no leader ends the belief in a leader that gave it, for pulls as for questions.

--- a/src/group/group_client.c
+++ b/src/group/group_client.c
@@ -117,10 +117,17 @@
     return next_member(c);
 }
 
+/* what a member says of the leader; empty: it knows none */
 static void
-note_leader(mg_group_client *c, mg_str leader)
+note_leader(mg_group_client *c, const char *member, mg_str leader)
 {
-    if (leader.n > 0 && !mg_str_is(leader, c->leader)) {
+    if (leader.n == 0 && strcmp(c->leader, member) == 0) {
+        /* it led, and may be cut off from those that have another now */
+        mg_log(MG_EV_GROUP_LEADER, "leader=- before=%s rev=%llu", member,
+               (unsigned long long)c->rev);
+        c->leader[0] = '\0';
+    }
+    else if (leader.n > 0 && !mg_str_is(leader, c->leader)) {
         mg_log(MG_EV_GROUP_LEADER, "leader=%.*s before=%s rev=%llu",
                MG_STR_FMT(leader), c->leader[0] ? c->leader : "-",
                (unsigned long long)c->rev);
@@ -168,7 +175,7 @@
 }
 
 static void
-on_pull_rep(mg_group_client *c, const mg_pull_rep_msg *r)
+on_pull_rep(mg_group_client *c, const char *peer, const mg_pull_rep_msg *r)
 {
     mg_msg m;
     mg_str rest = r->records;
@@ -176,7 +183,7 @@
         return;
     }
     c->pull_seq = 0;
-    note_leader(c, r->leader);
+    note_leader(c, peer, r->leader);
     if (r->rev > c->rev) {
         while (mg_msg_next(&rest, &m) == MG_OK) {
             if (m.type == MG_MSG_RECORD) {
@@ -259,12 +266,7 @@
 on_not_leader(mg_group_client *c, const char *peer, const mg_not_leader_msg *r)
 {
     struct question *q = find_question(c, r->seq);
-    if (r->leader.n > 0) {
-        note_leader(c, r->leader);
-    }
-    else if (strcmp(c->leader, peer) == 0) {
-        c->leader[0] = '\0';
-    }
+    note_leader(c, peer, r->leader);
     if (q != NULL) {
         q->ask_at =
             mg_now(c->opts.clock) +
@@ -306,7 +308,7 @@
 {
     switch (m->type) {
     case MG_MSG_PULL_REP:
-        on_pull_rep(c, &m->u.pull_rep);
+        on_pull_rep(c, peer, &m->u.pull_rep);
         break;
     case MG_MSG_NOT_LEADER:
         on_not_leader(c, peer, &m->u.not_leader);
