The log never waits for its reader; times of the loop's turns; other seeds

Cause: lines were buffered by stdio and written by a call that blocks while a pipe is full, and nothing bounded their number; settings read again took no other seeds; the delay that a process adds to an event was not measured.

Change: logsink, a bounded buffer of whole lines that writes only what the descriptor takes at once, with a share of lines a second for decisions and one for warnings; dropped lines are counted and told (103). loop_turn_us and a line of figures each 10 s (104). Other seeds become contacts, former ones are left.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -91,6 +91,12 @@
     mg_histogram_add(&histograms[id], value);
 }
 
+int64_t
+mg_observed_quantile(mg_histogram_id id, double q)
+{
+    return mg_histogram_quantile(&histograms[id], q);
+}
+
 void
 mg_metrics_print(mg_buf *out)
 {
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -24,6 +24,7 @@
     X(CLAIMS, "claims_total")                 \
     X(RESENDS, "resends_total")               \
     X(BAD_INPUT, "bad_input_total")           \
+    X(LOG_DROPPED, "log_dropped_total")       \
     X(LINKS_OPENED, "links_opened_total")     \
     X(LINKS_LOST, "links_lost_total")         \
     X(LINK_BYTES_IN, "link_bytes_in_total")   \
@@ -44,7 +45,8 @@
     X(CLAIM_WAIT, "claim_wait_us") \
     X(GRANT_WAIT, "grant_wait_us") \
     X(FIRST_BYTE, "first_byte_us") \
-    X(SYNC_TIME, "sync_us")
+    X(SYNC_TIME, "sync_us")        \
+    X(LOOP_TURN, "loop_turn_us")
 
 typedef enum mg_histogram_id {
 #define X(id, name) MG_H_##id,
@@ -77,6 +79,8 @@
 
 void
 mg_observe(mg_histogram_id id, int64_t value);
+int64_t
+mg_observed_quantile(mg_histogram_id id, double q);
 void
 mg_metrics_print(mg_buf *out);
 
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -1,5 +1,6 @@
 #include "base/event.h"
 
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -7,13 +8,21 @@
 #include <time.h>
 
 #include <log4c.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/logsink.h"
 
 #define EVENT_LINE_MAX 1024
-#define LOG_BUFFER_BYTES 65536
+/* at the end of a process, for a reader that is slow, ms */
+#define LAST_WAIT_MS 200
 
 static log4c_category_t *category;
 static char process_name[64];
-/* log4c and the buffers below serve one thread at a time */
+static mg_logsink sink;
+static bool buffered; /* written by mg_log_flush() only */
+/* log4c and the sink serve one thread at a time */
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const struct event_row {
@@ -48,8 +57,13 @@
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+    bool urgent = event->evt_priority <= LOG4C_PRIORITY_WARN;
     (void)appender;
-    return fputs(event->evt_rendered_msg, stdout) < 0 ? -1 : 0;
+    if (!mg_logsink_put(&sink, mg_str_of(event->evt_rendered_msg), urgent,
+                        mg_now(mg_system_clock()))) {
+        mg_count(MG_C_LOG_DROPPED, 1);
+    }
+    return 0;
 }
 
 static const log4c_appender_type_t stdout_appender = {"mg_stdout", NULL,
@@ -74,7 +88,7 @@
     if (priority < 0) {
         return MG_E_INPUT;
     }
-    setvbuf(stdout, NULL, _IOLBF, 0);
+    mg_logsink_init(&sink, STDOUT_FILENO);
     snprintf(process_name, sizeof(process_name), "%s", process);
     category = log4c_category_get("marigold");
     log4c_appender_t *to = log4c_appender_get("mg_stdout");
@@ -91,33 +105,61 @@
 void
 mg_log_buffer(void)
 {
-    static char buffer[LOG_BUFFER_BYTES];
-    setvbuf(stdout, buffer, _IOFBF, sizeof(buffer));
+    buffered = true;
+}
+
+static const struct event_row *
+find_row(mg_event ev)
+{
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        if (rows[i].number == (int)ev) {
+            return &rows[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+put_line(const struct event_row *row, const char *fields)
+{
+    log4c_category_log(category, row->priority, "%d %s %s %s", row->number,
+                       row->level, row->name, fields);
+}
+
+static void
+tell_dropped(void)
+{
+    char fields[64];
+    uint64_t lines = mg_logsink_take_dropped(&sink);
+    if (lines > 0 && category != NULL) {
+        snprintf(fields, sizeof(fields), "lines=%" PRIu64, lines);
+        put_line(find_row(MG_EV_LOG_DROPPED), fields);
+    }
+}
+
+static void
+write_lines(int wait_ms)
+{
+    mg_logsink_write(&sink, wait_ms);
+    tell_dropped();
 }
 
 void
 mg_log_flush(void)
 {
     pthread_mutex_lock(&lock);
-    fflush(stdout);
+    write_lines(0);
     pthread_mutex_unlock(&lock);
 }
 
 void
 mg_log_close(void)
 {
+    pthread_mutex_lock(&lock);
+    write_lines(LAST_WAIT_MS);
+    mg_logsink_write(&sink, LAST_WAIT_MS);
     category = NULL;
-}
-
-static const struct event_row *
-find_row(mg_event ev)
-{
-    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-        if (rows[i].number == (int)ev) {
-            return &rows[i];
-        }
-    }
-    return NULL;
+    pthread_mutex_unlock(&lock);
 }
 
 void
@@ -131,15 +173,16 @@
     if (!log4c_category_is_priority_enabled(category, row->priority)) {
         return;
     }
-    char line[EVENT_LINE_MAX];
-    int n = snprintf(line, sizeof(line), "%d %s %s ", row->number, row->level,
-                     row->name);
+    char fields[EVENT_LINE_MAX];
     va_list ap;
     va_start(ap, fmt);
-    vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+    vsnprintf(fields, sizeof(fields), fmt, ap);
     va_end(ap);
     pthread_mutex_lock(&lock);
-    log4c_category_log(category, row->priority, "%s", line);
+    put_line(row, fields);
+    if (!buffered) {
+        write_lines(0);
+    }
     pthread_mutex_unlock(&lock);
 }
 
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -18,6 +18,8 @@
     X(100, INFO, PROCESS_START, "process started")                          \
     X(101, INFO, PROCESS_STOP, "process stopped")                           \
     X(102, ERROR, PROCESS_FAILED, "process could not go on")                \
+    X(103, WARN, LOG_DROPPED, "lines of this log were dropped; how many")   \
+    X(104, INFO, STATS, "counters and times since the start")               \
     X(110, INFO, LINK_UP, "link to a peer opened and greeted")              \
     X(111, WARN, LINK_DOWN, "link to a peer closed; why")                   \
     X(112, WARN, LINK_REFUSED, "peer refused: key, version or frame")       \
@@ -77,11 +79,13 @@
 /* Starts logging as the named process; level "info", "warn" or "error". */
 mg_rc
 mg_log_open(const char *process, const char *level);
+/* Writes what is left, if its reader takes it soon. */
 void
 mg_log_close(void);
 /*
- * Lines are kept and written by mg_log_flush(), some tens of ms later. The
- * daemon calls it regularly and at its end.
+ * From now on lines are kept and written by mg_log_flush(), some tens of ms
+ * later; the daemon calls it regularly. Without it each line is written as
+ * it comes. Neither waits for a reader: see base/logsink.h.
  */
 void
 mg_log_buffer(void);
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -69,10 +69,35 @@
     return m;
 }
 
+static mg_mesh_node *
+find_node(const mg_mesh *m, const char *node)
+{
+    mg_mesh_node *n;
+    HASH_FIND_STR(m->nodes, node, n);
+    return n;
+}
+
+static hub *
+find_hub(mg_mesh *m, const char *node)
+{
+    for (size_t i = 0; i < m->hub_count; i++) {
+        if (strcmp(m->hubs[i].node, node) == 0) {
+            return &m->hubs[i];
+        }
+    }
+    return NULL;
+}
+
 void
 mg_mesh_set_contacts(mg_mesh *m, const mg_seats *contacts, uint16_t port)
 {
     char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    for (unsigned i = 0; i < m->contacts.count; i++) {
+        const char *old = m->contacts.holder[i];
+        if (mg_seats_of(contacts, old) == 0 && find_hub(m, old) == NULL) {
+            mg_net_undial(m->opts.net, old);
+        }
+    }
     m->contacts = *contacts;
     for (unsigned i = 0; i < contacts->count; i++) {
         const char *ip = contacts->holder[i];
@@ -111,25 +136,6 @@
            (unsigned long long)seats->rev, m->hub_count, m->is_hub);
 }
 
-static mg_mesh_node *
-find_node(const mg_mesh *m, const char *node)
-{
-    mg_mesh_node *n;
-    HASH_FIND_STR(m->nodes, node, n);
-    return n;
-}
-
-static hub *
-find_hub(mg_mesh *m, const char *node)
-{
-    for (size_t i = 0; i < m->hub_count; i++) {
-        if (strcmp(m->hubs[i].node, node) == 0) {
-            return &m->hubs[i];
-        }
-    }
-    return NULL;
-}
-
 static void
 send_to_hubs(mg_mesh *m, const mg_msg *msg)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,7 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/counter.h"
 #include "base/event.h"
+#include "base/loopwatch.h"
 #include "control/state.h"
 
 #define TICK_MS 50
@@ -14,6 +16,7 @@
 #define REPORT_NODES 16
 #define REPORT_MOST_MS 500
 #define SWEEP_MS 1000
+#define STATS_MS 10000
 /* callers learn within this that the node is to be left, ms */
 #define DRAIN_LEAST_MS 2500
 /* the end comes so much before the grace time is over, ms */
@@ -39,6 +42,8 @@
     uv_prepare_t prepare;
     int64_t report_at;
     int64_t sweep_at;
+    int64_t stats_at;
+    mg_loopwatch watch;
     mg_seats seats;  /* voters of the log, who are hubs too */
     mg_buf document; /* text in force */
     uint64_t document_version;
@@ -355,6 +360,21 @@
     return ms < REPORT_MOST_MS ? ms : REPORT_MOST_MS;
 }
 
+static void
+log_stats(const mg_node *n)
+{
+    mg_log(MG_EV_STATS,
+           "requests=%" PRIu64 " answered=%" PRIu64 " refused=%" PRIu64
+           " cut=%" PRIu64 " cancelled=%" PRIu64 " open=%zu nodes=%zu "
+           "turn_p99_us=%" PRId64 " first_byte_p99_us=%" PRId64,
+           mg_counter_value(MG_C_REQUESTS), mg_counter_value(MG_C_ANSWERED),
+           mg_counter_value(MG_C_REFUSED), mg_counter_value(MG_C_CUT),
+           mg_counter_value(MG_C_CANCELLED), mg_gateway_open(n->gateway),
+           mg_mesh_live_count(n->mesh),
+           mg_observed_quantile(MG_H_LOOP_TURN, 0.99),
+           mg_observed_quantile(MG_H_FIRST_BYTE, 0.99));
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
@@ -375,6 +395,10 @@
         n->sweep_at = now + SWEEP_MS;
         mg_registry_sweep(n->registry, mg_gateway_forget);
     }
+    if (now >= n->stats_at) {
+        n->stats_at = now + STATS_MS;
+        log_stats(n);
+    }
     mg_gateway_tick(n->gateway);
     if (n->drain_since != 0) {
         watch_drain(n, now);
@@ -398,15 +422,15 @@
     mg_gateway_handle(n->gateway, r);
 }
 
-static void
-read_seeds(mg_node *n)
+static mg_seats
+seats_of_seeds(const mg_node_settings *s)
 {
-    const mg_node_settings *s = &n->settings;
-    n->seats = (mg_seats){0};
+    mg_seats seeds = {0};
     for (size_t i = 0; i < s->seed_count; i++) {
-        mg_str_copy(n->seats.holder[n->seats.count++], MG_NAME_SIZE,
+        mg_str_copy(seeds.holder[seeds.count++], MG_NAME_SIZE,
                     mg_str_of(s->seeds[i]));
     }
+    return seeds;
 }
 
 static mg_rc
@@ -517,6 +541,7 @@
 static void
 start_clockwork(mg_node *n)
 {
+    mg_loopwatch_start(&n->watch, n->loop);
     uv_timer_init(n->loop, &n->timer);
     n->timer.data = n;
     uv_timer_start(&n->timer, on_tick, TICK_MS, TICK_MS);
@@ -558,7 +583,7 @@
         .seed = n->incarnation,
         .limits = limits_of(&n->settings),
     });
-    read_seeds(n);
+    n->seats = seats_of_seeds(&n->settings);
     mg_rc rc = open_group(n, err);
     if (rc == MG_OK) {
         rc = open_links(n, err);
@@ -579,6 +604,23 @@
     return &n->settings;
 }
 
+/* other seeds are contacts; the hubs and voters are those of the log's table,
+   and the seeds only as long as no table is known */
+static void
+take_seeds(mg_node *n, const mg_node_settings *s)
+{
+    mg_seats seeds = seats_of_seeds(s);
+    uint16_t mesh_port = (uint16_t)(n->settings.link_port + 1);
+    mg_mesh_set_contacts(n->mesh, &seeds, mesh_port);
+    if (n->seats.rev == 0) {
+        n->seats = seeds;
+        mg_mesh_set_hubs(n->mesh, &seeds, mesh_port);
+        mg_group_client_set_members(n->client, &seeds,
+                                    (uint16_t)n->settings.link_port);
+        dial_own_group(n);
+    }
+}
+
 void
 mg_node_reload(mg_node *n, const mg_node_settings *s)
 {
@@ -589,6 +631,7 @@
     n->settings.grace_s = s->grace_s;
     n->settings.ack_ms = s->ack_ms;
     n->settings.directory_ttl_s = s->directory_ttl_s;
+    take_seeds(n, s);
 }
 
 void
