Services move to another version by a stated time, on the users' platform

Cause: orders to move a service were answered 404; the moves of the pool schedulers count in one place, and here many entries decide.

Weighed: a share by probability in each entry (no bound), a scheduler for moving services only (a second way to place), and this: the same policy (policy/rollout.h) at each hub, fed with what all entries send and see; the first live hub writes the changes, each against the record it knows; entries follow the record, canary grants are dealt out, their own verdict stops first. The whole move is a share of 1000 permille that is judged on until nothing runs on the former version; only then it is completed.

With a time for the whole move the share stays at 20 permille for 0.45 of it and steps are short; a time without traffic moves by time.

Known red: a version that fails only under nearly all traffic gets up to a third more than the bound.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -59,6 +59,38 @@
     f->backlog = 0;
 }
 
+/* for the judgement of a move to another version */
+static void
+sample_version(mg_flow *f, bool failed)
+{
+    double events = f->event_count > 1 ? f->event_count - 1 : 0;
+    int64_t first = f->begun_ms != 0 ? f->begun_ms : now_of(f);
+    mg_sample s = {
+        .route = f->route->name,
+        .failed = failed,
+        /* per predicted time, so that unlike requests can be compared */
+        .first_per_token = (double)(first - f->sent_ms) / f->work_ms,
+        .gap_ms =
+            events > 0 ? (double)(f->heard_ms - f->begun_ms) / events : 0,
+    };
+    mg_versions_sample(f->gw->versions, f->pool->service,
+                       f->target->instance->is.version, &s);
+}
+
+static void
+target_failed(mg_flow *f, bool answered)
+{
+    mg_gw_target_failed(f->target, answered);
+    sample_version(f, true);
+}
+
+static void
+target_served(mg_flow *f)
+{
+    mg_gw_target_served(f->target);
+    sample_version(f, false);
+}
+
 static void
 leave_target(mg_flow *f)
 {
@@ -227,7 +259,9 @@
 {
     f->state = MG_FLOW_WAITING;
     f->streaming = false;
+    f->begun_ms = 0;
     f->heard_ms = 0;
+    f->event_count = 0;
     f->head.n = 0;
     f->body.n = 0;
     mg_events_reset(&f->events);
@@ -368,6 +402,8 @@
     }
     mg_http_write(f->call.http, ev->bytes);
     f->heard_ms = now_of(f);
+    f->begun_ms = f->begun_ms != 0 ? f->begun_ms : f->heard_ms;
+    f->event_count++;
     if (ev->has_id) {
         f->has_last = true;
         f->last_id = ev->id;
@@ -421,13 +457,13 @@
 end_stream(mg_flow *f)
 {
     if (ends_inside_event(f) || !f->started) {
-        mg_gw_target_failed(f->target, false);
+        target_failed(f, false);
         if (!try_again(f)) {
             give_up(f, "stream_ended_early");
         }
         return;
     }
-    mg_gw_target_served(f->target);
+    target_served(f);
     log_answered(f);
     mg_http_finish(f->call.http);
     finish(f);
@@ -458,7 +494,7 @@
         return;
     }
     if (f->status >= 500) {
-        mg_gw_target_failed(f->target, true);
+        target_failed(f, true);
         if (try_again(f)) {
             return;
         }
@@ -468,7 +504,7 @@
         }
     }
     else {
-        mg_gw_target_served(f->target);
+        target_served(f);
         mg_gw_target_learn(f->target, (double)(now_of(f) - f->sent_ms),
                            f->work_ms);
     }
@@ -510,9 +546,12 @@
            "id=%.*s target=%s why=%s kept=%d ms=%" PRId64,
            MG_STR_FMT(f->call.id), f->target->instance->is.id, end_name(end),
            f->kept_channel, now_of(f) - f->arrived_ms);
-    if (!stale_channel) {
+    if (!stale_channel && end == MG_CHANNEL_UNREACHED) {
         mg_gw_target_failed(f->target, false);
     }
+    else if (!stale_channel) {
+        target_failed(f, false);
+    }
     if (end == MG_CHANNEL_UNREACHED) {
         mg_count(MG_C_CONNECT_FAILED, 1);
         leave_target(f);
@@ -591,6 +630,8 @@
     f->pool->running++;
     t->running++;
     t->instance->users++;
+    mg_versions_sent(f->gw->versions, f->pool->service,
+                     t->instance->is.version);
     f->channel = mg_gw_idle_channel(t, sure);
     f->kept_channel = f->channel != NULL;
     if (f->kept_channel) {
@@ -623,7 +664,7 @@
            MG_STR_FMT(f->call.id), f->target->instance->is.id, f->last_id,
            now_of(f) - f->arrived_ms);
     drop_channel(f);
-    mg_gw_target_failed(f->target, false);
+    target_failed(f, false);
     leave_target(f);
     wait_for_target(f);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -248,6 +248,7 @@
     mg_str_copy(gw->domain, sizeof(gw->domain), mg_str_of(opts->domain));
     mg_rng_init(&gw->rng, opts->seed);
     init_list_head(&gw->due_pools);
+    gw->versions = mg_versions_new(opts->clock);
     gw->entries = 1;
     gw->gen = 1;
     return gw;
@@ -330,9 +331,44 @@
         gw->entries = n + 1;
         gw->self = before;
         gw->gen++;
+        mg_versions_set_entries(gw->versions, before, n + 1);
     }
 }
 
+void
+mg_gateway_set_move(mg_gateway *gw, const mg_rec_rollout_msg *rec)
+{
+    mg_versions_set(gw->versions, rec);
+    all_due(gw);
+}
+
+void
+mg_gateway_move_news(mg_gateway *gw, void (*f)(void *user, const mg_msg *m),
+                     void *user)
+{
+    mg_versions_take_news(gw->versions, f, user);
+}
+
+double
+mg_gateway_running_on_others(const mg_gateway *gw, const char *service,
+                             const char *version)
+{
+    double running = 0;
+    mg_instance_group *g = mg_registry_service(gw->opts.registry, service);
+    if (g == NULL) {
+        return 0;
+    }
+    list_for_each(el, &g->instances)
+    {
+        const mg_instance *i = list_entry(el, mg_instance, link);
+        const mg_gw_target *t = i->owner_data;
+        if (t != NULL && strcmp(i->is.version, version) != 0) {
+            running += t->running + t->reported;
+        }
+    }
+    return running;
+}
+
 static void
 sweep_target(void *user, mg_instance *i)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -117,6 +117,17 @@
 /* Requests in hand. */
 size_t
 mg_gateway_open(const mg_gateway *gw);
+/* The record of a service's move to another version. */
+void
+mg_gateway_set_move(mg_gateway *gw, const mg_rec_rollout_msg *rec);
+/* Calls f with what was sent and seen for moves since the last call. */
+void
+mg_gateway_move_news(mg_gateway *gw, void (*f)(void *user, const mg_msg *m),
+                     void *user);
+/* Requests of all entries at targets of the service with another version. */
+double
+mg_gateway_running_on_others(const mg_gateway *gw, const char *service,
+                             const char *version);
 /* Names of the other entries that are live, and this one's. */
 void
 mg_gateway_set_entries(mg_gateway *gw, const char *self,
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway.h"
 #include "gateway/patience.h"
 #include "gateway/quota.h"
+#include "gateway/versions.h"
 #include "policy/tierq.h"
 #include "wire/channel.h"
 
@@ -82,6 +83,7 @@
     mg_gw_pool *pools;
     struct list_head due_pools;
     mg_gw_usage *usage;
+    mg_versions *versions;
     mg_gw_peer *peers;
     size_t open;
     size_t entries; /* live ones */
@@ -126,8 +128,10 @@
     int64_t arrived_ms;
     int64_t deadline_ms;
     int64_t sent_ms;
-    int64_t first_ms; /* of the first byte passed on */
-    int64_t heard_ms; /* last event from the present target, 0: none */
+    int64_t first_ms;     /* of the first byte passed on */
+    int64_t begun_ms;     /* first event from the present target, 0: none */
+    int64_t heard_ms;     /* last one, 0: none */
+    uint32_t event_count; /* from the present target */
     int status;
     bool not_run; /* as the present answer says */
     bool streaming;
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -221,33 +221,80 @@
     }
 }
 
+/* the ready targets of a service, with what may be sent to their versions */
+struct choice {
+    size_t n;
+    mg_gw_target *targets[CANDIDATES_MAX];
+    mg_candidate candidates[CANDIDATES_MAX];
+    mg_version_use uses[CANDIDATES_MAX];
+    bool any[MG_VERSION_FIRST + 1];
+};
+
+static void
+collect(mg_gateway *gw, const mg_flow *f, const mg_instance_group *g,
+        struct choice *c)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    c->n = 0;
+    memset(c->any, 0, sizeof(c->any));
+    list_for_each(el, &g->instances)
+    {
+        mg_instance *i = list_entry(el, mg_instance, link);
+        if (i->is.state != MG_INSTANCE_READY || c->n == CANDIDATES_MAX) {
+            continue;
+        }
+        mg_gw_target *t = mg_gw_target_of(gw, i);
+        c->targets[c->n] = t;
+        c->candidates[c->n] = candidate_of(t, now);
+        c->candidates[c->n].doubtful |= t == f->failed;
+        c->uses[c->n] =
+            mg_versions_use(gw->versions, g->service, i->is.version);
+        c->any[c->uses[c->n]] = true;
+        c->n++;
+    }
+}
+
+/* the best of those whose version may be used in that way */
+static mg_gw_target *
+choose_of(mg_gateway *gw, const mg_flow *f, const struct choice *c,
+          mg_version_use use)
+{
+    static mg_candidate candidates[CANDIDATES_MAX];
+    static size_t from[CANDIDATES_MAX];
+    size_t n = 0;
+    for (size_t i = 0; i < c->n; i++) {
+        if (c->uses[i] == use) {
+            candidates[n] = c->candidates[i];
+            from[n++] = i;
+        }
+    }
+    mg_pick_request r = pick_request(f, mg_now(gw->opts.clock));
+    int at = mg_pick(&r, candidates, n, mg_rng_unit(&gw->rng));
+    return at < 0 ? NULL : c->targets[from[at]];
+}
+
 mg_gw_target *
 mg_gw_choose(mg_gateway *gw, mg_flow *f)
 {
-    static mg_candidate candidates[CANDIDATES_MAX];
-    static mg_gw_target *targets[CANDIDATES_MAX];
+    static struct choice c;
+    mg_gw_target *t = NULL;
     mg_instance_group *g =
         mg_registry_service(gw->opts.registry, f->pool->service);
-    int64_t now = mg_now(gw->opts.clock);
-    size_t n = 0;
     if (g == NULL) {
         return NULL;
     }
     deal_slots(gw, f->pool, g);
-    list_for_each(el, &g->instances)
-    {
-        mg_instance *i = list_entry(el, mg_instance, link);
-        if (i->is.state != MG_INSTANCE_READY || n == CANDIDATES_MAX) {
-            continue;
-        }
-        targets[n] = mg_gw_target_of(gw, i);
-        candidates[n] = candidate_of(targets[n], now);
-        candidates[n].doubtful |= targets[n] == f->failed;
-        n++;
+    collect(gw, f, g, &c);
+    if (c.any[MG_VERSION_FIRST]) {
+        t = choose_of(gw, f, &c, MG_VERSION_FIRST);
     }
-    mg_pick_request r = pick_request(f, now);
-    int at = mg_pick(&r, candidates, n, mg_rng_unit(&gw->rng));
-    return at < 0 ? NULL : targets[at];
+    if (t == NULL && c.any[MG_VERSION_YES]) {
+        t = choose_of(gw, f, &c, MG_VERSION_YES);
+    }
+    if (t == NULL && !c.any[MG_VERSION_FIRST] && !c.any[MG_VERSION_YES]) {
+        t = choose_of(gw, f, &c, MG_VERSION_LAST);
+    }
+    return t;
 }
 
 /* ------------------------------------------------------------- channels */
--- /dev/null
+++ b/src/gateway/versions.c
@@ -0,0 +1,258 @@
+#include "gateway/versions.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+/* versions of a service that are remembered */
+#define KNOWN_MAX 8
+#define ALL_PERMILLE 1000
+
+typedef struct known_version {
+    char version[MG_NAME_SIZE];
+    int64_t seen_ms;
+} known_version;
+
+typedef struct service_move {
+    UT_hash_handle hh;
+    char service[MG_NAME_SIZE];
+    known_version known[KNOWN_MAX]; /* the newest ones */
+    size_t known_count;
+    bool moving; /* there is a record; the fields below are of it */
+    char version[MG_NAME_SIZE];
+    mg_rollout *rollout;
+    uint64_t reserved; /* of all entries */
+    uint64_t sent_old; /* not told yet, as the samples */
+    uint64_t sent_new;
+    mg_buf samples;
+} service_move;
+
+struct mg_versions {
+    mg_clock *clock;
+    service_move *services;
+    size_t self;
+    size_t entries;
+};
+
+mg_versions *
+mg_versions_new(mg_clock *clock)
+{
+    mg_versions *v = mg_alloc(sizeof(*v));
+    v->clock = clock;
+    v->entries = 1;
+    return v;
+}
+
+void
+mg_versions_free(mg_versions *v)
+{
+    service_move *s;
+    service_move *s1;
+    HASH_ITER(hh, v->services, s, s1)
+    {
+        HASH_DEL(v->services, s);
+        mg_rollout_free(s->rollout);
+        mg_buf_free(&s->samples);
+        free(s);
+    }
+    free(v);
+}
+
+static service_move *
+service_of(mg_versions *v, const char *service)
+{
+    service_move *s;
+    HASH_FIND_STR(v->services, service, s);
+    if (s == NULL) {
+        s = mg_alloc(sizeof(*s));
+        mg_str_copy(s->service, sizeof(s->service), mg_str_of(service));
+        HASH_ADD_STR(v->services, service, s);
+    }
+    return s;
+}
+
+/* of so many grants those that belong to this entry */
+static uint64_t
+own_part(const mg_versions *v, uint64_t reserved)
+{
+    return (reserved + v->entries - 1 - v->self) / v->entries;
+}
+
+static void
+commit(const mg_versions *v, service_move *s, mg_move_state state,
+       uint32_t share)
+{
+    mg_rollout_committed(s->rollout, state, share, own_part(v, s->reserved));
+}
+
+static void
+begin(mg_versions *v, service_move *s, const mg_rec_rollout_msg *rec)
+{
+    mg_rollout_free(s->rollout);
+    mg_str_copy(s->version, sizeof(s->version), rec->version);
+    s->moving = true;
+    s->sent_old = 0;
+    s->sent_new = 0;
+    s->samples.n = 0;
+    s->rollout = mg_rollout_new(&(mg_rollout_options){
+        .clock = v->clock,
+        .name = s->service,
+        .from = "",
+        .to = s->version,
+        .by_wall_ms = INT64_MAX,
+        .window_ms = (int64_t)rec->window_ms,
+        .slow_factor = MG_VERSION_SLOW_FACTOR,
+        .state = (mg_move_state)rec->state,
+        .share_permille = (uint32_t)rec->share_permille,
+        .reserved = own_part(v, rec->reserved),
+    });
+}
+
+void
+mg_versions_set(mg_versions *v, const mg_rec_rollout_msg *rec)
+{
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), rec->service);
+    service_move *s = service_of(v, name);
+    s->reserved = rec->reserved;
+    if (!s->moving || !mg_str_is(rec->version, s->version) ||
+        rec->state == MG_MOVE_PENDING) {
+        begin(v, s, rec);
+        return;
+    }
+    commit(v, s, (mg_move_state)rec->state, (uint32_t)rec->share_permille);
+}
+
+void
+mg_versions_set_entries(mg_versions *v, size_t self, size_t count)
+{
+    v->self = self;
+    v->entries = count > 0 ? count : 1;
+}
+
+static bool
+is_known(service_move *s, const char *version, int64_t now)
+{
+    for (size_t i = 0; i < s->known_count; i++) {
+        if (strcmp(s->known[i].version, version) == 0) {
+            return now - s->known[i].seen_ms >= MG_VERSION_HOLD_MS;
+        }
+    }
+    if (s->known_count == KNOWN_MAX) {
+        memmove(s->known, s->known + 1, sizeof(s->known) - sizeof(*s->known));
+        s->known_count--;
+    }
+    known_version *k = &s->known[s->known_count++];
+    mg_str_copy(k->version, sizeof(k->version), mg_str_of(version));
+    /* the first one there is has nothing to wait for */
+    k->seen_ms = s->known_count == 1 ? now - MG_VERSION_HOLD_MS : now;
+    return s->known_count == 1;
+}
+
+static mg_version_use
+use_new(const service_move *s)
+{
+    switch (mg_rollout_state(s->rollout)) {
+    case MG_MOVE_DONE:
+        return MG_VERSION_FIRST;
+    case MG_MOVE_CANARY:
+    case MG_MOVE_RAMP:
+        return mg_rollout_may_use_new(s->rollout) ? MG_VERSION_FIRST
+                                                  : MG_VERSION_NO;
+    case MG_MOVE_PENDING:
+    case MG_MOVE_TAKEN_BACK:
+        break;
+    }
+    return MG_VERSION_NO;
+}
+
+/* moved in whole, also while that is still judged */
+static bool
+has_all_traffic(const mg_rollout *r)
+{
+    return mg_rollout_state(r) == MG_MOVE_DONE ||
+           (mg_rollout_share(r) == ALL_PERMILLE && mg_rollout_may_use_new(r));
+}
+
+mg_version_use
+mg_versions_use(mg_versions *v, const char *service, const char *version)
+{
+    service_move *s = service_of(v, service);
+    if (s->moving) {
+        if (strcmp(version, s->version) == 0) {
+            return use_new(s);
+        }
+        if (has_all_traffic(s->rollout)) {
+            return MG_VERSION_LAST;
+        }
+    }
+    return is_known(s, version, mg_now(v->clock)) ? MG_VERSION_YES
+                                                  : MG_VERSION_NO;
+}
+
+/* a move of the service that has not ended */
+static service_move *
+open_move(mg_versions *v, const char *service)
+{
+    service_move *s = service_of(v, service);
+    if (!s->moving) {
+        return NULL;
+    }
+    mg_move_state state = mg_rollout_state(s->rollout);
+    return state == MG_MOVE_DONE || state == MG_MOVE_TAKEN_BACK ? NULL : s;
+}
+
+void
+mg_versions_sent(mg_versions *v, const char *service, const char *version)
+{
+    service_move *s = open_move(v, service);
+    if (s == NULL) {
+        return;
+    }
+    bool is_new = strcmp(version, s->version) == 0;
+    mg_rollout_granted(s->rollout, is_new);
+    s->sent_new += is_new;
+    s->sent_old += !is_new;
+}
+
+void
+mg_versions_sample(mg_versions *v, const char *service, const char *version,
+                   mg_sample *sample)
+{
+    service_move *s = open_move(v, service);
+    if (s == NULL) {
+        return;
+    }
+    sample->is_new = strcmp(version, s->version) == 0;
+    mg_rollout_sample(s->rollout, sample);
+    mg_msg m = {.type = MG_MSG_ROLLOUT_SAMPLE};
+    m.u.rollout_sample.route = mg_str_of(sample->route);
+    m.u.rollout_sample.is_new = sample->is_new;
+    m.u.rollout_sample.failed = sample->failed;
+    m.u.rollout_sample.first_ns_per_token =
+        (uint64_t)(sample->first_per_token * 1e6);
+    m.u.rollout_sample.gap_us = (uint64_t)(sample->gap_ms * 1e3);
+    mg_msg_encode(&m, &s->samples);
+}
+
+void
+mg_versions_take_news(mg_versions *v, void (*f)(void *user, const mg_msg *m),
+                      void *user)
+{
+    for (service_move *s = v->services; s != NULL; s = s->hh.next) {
+        if (s->sent_old + s->sent_new == 0 && s->samples.n == 0) {
+            continue;
+        }
+        mg_msg m = {.type = MG_MSG_ROLLOUT_SAMPLES};
+        m.u.rollout_samples.service = mg_str_of(s->service);
+        m.u.rollout_samples.version = mg_str_of(s->version);
+        m.u.rollout_samples.sent_old = s->sent_old;
+        m.u.rollout_samples.sent_new = s->sent_new;
+        m.u.rollout_samples.samples = mg_str_buf(&s->samples);
+        f(user, &m);
+        s->sent_old = 0;
+        s->sent_new = 0;
+        s->samples.n = 0;
+    }
+}
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -592,6 +592,33 @@
     return n;
 }
 
+void
+mg_mesh_tell_hubs(mg_mesh *m, const mg_msg *msg)
+{
+    send_to_hubs(m, msg);
+}
+
+bool
+mg_mesh_is_hub(const mg_mesh *m)
+{
+    return m->is_hub;
+}
+
+bool
+mg_mesh_leads(const mg_mesh *m)
+{
+    if (!m->is_hub) {
+        return false;
+    }
+    for (size_t i = 0; i < m->hub_count; i++) {
+        const mg_mesh_node *n = find_node(m, m->hubs[i].node);
+        if (n != NULL && n->live && strcmp(n->node, m->self.node) < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 mg_mesh_connected(const mg_mesh *m)
 {
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -87,6 +87,14 @@
 /* Tells all others what this entry has under way. */
 void
 mg_mesh_report(mg_mesh *m, mg_str loads);
+/* To all hubs, of which this node may be one: itself is not told. */
+void
+mg_mesh_tell_hubs(mg_mesh *m, const mg_msg *msg);
+bool
+mg_mesh_is_hub(const mg_mesh *m);
+/* Whether this node is the first of the live hubs. */
+bool
+mg_mesh_leads(const mg_mesh *m);
 /* Every 50 ms or so. */
 void
 mg_mesh_tick(mg_mesh *m);
--- /dev/null
+++ b/src/node/mover.c
@@ -0,0 +1,346 @@
+#include "node/mover.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "gateway/versions.h"
+
+#define CANARY_PERCENT 2
+/* nothing was seen on the former version for so long, ms */
+#define DRAINED_MS 300
+/* entries follow a record within this, ms */
+#define FOLLOW_MS 500
+/* of its time, before which a move is completed in any case */
+#define LAST_PART 0.06
+
+typedef struct move {
+    UT_hash_handle hh;
+    char service[MG_NAME_SIZE];
+    char version[MG_NAME_SIZE];
+    mg_rollout *rollout; /* of all entries */
+    mg_move_state state;
+    uint32_t share;
+    uint64_t reserved;
+    int64_t window_ms;
+    int64_t until;   /* of this process's clock */
+    int64_t since;   /* when the state was heard of */
+    int64_t busy_at; /* last time that the former version was in use */
+    uint64_t rev;    /* of the record */
+    bool writing;    /* a change is on its way */
+} move;
+
+/* both its times are the steady one, which steps of the wall clock don't
+   move: deadlines of moves are kept by it */
+struct steady_clock {
+    mg_clock clock; /* first member: is given to those who use it */
+    mg_clock *of;
+};
+
+struct mg_mover {
+    mg_mover_options opts;
+    struct steady_clock steady;
+    move *moves;
+};
+
+static int64_t
+steady_ms(mg_clock *c)
+{
+    return mg_now(((struct steady_clock *)c)->of);
+}
+
+mg_mover *
+mg_mover_new(const mg_mover_options *opts)
+{
+    mg_mover *m = mg_alloc(sizeof(*m));
+    m->opts = *opts;
+    m->steady = (struct steady_clock){{steady_ms, steady_ms}, opts->clock};
+    return m;
+}
+
+static move *
+find_move(const mg_mover *m, const char *service)
+{
+    move *v;
+    HASH_FIND_STR(m->moves, service, v);
+    return v;
+}
+
+void
+mg_mover_free(mg_mover *m)
+{
+    move *v;
+    move *v1;
+    HASH_ITER(hh, m->moves, v, v1)
+    {
+        HASH_DEL(m->moves, v);
+        mg_rollout_free(v->rollout);
+        free(v);
+    }
+    free(m);
+}
+
+static void
+judge_anew(mg_mover *m, move *v)
+{
+    mg_rollout_free(v->rollout);
+    v->rollout = mg_rollout_new(&(mg_rollout_options){
+        .clock = &m->steady.clock,
+        .name = v->service,
+        .from = "",
+        .to = v->version,
+        .by_wall_ms = v->until,
+        .canary_percent = CANARY_PERCENT,
+        .slow_factor = MG_VERSION_SLOW_FACTOR,
+        .window_ms = v->window_ms,
+        .state = v->state,
+        .share_permille = v->share,
+        .reserved = v->reserved,
+    });
+}
+
+void
+mg_mover_record(mg_mover *m, const mg_rec_rollout_msg *rec, uint64_t rev)
+{
+    char name[MG_NAME_SIZE];
+    int64_t now = mg_now(m->opts.clock);
+    mg_str_copy(name, sizeof(name), rec->service);
+    move *v = find_move(m, name);
+    bool is_new = v == NULL || !mg_str_is(rec->version, v->version) ||
+                  rec->state == MG_MOVE_PENDING;
+    if (v == NULL) {
+        v = mg_alloc(sizeof(*v));
+        mg_str_copy(v->service, sizeof(v->service), rec->service);
+        HASH_ADD_STR(m->moves, service, v);
+    }
+    if (is_new || v->state != (mg_move_state)rec->state ||
+        v->share != rec->share_permille) {
+        v->since = now;
+        v->busy_at = now;
+    }
+    mg_str_copy(v->version, sizeof(v->version), rec->version);
+    v->state = (mg_move_state)rec->state;
+    v->share = (uint32_t)rec->share_permille;
+    v->reserved = rec->reserved;
+    v->window_ms = (int64_t)rec->window_ms;
+    v->rev = rev;
+    if (is_new) {
+        v->until = now + (int64_t)rec->left_ms;
+        judge_anew(m, v);
+    }
+    else {
+        mg_rollout_committed(v->rollout, v->state, v->share, v->reserved);
+    }
+    mg_log(MG_EV_MOVE_STATE,
+           "service=%s version=%s state=%s share=%u reserved=%" PRIu64
+           " left_ms=%" PRId64 " rev=%" PRIu64 " why=%.*s",
+           v->service, v->version, mg_move_state_name(v->state), v->share,
+           v->reserved, v->until - now, rev, MG_STR_FMT(rec->reason));
+}
+
+void
+mg_mover_samples(mg_mover *m, const mg_rollout_samples_msg *s)
+{
+    char name[MG_NAME_SIZE];
+    mg_msg msg;
+    mg_str rest = s->samples;
+    mg_str_copy(name, sizeof(name), s->service);
+    move *v = find_move(m, name);
+    if (v == NULL || !mg_str_is(s->version, v->version)) {
+        return;
+    }
+    for (uint64_t i = 0; i < s->sent_old; i++) {
+        mg_rollout_granted(v->rollout, false);
+    }
+    for (uint64_t i = 0; i < s->sent_new; i++) {
+        mg_rollout_granted(v->rollout, true);
+    }
+    while (mg_msg_next(&rest, &msg) == MG_OK) {
+        const mg_rollout_sample_msg *q = &msg.u.rollout_sample;
+        char route[MG_NAME_SIZE];
+        if (msg.type != MG_MSG_ROLLOUT_SAMPLE) {
+            continue;
+        }
+        mg_str_copy(route, sizeof(route), q->route);
+        mg_sample one = {
+            .route = route,
+            .is_new = q->is_new,
+            .failed = q->failed,
+            .first_per_token = (double)q->first_ns_per_token / 1e6,
+            .gap_ms = (double)q->gap_us / 1e3,
+        };
+        mg_rollout_sample(v->rollout, &one);
+    }
+}
+
+/* -------------------------------------------------------------- writing */
+
+typedef struct record_write {
+    mg_mover *mover;
+    char service[MG_NAME_SIZE];
+    mg_group_done done; /* of an order, or NULL */
+    void *user;
+} record_write;
+
+static void
+write_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    record_write *w = user;
+    move *v = find_move(w->mover, w->service);
+    if (v != NULL) {
+        v->writing = false;
+    }
+    if (w->done != NULL) {
+        /* another order came first: its sender finds out by asking again */
+        rc = rc == MG_E_CHANGED ? MG_E_NO_LEADER : rc;
+        w->done(w->user, rc, rev, why);
+    }
+    free(w);
+}
+
+/* writes rec as the successor of the record with that revision */
+static void
+write_record(mg_mover *m, const mg_rec_rollout_msg *rec, uint64_t expect_rev,
+             mg_group_done done, void *user)
+{
+    mg_buf value = {0};
+    mg_msg r = {.type = MG_MSG_REC_ROLLOUT};
+    mg_msg put = {.type = MG_MSG_CMD_PUT};
+    record_write *w = mg_alloc(sizeof(*w));
+    r.u.rec_rollout = *rec;
+    mg_msg_encode(&r, &value);
+    put.u.cmd_put.kind = MG_KIND_ROLLOUT;
+    put.u.cmd_put.key = rec->service;
+    put.u.cmd_put.expect_rev = expect_rev;
+    put.u.cmd_put.value = mg_str_buf(&value);
+    *w = (record_write){.mover = m, .done = done, .user = user};
+    mg_str_copy(w->service, sizeof(w->service), rec->service);
+    mg_group_client_propose(m->opts.client, &put, m->opts.ack_ms, write_done,
+                            w);
+    mg_buf_free(&value);
+}
+
+static void
+write_change(mg_mover *m, move *v, const mg_rollout_change *c)
+{
+    int64_t left = v->until - mg_now(m->opts.clock);
+    mg_rec_rollout_msg rec = {
+        .service = mg_str_of(v->service),
+        .version = mg_str_of(v->version),
+        .state = c->state,
+        .share_permille = c->share_permille,
+        .reserved = c->reserved,
+        .window_ms = (uint64_t)v->window_ms,
+        .left_ms = left > 0 ? (uint64_t)left : 0,
+        .reason = mg_str_of(c->reason),
+    };
+    v->writing = true;
+    write_record(m, &rec, v->rev, NULL, NULL);
+}
+
+/* ----------------------------------------------------------------- time */
+
+static bool
+has_targets(const mg_mover *m, const move *v)
+{
+    mg_instance_group *g = mg_registry_service(m->opts.registry, v->service);
+    if (g == NULL) {
+        return false;
+    }
+    list_for_each(el, &g->instances)
+    {
+        const mg_instance *i = list_entry(el, mg_instance, link);
+        if (i->is.state == MG_INSTANCE_READY &&
+            strcmp(i->is.version, v->version) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* all traffic has moved: whether the former version may be stopped */
+static bool
+is_drained(mg_mover *m, move *v, int64_t now)
+{
+    if (m->opts.running_on_others(m->opts.user, v->service, v->version) > 0) {
+        v->busy_at = now;
+    }
+    if ((double)(v->until - now) < LAST_PART * (double)v->window_ms) {
+        return true;
+    }
+    return now - v->since >= FOLLOW_MS && now - v->busy_at >= DRAINED_MS;
+}
+
+static void
+tick_move(mg_mover *m, move *v, int64_t now)
+{
+    mg_rollout_change c;
+    if (!mg_rollout_due(v->rollout, has_targets(m, v), &c)) {
+        return;
+    }
+    if (c.state == MG_MOVE_DONE && !is_drained(m, v, now)) {
+        return; /* and it is judged on */
+    }
+    write_change(m, v, &c);
+}
+
+void
+mg_mover_tick(mg_mover *m, bool leads)
+{
+    int64_t now = mg_now(m->opts.clock);
+    if (!leads) {
+        return;
+    }
+    for (move *v = m->moves; v != NULL; v = v->hh.next) {
+        if (!v->writing) {
+            tick_move(m, v, now);
+        }
+    }
+}
+
+/* ------------------------------------------------------------ operators */
+
+static bool
+has_ended(const move *v)
+{
+    return v->state == MG_MOVE_TAKEN_BACK || v->state == MG_MOVE_DONE;
+}
+
+void
+mg_mover_start(mg_mover *m, const char *service, const char *version,
+               int64_t window_ms, mg_group_done done, void *user)
+{
+    move *v = find_move(m, service);
+    int64_t now = mg_now(m->opts.clock);
+    if (v != NULL && strcmp(v->version, version) == 0 &&
+        (v->state != MG_MOVE_TAKEN_BACK || now - v->since < m->opts.ack_ms)) {
+        /* the order that is known, sent again */
+        done(user, MG_OK, v->rev, "");
+        return;
+    }
+    if (v != NULL && !has_ended(v)) {
+        done(user, MG_E_CONFLICT, 0, "another move of the service runs");
+        return;
+    }
+    mg_rec_rollout_msg rec = {
+        .service = mg_str_of(service),
+        .version = mg_str_of(version),
+        .state = MG_MOVE_PENDING,
+        .window_ms = (uint64_t)window_ms,
+        .left_ms = (uint64_t)window_ms,
+        .reason = mg_str_of("ordered"),
+    };
+    write_record(m, &rec, v != NULL ? v->rev : 0, done, user);
+}
+
+bool
+mg_mover_status(const mg_mover *m, const char *service, mg_move_status *out)
+{
+    const move *v = find_move(m, service);
+    if (v == NULL) {
+        return false;
+    }
+    *out = (mg_move_status){v->version, v->state};
+    return true;
+}
--- /dev/null
+++ b/src/node/mover.h
@@ -0,0 +1,65 @@
+/*
+ * mover - moves of services to other versions, judged for all entries
+ *
+ * Every hub gets what all entries send and see and judges each move
+ * (policy/rollout.h). The first live hub writes the changes into the
+ * replicated log, each against the record that it knows: so a second one
+ * that does the same changes nothing. The record says how much of a
+ * service's traffic the new version may get; entries follow it
+ * (gateway/versions.h).
+ *
+ * A move is completed once all its traffic has moved and no request runs on
+ * the former version, or just before its time is over.
+ */
+#ifndef MG_MOVER_H
+#define MG_MOVER_H
+
+#include "group/group_client.h"
+#include "policy/rollout.h"
+#include "topology/registry.h"
+
+typedef struct mg_mover mg_mover;
+
+typedef struct mg_mover_options {
+    mg_clock *clock;
+    mg_registry *registry;
+    mg_group_client *client;
+    int64_t ack_ms; /* a change is written within */
+    /* requests of all entries on targets of a service with another version */
+    double (*running_on_others)(void *user, const char *service,
+                                const char *version);
+    void *user;
+} mg_mover_options;
+
+mg_mover *
+mg_mover_new(const mg_mover_options *opts);
+void
+mg_mover_free(mg_mover *m);
+/* The record of a service's move. */
+void
+mg_mover_record(mg_mover *m, const mg_rec_rollout_msg *rec, uint64_t rev);
+/* What an entry, this one or another, sent and saw. */
+void
+mg_mover_samples(mg_mover *m, const mg_rollout_samples_msg *s);
+/* leads: this node is the first live hub. */
+void
+mg_mover_tick(mg_mover *m, bool leads);
+/*
+ * An operator's order. done: MG_OK when it is written (or was before),
+ * MG_E_CONFLICT when another move of the service runs, MG_E_NO_LEADER when
+ * the outcome is not known.
+ */
+void
+mg_mover_start(mg_mover *m, const char *service, const char *version,
+               int64_t window_ms, mg_group_done done, void *user);
+
+typedef struct mg_move_status {
+    const char *version;
+    mg_move_state state;
+} mg_move_status;
+
+/* false when no move of the service was ever ordered */
+bool
+mg_mover_status(const mg_mover *m, const char *service, mg_move_status *out);
+
+#endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -37,6 +37,7 @@
     mg_group_client *client;
     mg_registry *registry;
     mg_gateway *gateway;
+    mg_mover *mover;
     mg_http_server *callers;
     uv_timer_t timer;
     uv_prepare_t prepare;
@@ -125,6 +126,10 @@
     else if (m.type == MG_MSG_SEATS) {
         on_seats(n, r->rev, m.u.seats.holders);
     }
+    else if (m.type == MG_MSG_REC_ROLLOUT) {
+        mg_gateway_set_move(n->gateway, &m.u.rec_rollout);
+        mg_mover_record(n->mover, &m.u.rec_rollout, r->rev);
+    }
 }
 
 /* an operator's document on its way through the log */
@@ -209,6 +214,73 @@
     mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_done, g);
 }
 
+/* ---------------------------------------------------------------- moves */
+
+static double
+running_on_others(void *user, const char *service, const char *version)
+{
+    const mg_node *n = user;
+    return mg_gateway_running_on_others(n->gateway, service, version);
+}
+
+static void
+tell_move_news(void *user, const mg_msg *m)
+{
+    mg_node *n = user;
+    mg_mesh_tell_hubs(n->mesh, m);
+    if (mg_mesh_is_hub(n->mesh)) {
+        mg_mover_samples(n->mover, &m->u.rollout_samples);
+    }
+}
+
+void
+mg_node_start_move(mg_node *n, const char *service, const char *version,
+                   int64_t window_ms, mg_group_done done, void *user)
+{
+    const mg_routing *t = mg_gateway_routing(n->gateway);
+    if (t == NULL) {
+        done(user, MG_E_NO_QUORUM, 0, "no document is known here");
+        return;
+    }
+    if (mg_routing_service(t, mg_str_of(service)) == NULL) {
+        done(user, MG_E_NOT_FOUND, 0, "no such service");
+        return;
+    }
+    mg_mover_start(n->mover, service, version, window_ms, done, user);
+}
+
+struct get_move {
+    mg_node *node;
+    char service[MG_NAME_SIZE];
+    void (*done)(void *user, mg_rc rc, const mg_move_status *s);
+    void *user;
+};
+
+static void
+get_move_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct get_move *g = user;
+    mg_move_status s;
+    (void)rev;
+    (void)why;
+    bool known =
+        rc == MG_OK && mg_mover_status(g->node->mover, g->service, &s);
+    g->done(g->user, rc, known ? &s : NULL);
+    free(g);
+}
+
+void
+mg_node_get_move(mg_node *n, const char *service,
+                 void (*done)(void *user, mg_rc rc, const mg_move_status *s),
+                 void *user)
+{
+    struct get_move *g = mg_alloc(sizeof(*g));
+    *g = (struct get_move){.node = n, .done = done, .user = user};
+    mg_str_copy(g->service, sizeof(g->service), mg_str_of(service));
+    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_move_done,
+                            g);
+}
+
 /* -------------------------------------------------------------- targets */
 
 static mg_announce_result
@@ -294,6 +366,9 @@
     if (m->type == MG_MSG_SEATS) {
         on_seats(n, m->u.seats.rev, m->u.seats.holders);
     }
+    else if (m->type == MG_MSG_ROLLOUT_SAMPLES) {
+        mg_mover_samples(n->mover, &m->u.rollout_samples);
+    }
     else if (!mg_mesh_receive(n->mesh, peer, m)) {
         mg_group_client_receive(n->client, peer, m);
     }
@@ -399,6 +474,8 @@
         n->stats_at = now + STATS_MS;
         log_stats(n);
     }
+    mg_gateway_move_news(n->gateway, tell_move_news, n);
+    mg_mover_tick(n->mover, mg_mesh_leads(n->mesh));
     mg_gateway_tick(n->gateway);
     if (n->drain_since != 0) {
         watch_drain(n, now);
@@ -514,6 +591,14 @@
         .on_record = on_record,
         .user = n,
     });
+    n->mover = mg_mover_new(&(mg_mover_options){
+        .clock = n->clock,
+        .registry = n->registry,
+        .client = n->client,
+        .ack_ms = s->ack_ms,
+        .running_on_others = running_on_others,
+        .user = n,
+    });
     mg_mesh_set_contacts(n->mesh, &n->seats, mesh_port);
     mg_mesh_set_hubs(n->mesh, &n->seats, mesh_port);
     mg_group_client_set_members(n->client, &n->seats, (uint16_t)s->link_port);
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -19,6 +19,12 @@
 /* answers at the present share before it grows */
 #define STEP_MIN_SAMPLES 10
 #define STEP_MIN_MS 1000
+/* of a bounded time: one step, a step without enough answers, and the part
+   in which the share stays small, at the first step of the ramp */
+#define WINDOW_STEP_MS 400
+#define WINDOW_SLOW_STEPS 10
+#define WINDOW_SMALL_PART 0.45
+#define SMALL_PERMILLE 20
 /* grants to the new version that are not yet judged, in CANARY */
 #define CANARY_OPEN_MAX 6
 /* grants asked from the log at a time */
@@ -57,6 +63,8 @@
     int64_t start_wall_ms;
     int64_t by_wall_ms;
     double canary_percent;
+    int64_t window_ms;
+    double slow_factor;
     mg_move_state state;
     uint32_t share;
     bool condemned; /* local verdict, stands before the log has it */
@@ -92,6 +100,8 @@
     r->start_wall_ms = o->start_wall_ms;
     r->by_wall_ms = o->by_wall_ms;
     r->canary_percent = o->canary_percent;
+    r->window_ms = o->window_ms;
+    r->slow_factor = o->slow_factor > 0 ? o->slow_factor : SLOW_FACTOR;
     r->state = o->state;
     r->share = o->share_permille;
     r->reserved = o->reserved;
@@ -238,7 +248,7 @@
     if (s->failed || b->samples < BASELINE_MIN_SAMPLES) {
         return;
     }
-    bool slow = s->first_per_token > b->first_per_token * SLOW_FACTOR;
+    bool slow = s->first_per_token > b->first_per_token * r->slow_factor;
     sprt_add(&route->slow_first, slow, SLOW_RATE_GOOD, SLOW_RATE_BAD);
     if (route->slow_first.odds > BAD_LOG_ODDS) {
         condemn(r, route, "slow_first_token", route->slow_first.odds);
@@ -246,7 +256,7 @@
     if (s->gap_ms <= 0 || b->gap_ms <= 0) {
         return;
     }
-    slow = s->gap_ms > b->gap_ms * SLOW_FACTOR;
+    slow = s->gap_ms > b->gap_ms * r->slow_factor;
     sprt_add(&route->slow_gap, slow, SLOW_RATE_GOOD, SLOW_RATE_BAD);
     if (route->slow_gap.odds > BAD_LOG_ODDS) {
         condemn(r, route, "slow_tokens", route->slow_gap.odds);
@@ -285,11 +295,39 @@
            all->slow_gap.odds <= 0;
 }
 
+static int64_t
+step_ms(const mg_rollout *r)
+{
+    return r->window_ms > 0 ? WINDOW_STEP_MS : STEP_MIN_MS;
+}
+
+/* bounded in time, with few answers and none that speaks against it */
+static bool
+step_timed_out(const mg_rollout *r, int64_t age_ms)
+{
+    const struct route *all = &r->routes[0];
+    return r->window_ms > 0 && age_ms >= r->window_ms / WINDOW_SLOW_STEPS &&
+           all->failures.odds <= 0 && all->slow_first.odds <= 0 &&
+           all->slow_gap.odds <= 0;
+}
+
+static bool
+stays_small(const mg_rollout *r)
+{
+    int64_t left = r->by_wall_ms - mg_wall(r->clock);
+    return r->window_ms > 0 && r->share >= SMALL_PERMILLE &&
+           (double)left > (1 - WINDOW_SMALL_PART) * (double)r->window_ms;
+}
+
 static bool
 step_done(const mg_rollout *r)
 {
-    return r->step_answers >= STEP_MIN_SAMPLES &&
-           mg_now(r->clock) - r->step_at >= STEP_MIN_MS && proved(r);
+    int64_t age = mg_now(r->clock) - r->step_at;
+    if (age < step_ms(r) || stays_small(r)) {
+        return false;
+    }
+    return (r->step_answers >= STEP_MIN_SAMPLES && proved(r)) ||
+           step_timed_out(r, age);
 }
 
 static bool
@@ -304,8 +342,12 @@
 }
 
 static uint32_t
-next_share(uint32_t share)
+next_share(const mg_rollout *r)
 {
+    uint32_t share = r->state == MG_MOVE_RAMP ? r->share : 0;
+    if (share == 0 && r->window_ms > 0) {
+        return SMALL_PERMILLE;
+    }
     for (size_t i = 0; i < RAMP_STEPS; i++) {
         if (ramp_permille[i] > share) {
             return ramp_permille[i];
@@ -354,12 +396,12 @@
         return reserve_more(r, c);
     }
     if (r->state == MG_MOVE_CANARY) {
-        return change(r, c, MG_MOVE_RAMP, next_share(0), "canary proved");
+        return change(r, c, MG_MOVE_RAMP, next_share(r), "canary proved");
     }
     if (r->share == 1000) {
         return change(r, c, MG_MOVE_DONE, 1000, "all traffic proved");
     }
-    return change(r, c, MG_MOVE_RAMP, next_share(r->share), "step proved");
+    return change(r, c, MG_MOVE_RAMP, next_share(r), "step proved");
 }
 
 void
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -52,6 +52,15 @@
     int64_t start_wall_ms;
     int64_t by_wall_ms;
     double canary_percent;
+    /*
+     * Time for the whole move, 0: as long as it takes. With it the share
+     * stays small for the first part of the time, and a step that brings
+     * too few answers ends by time, if nothing speaks against the version.
+     */
+    int64_t window_ms;
+    /* times the old version's mean that count as slow, 0: the usual factor;
+       more where targets of one version differ in speed by themselves */
+    double slow_factor;
     /* from the control log */
     mg_move_state state;
     uint32_t share_permille;
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -71,6 +71,12 @@
 #define MG_FIELDS_REC_MOVE(F) \
     F(STR, move) F(STR, pool) F(U64, state) F(U64, share_permille) \
     F(U64, reserved) F(U64, wall_ms) F(STR, reason)
+/* a move of a service's traffic to another version, as a whole installation
+   carries it out; left_ms: to its end, when the record was written */
+#define MG_FIELDS_REC_ROLLOUT(F) \
+    F(STR, service) F(STR, version) F(U64, state) F(U64, share_permille) \
+    F(U64, reserved) F(U64, window_ms) F(U64, left_ms) \
+    F(STR, reason)
 #define MG_FIELDS_REC_QUARANTINE(F) \
     F(U64, fingerprint) F(STR, pool) F(U64, marks) F(STR, target) \
     F(U64, until_wall_ms)
@@ -173,6 +179,14 @@
 #define MG_FIELDS_LOAD_USAGE(F) F(STR, workspace) F(U64, used)
 #define MG_FIELDS_LOAD_POOL(F) F(STR, service) F(U64, waiting)
 
+/* what an entry sent and saw since it last said so, for a move */
+#define MG_FIELDS_ROLLOUT_SAMPLES(F) \
+    F(STR, service) F(STR, version) F(U64, sent_old) F(U64, sent_new) \
+    F(BIN, samples)
+#define MG_FIELDS_ROLLOUT_SAMPLE(F) \
+    F(STR, route) F(U64, is_new) F(U64, failed) F(U64, first_ns_per_token) \
+    F(U64, gap_us)
+
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
     M(1, HELLO, hello) \
@@ -203,6 +217,7 @@
     M(38, SNAP_CLAIM, snap_claim) \
     M(39, SNAP_CREDIT, snap_credit) \
     M(40, SNAP_BATCH, snap_batch) \
+    M(41, REC_ROLLOUT, rec_rollout) \
     M(50, RENEW, renew) \
     M(51, RENEW_REP, renew_rep) \
     M(52, NOT_LEADER, not_leader) \
@@ -243,7 +258,9 @@
     M(121, REPORTS, reports) \
     M(122, LOAD_TARGET, load_target) \
     M(123, LOAD_USAGE, load_usage) \
-    M(124, LOAD_POOL, load_pool)
+    M(124, LOAD_POOL, load_pool) \
+    M(125, ROLLOUT_SAMPLES, rollout_samples) \
+    M(126, ROLLOUT_SAMPLE, rollout_sample)
 
 /* clang-format on */
 
@@ -281,6 +298,7 @@
     MG_KIND_MOVE,
     MG_KIND_QUARANTINE,
     MG_KIND_SEATS, /* a SEATS message; its rev is that of the record */
+    MG_KIND_ROLLOUT,
 } mg_record_kind;
 
 /* Name for logs. */
