A request that ends the targets that run it is refused after three

Cause: nothing on the platform's path knew such a request again when it came under another id, at another entry.

Change: a connection that breaks while a request runs is followed by a probe of the target: refused, no process listens there, and the request's fingerprint (path, workspace, body) gets a mark; entries tell each other with their reports. With three ends it is refused as not run. A broken connection alone proves nothing: a popular key on targets that reset answers would be shut out.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "gateway/gateway_int.h"
 #include "gateway/pick.h"
+#include "gateway/suspects.h"
 
 /* an answer that is kept until it is whole, bytes */
 #define BODY_MAX (8u << 20)
@@ -25,6 +26,7 @@
 /* not said by the caller and the route */
 #define DEADLINE_DEFAULT_MS 30000
 #define RETRY_AFTER_MS 250
+#define SUSPECT_RETRY_MS 3000
 #define DECODE_DEFAULT 64
 /* the rest is left for what entries admit before they hear of each other */
 #define QUOTA_MARGIN_USED 0.4
@@ -551,6 +553,7 @@
     }
     else if (!stale_channel) {
         target_failed(f, false);
+        mg_suspect_cut(f->gw, f->target, mg_suspect_fingerprint(f));
     }
     if (end == MG_CHANNEL_UNREACHED) {
         mg_count(MG_C_CONNECT_FAILED, 1);
@@ -833,6 +836,11 @@
         refuse(f, status, -1, "key");
         return;
     }
+    if (!mg_quarantine_is_empty(gw->suspects) &&
+        mg_suspect_is_refused(gw, mg_suspect_fingerprint(f))) {
+        refuse(f, 503, SUSPECT_RETRY_MS, "ended_its_targets");
+        return;
+    }
     if (!take_quota(f)) {
         return;
     }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include "base/counter.h"
 #include "base/event.h"
 #include "gateway/gateway_int.h"
+#include "gateway/suspects.h"
 
 #define SWEEP_MS 500
 /* a report that is older counts no more, ms */
@@ -108,6 +109,7 @@
         m.u.load_usage.used = u->quota.used;
         mg_msg_encode(&m, loads);
     }
+    mg_suspect_report(gw, loads);
 }
 
 /* what a former report said a workspace had used, 0 when nothing */
@@ -216,6 +218,9 @@
         if (m.type == MG_MSG_LOAD_USAGE) {
             drain_quota(gw, p, &m.u.load_usage);
         }
+        else if (m.type == MG_MSG_LOAD_CRASH) {
+            mg_suspect_hear(gw, &m.u.load_crash);
+        }
     }
     p->loads.n = 0;
     mg_buf_put(&p->loads, loads.p, loads.n);
@@ -248,6 +253,7 @@
     mg_str_copy(gw->domain, sizeof(gw->domain), mg_str_of(opts->domain));
     mg_rng_init(&gw->rng, opts->seed);
     init_list_head(&gw->due_pools);
+    gw->suspects = mg_quarantine_new();
     gw->versions = mg_versions_new(opts->clock);
     gw->entries = 1;
     gw->gen = 1;
@@ -386,6 +392,7 @@
     if (now >= gw->sweep_at) {
         gw->sweep_at = now + SWEEP_MS;
         drop_stale_reports(gw);
+        mg_quarantine_expire(gw->suspects, now);
         mg_registry_each(gw->opts.registry, sweep_target, NULL);
     }
 }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -13,6 +13,7 @@
 #include "gateway/patience.h"
 #include "gateway/quota.h"
 #include "gateway/versions.h"
+#include "policy/quarantine.h"
 #include "policy/tierq.h"
 #include "wire/channel.h"
 
@@ -84,6 +85,8 @@
     struct list_head due_pools;
     mg_gw_usage *usage;
     mg_versions *versions;
+    mg_quarantine *suspects;
+    mg_buf crashes; /* LOAD_CRASH messages, not reported yet */
     mg_gw_peer *peers;
     size_t open;
     size_t entries; /* live ones */
--- /dev/null
+++ b/src/gateway/suspects.c
@@ -0,0 +1,132 @@
+#include "gateway/suspects.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "base/event.h"
+
+#define PROBE_MS 500
+
+/* a connection that only finds out whether anybody listens */
+typedef struct probe {
+    mg_channel_user user; /* first: a channel gives it back */
+    mg_gateway *gw;
+    mg_channel *channel;
+    uv_timer_t timer;
+    uint64_t fingerprint;
+    uint64_t born_ms;
+    char target[MG_NAME_SIZE];
+} probe;
+
+uint64_t
+mg_suspect_fingerprint(const mg_flow *f)
+{
+    const mg_call *c = &f->call;
+    mg_str who = f->workspace != NULL ? mg_str_of(f->workspace->name) : c->key;
+    uint64_t path = mg_hash2(mg_http_path(c->http), mg_http_query(c->http));
+    uint64_t rest = mg_hash2(who, mg_http_body(c->http));
+    uint64_t h = mg_hash2((mg_str){(const char *)&path, sizeof(path)},
+                          (mg_str){(const char *)&rest, sizeof(rest)});
+    return h != 0 ? h : 1;
+}
+
+bool
+mg_suspect_is_refused(mg_gateway *gw, uint64_t fingerprint)
+{
+    return mg_quarantine_marks(gw->suspects, fingerprint,
+                               mg_now(gw->opts.clock)) >= MG_SUSPECT_MARKS;
+}
+
+static void
+mark(mg_gateway *gw, uint64_t fingerprint, const char *target,
+     uint64_t born_ms)
+{
+    unsigned marks = mg_quarantine_mark(gw->suspects, fingerprint, target,
+                                        born_ms, mg_now(gw->opts.clock));
+    mg_log(marks < MG_SUSPECT_MARKS ? MG_EV_CRASH_SUSPECT : MG_EV_QUARANTINE,
+           "fingerprint=%016" PRIx64 " target=%s born=%" PRIu64 " marks=%u",
+           fingerprint, target, born_ms, marks);
+}
+
+void
+mg_suspect_hear(mg_gateway *gw, const mg_load_crash_msg *m)
+{
+    char target[MG_NAME_SIZE];
+    mg_str_copy(target, sizeof(target), m->target);
+    mark(gw, m->fingerprint, target, m->born_ms);
+}
+
+void
+mg_suspect_report(mg_gateway *gw, mg_buf *loads)
+{
+    mg_buf_put(loads, gw->crashes.p, gw->crashes.n);
+    gw->crashes.n = 0;
+}
+
+static void
+target_has_ended(probe *p)
+{
+    mg_msg m = {.type = MG_MSG_LOAD_CRASH};
+    m.u.load_crash.fingerprint = p->fingerprint;
+    m.u.load_crash.target = mg_str_of(p->target);
+    m.u.load_crash.born_ms = p->born_ms;
+    mg_msg_encode(&m, &p->gw->crashes);
+    mark(p->gw, p->fingerprint, p->target, p->born_ms);
+}
+
+static void
+on_probe_closed(uv_handle_t *h)
+{
+    free(h->data);
+}
+
+static void
+end_probe(probe *p)
+{
+    if (p->channel != NULL) {
+        mg_channel_close(p->channel);
+        p->channel = NULL;
+    }
+    uv_close((uv_handle_t *)&p->timer, on_probe_closed);
+}
+
+static void
+on_probe_open(mg_channel_user *u)
+{
+    end_probe((probe *)u);
+}
+
+static void
+on_probe_end(mg_channel_user *u, mg_channel_end end)
+{
+    probe *p = (probe *)u;
+    p->channel = NULL;
+    if (end == MG_CHANNEL_UNREACHED) {
+        target_has_ended(p);
+    }
+    end_probe(p);
+}
+
+/* no answer: a cut or a busy target, which says nothing of its end */
+static void
+on_probe_timer(uv_timer_t *t)
+{
+    end_probe(t->data);
+}
+
+void
+mg_suspect_cut(mg_gateway *gw, mg_gw_target *t, uint64_t fingerprint)
+{
+    const mg_announcement *is = &t->instance->is;
+    probe *p = mg_alloc(sizeof(*p));
+    p->user =
+        (mg_channel_user){.on_open = on_probe_open, .on_end = on_probe_end};
+    p->gw = gw;
+    p->fingerprint = fingerprint;
+    p->born_ms = is->born_ms;
+    mg_str_copy(p->target, sizeof(p->target), mg_str_of(is->id));
+    uv_timer_init(gw->opts.loop, &p->timer);
+    p->timer.data = p;
+    uv_timer_start(&p->timer, on_probe_timer, PROBE_MS, 0);
+    p->channel = mg_gw_new_channel(t, &p->user);
+}
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -94,6 +94,12 @@
     return m != NULL && m->until_wall_ms > wall_ms ? m->marks : 0;
 }
 
+bool
+mg_quarantine_is_empty(const mg_quarantine *q)
+{
+    return q->marks == NULL;
+}
+
 void
 mg_quarantine_expire(mg_quarantine *q, int64_t wall_ms)
 {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -39,6 +39,8 @@
 unsigned
 mg_quarantine_marks(const mg_quarantine *q, uint64_t fingerprint,
                     int64_t wall_ms);
+bool
+mg_quarantine_is_empty(const mg_quarantine *q);
 /* Forgets expired marks. */
 void
 mg_quarantine_expire(mg_quarantine *q, int64_t wall_ms);
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -186,6 +186,9 @@
 #define MG_FIELDS_ROLLOUT_SAMPLE(F) \
     F(STR, route) F(U64, is_new) F(U64, failed) F(U64, first_ns_per_token) \
     F(U64, gap_us)
+/* a request was running at a target when that ended */
+#define MG_FIELDS_LOAD_CRASH(F) \
+    F(U64, fingerprint) F(STR, target) F(U64, born_ms)
 
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
@@ -260,7 +263,8 @@
     M(123, LOAD_USAGE, load_usage) \
     M(124, LOAD_POOL, load_pool) \
     M(125, ROLLOUT_SAMPLES, rollout_samples) \
-    M(126, ROLLOUT_SAMPLE, rollout_sample)
+    M(126, ROLLOUT_SAMPLE, rollout_sample) \
+    M(127, LOAD_CRASH, load_crash)
 
 /* clang-format on */
 
--- /dev/null
+++ b/tests/unit/suspects_test.c
@@ -0,0 +1,129 @@
+/* requests that end the targets that run them */
+#include "suite.h"
+
+#include "gateway/suspects.h"
+
+#define SUSPECT 77
+/* nobody listens there, somebody does */
+#define DEAD_ADDR "127.0.0.1:1"
+#define LIVE_ADDR "127.0.0.1:24791"
+
+static mg_manual_clock clk;
+static mg_registry *registry;
+static uv_loop_t loop;
+
+static mg_gateway *
+open_gateway(void)
+{
+    mg_manual_clock_init(&clk);
+    clk.mono = 1000;
+    registry = mg_registry_new(&clk.clock);
+    return mg_gateway_new(&(mg_gateway_options){
+        .loop = &loop,
+        .clock = &clk.clock,
+        .registry = registry,
+        .domain = "d",
+    });
+}
+
+static mg_gw_target *
+add_target(mg_gateway *gw, const char *id, const char *addr)
+{
+    mg_announcement a = {.slots = 4, .seq = 1, .born_ms = 5};
+    mg_str_copy(a.id, sizeof(a.id), mg_str_of(id));
+    mg_str_copy(a.service, sizeof(a.service), mg_str_of("s"));
+    mg_str_copy(a.addr, sizeof(a.addr), mg_str_of(addr));
+    mg_registry_announce(registry, &a);
+    return mg_gw_target_of(gw, mg_registry_find(registry, id));
+}
+
+static void
+hear(mg_gateway *gw, uint64_t fingerprint, const char *target, uint64_t born)
+{
+    mg_load_crash_msg m = {fingerprint, mg_str_of(target), born};
+    mg_suspect_hear(gw, &m);
+}
+
+static void
+test_three_ends(void)
+{
+    mg_gateway *gw = open_gateway();
+    hear(gw, SUSPECT, "i-1", 5);
+    hear(gw, SUSPECT, "i-1", 5); /* the same end, told twice */
+    hear(gw, SUSPECT, "i-2", 5);
+    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    hear(gw, SUSPECT, "i-2", 9); /* its next run */
+    CU_ASSERT_TRUE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT + 1));
+    clk.mono += MG_QUARANTINE_MS + 1;
+    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+}
+
+/* ends that other entries saw count, each once */
+static void
+test_told(void)
+{
+    mg_gateway *one = open_gateway();
+    mg_gateway *other = open_gateway();
+    mg_buf loads = {0};
+    for (int i = 0; i < MG_SUSPECT_MARKS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "i-%d", i);
+        mg_suspect_cut(one, add_target(one, id, DEAD_ADDR), SUSPECT);
+    }
+    uv_run(&loop, UV_RUN_DEFAULT);
+    CU_ASSERT_TRUE(mg_suspect_is_refused(one, SUSPECT));
+    mg_gateway_report(one, &loads);
+    mg_gateway_take_report(other, "10.0.0.1", 1, mg_str_buf(&loads));
+    CU_ASSERT_TRUE(mg_suspect_is_refused(other, SUSPECT));
+    loads.n = 0;
+    mg_gateway_report(one, &loads);
+    CU_ASSERT_EQUAL(loads.n, 0);
+    mg_buf_free(&loads);
+}
+
+static void
+on_connection(uv_stream_t *server, int status)
+{
+    (void)server;
+    (void)status;
+}
+
+/* a broken connection of a target that still listens proves nothing */
+static void
+test_alive(void)
+{
+    mg_gateway *gw = open_gateway();
+    struct sockaddr_in addr;
+    uv_tcp_t server;
+    mg_addr_parse(LIVE_ADDR, &addr);
+    uv_tcp_init(&loop, &server);
+    CU_ASSERT_EQUAL_FATAL(
+        uv_tcp_bind(&server, (const struct sockaddr *)&addr, 0), 0);
+    CU_ASSERT_EQUAL_FATAL(uv_listen((uv_stream_t *)&server, 8, on_connection),
+                          0);
+    for (int i = 0; i < MG_SUSPECT_MARKS; i++) {
+        char id[16];
+        snprintf(id, sizeof(id), "i-%d", i);
+        mg_suspect_cut(gw, add_target(gw, id, LIVE_ADDR), SUSPECT);
+    }
+    for (int i = 0; i < 20; i++) {
+        uv_run(&loop, UV_RUN_NOWAIT);
+    }
+    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    uv_close((uv_handle_t *)&server, NULL);
+    uv_run(&loop, UV_RUN_DEFAULT);
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"three ends of targets", test_three_ends},
+        {"what other entries saw", test_told},
+        {"a target that still listens", test_alive},
+        CU_TEST_INFO_NULL,
+    };
+    uv_loop_init(&loop);
+    return run_suite("suspects", tests);
+}
