Targets are remembered over the end of all hosts

Cause: after all hosts had ended at once, each target was known again only when it announced itself, up to 1.2 s later; the first ones known took all the load.

Change: hosts with a disk save the ready targets (a file replaced whole by a thread of libuv's pool, after each change) and take them up at the start, for all others too.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -308,6 +308,7 @@
     mg_gw_target *t = i->owner_data;
     i->owner_data = NULL;
     if (t != NULL) {
+        t->gw->gen++;
         mg_gw_close_all(t);
         free(t);
     }
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -169,7 +169,7 @@
     list_for_each(el, &g->instances)
     {
         mg_instance *i = list_entry(el, mg_instance, link);
-        if (i->is.state != MG_INSTANCE_READY) {
+        if (!mg_instance_is_usable(i, now)) {
             continue;
         }
         mg_candidate c = candidate_of(mg_gw_target_of(gw, i), now);
@@ -240,7 +240,7 @@
     list_for_each(el, &g->instances)
     {
         mg_instance *i = list_entry(el, mg_instance, link);
-        if (i->is.state != MG_INSTANCE_READY || c->n == CANDIDATES_MAX) {
+        if (!mg_instance_is_usable(i, now) || c->n == CANDIDATES_MAX) {
             continue;
         }
         mg_gw_target *t = mg_gw_target_of(gw, i);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,6 +9,7 @@
 #include "base/event.h"
 #include "base/loopwatch.h"
 #include "control/state.h"
+#include "node/target_file.h"
 
 #define TICK_MS 50
 #define REPORT_MS 100
@@ -17,6 +18,8 @@
 #define REPORT_MOST_MS 500
 #define SWEEP_MS 1000
 #define STATS_MS 10000
+/* the targets are saved so long after a change, ms */
+#define SAVE_MS 200
 /* callers learn within this that the node is to be left, ms */
 #define DRAIN_LEAST_MS 2500
 /* the end comes so much before the grace time is over, ms */
@@ -49,6 +52,8 @@
     int64_t sweep_at;
     int64_t stats_at;
     int64_t opened_at;
+    mg_target_file *target_file; /* NULL: no data folder */
+    int64_t save_at;             /* 0: nothing has changed */
     mg_loopwatch watch;
     mg_seats seats;  /* voters of the log, who are hubs too */
     mg_buf document; /* text in force */
@@ -296,9 +301,10 @@
         mg_log(a->state == MG_INSTANCE_READY ? MG_EV_TARGET_UP
                                              : MG_EV_TARGET_LEAVING,
                "id=%s service=%s addr=%s domain=%s version=%s slots=%u "
-               "state=%d born=%" PRIu64 " seq=%" PRIu64,
+               "state=%d born=%" PRIu64 " seq=%" PRIu64 " remembered=%d",
                a->id, a->service, a->addr, a->domain, a->version, a->slots,
-               a->state, a->born_ms, a->seq);
+               a->state, a->born_ms, a->seq, a->remembered);
+        n->save_at = n->save_at ? n->save_at : mg_now(n->clock) + SAVE_MS;
         mg_gateway_instance_changed(n->gateway,
                                     mg_registry_find(n->registry, a->id));
     }
@@ -479,6 +485,10 @@
         join_memory_group(n, now);
         mg_registry_sweep(n->registry, mg_gateway_forget);
     }
+    if (n->target_file != NULL && n->save_at != 0 && now >= n->save_at &&
+        mg_target_file_save(n->target_file, n->registry)) {
+        n->save_at = 0;
+    }
     if (now >= n->stats_at) {
         n->stats_at = now + STATS_MS;
         log_stats(n);
@@ -663,6 +673,23 @@
                         err);
 }
 
+static void
+remember_target(void *user, const mg_announcement *a)
+{
+    mg_node *n = user;
+    take_announcement(n, a);
+}
+
+static void
+open_target_file(mg_node *n)
+{
+    if (n->settings.data_dir[0] != '\0') {
+        n->target_file = mg_target_file_new(n->loop, n->settings.data_dir);
+        mg_target_file_load(n->target_file, remember_target, n);
+        n->save_at = 0;
+    }
+}
+
 static void
 start_clockwork(mg_node *n)
 {
@@ -718,6 +745,7 @@
         rc = open_callers(n, err);
     }
     if (rc == MG_OK) {
+        open_target_file(n);
         start_clockwork(n);
         *out = n;
     }
--- a/src/topology/registry.c
+++ b/src/topology/registry.c
@@ -126,7 +126,7 @@
 mg_registry_announce(mg_registry *r, const mg_announcement *a)
 {
     mg_instance *i = mg_registry_find(r, a->id);
-    if (i != NULL && a->born_ms < i->is.born_ms) {
+    if (i != NULL && (a->remembered || a->born_ms < i->is.born_ms)) {
         return MG_ANNOUNCE_STALE;
     }
     if (i == NULL || a->born_ms > i->is.born_ms) {
@@ -139,9 +139,10 @@
         start_run(r, i, a);
         return MG_ANNOUNCE_NEW;
     }
-    if (a->seq <= i->is.seq || a->state < i->is.state) {
+    if ((a->seq <= i->is.seq && !i->is.remembered) || a->state < i->is.state) {
         return MG_ANNOUNCE_STALE;
     }
+    i->is.remembered = false;
     bool changed = a->state != i->is.state;
     i->heard_ms = mg_now(r->clock);
     i->is.seq = a->seq;
@@ -167,7 +168,8 @@
     mg_instance *i1;
     HASH_ITER(hh, r->instances, i, i1)
     {
-        if (i->users > 0 || now - i->heard_ms < MG_FORGET_MS) {
+        int64_t keep_ms = i->is.remembered ? MG_REMEMBER_MS : MG_FORGET_MS;
+        if (i->users > 0 || now - i->heard_ms < keep_ms) {
             continue;
         }
         HASH_DEL(r->instances, i);
@@ -177,6 +179,13 @@
     }
 }
 
+bool
+mg_instance_is_usable(const mg_instance *i, int64_t now)
+{
+    return i->is.state == MG_INSTANCE_READY &&
+           (!i->is.remembered || now - i->heard_ms < MG_REMEMBER_MS);
+}
+
 bool
 mg_instance_is_silent(const mg_instance *i, int64_t now)
 {
@@ -197,6 +206,7 @@
         .born_ms = a->born_ms,
         .seq = a->seq,
         .cold_ms = a->cold_ms,
+        .remembered = a->remembered,
     };
 }
 
@@ -213,6 +223,7 @@
         .born_ms = m->born_ms,
         .seq = m->seq,
         .cold_ms = m->cold_ms,
+        .remembered = m->remembered,
     };
     mg_str_copy(a->id, sizeof(a->id), m->id);
     mg_str_copy(a->service, sizeof(a->service), m->service);
--- a/src/topology/registry.h
+++ b/src/topology/registry.h
@@ -6,6 +6,10 @@
  * the latest start counts, of one run the highest number; at one address the
  * run with the latest start is the one that lives there.
  *
+ * After a restart an instance may be known from what was saved before: it is
+ * remembered, until it announces itself. It is used at first, but soon
+ * forgotten when it does not: it may have left in the meantime.
+ *
  * An instance is never freed while users refer to it.
  */
 #ifndef MG_REGISTRY_H
@@ -20,6 +24,9 @@
 
 /* without an announcement for so long a target counts as silent */
 #define MG_SILENT_MS 5000
+/* a remembered instance that does not announce itself is not used after
+   this: two of the usual intervals */
+#define MG_REMEMBER_MS 2500
 /* an instance that is over is forgotten after this */
 #define MG_FORGET_MS 60000
 
@@ -41,6 +48,7 @@
     uint64_t born_ms; /* start of this run, ms since 1970 */
     uint64_t seq;     /* grows within a run */
     uint64_t cold_ms; /* slow for so much longer */
+    bool remembered;  /* not said by itself, but saved before a restart */
 } mg_announcement;
 
 typedef struct mg_instance {
@@ -87,6 +95,9 @@
 /* Forgets what has been over for long and has no users. */
 void
 mg_registry_sweep(mg_registry *r, void (*on_forget)(mg_instance *i));
+/* Whether requests may be sent there. */
+bool
+mg_instance_is_usable(const mg_instance *i, int64_t now);
 bool
 mg_instance_is_silent(const mg_instance *i, int64_t now);
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -167,7 +167,8 @@
 #define MG_FIELDS_NODES(F) F(BIN, nodes)
 #define MG_FIELDS_INSTANCE(F) \
     F(STR, id) F(STR, service) F(STR, addr) F(STR, domain) F(STR, version) \
-    F(U64, slots) F(U64, state) F(U64, born_ms) F(U64, seq) F(U64, cold_ms)
+    F(U64, slots) F(U64, state) F(U64, born_ms) F(U64, seq) F(U64, cold_ms) \
+    F(U64, remembered)
 #define MG_FIELDS_INSTANCES(F) F(BIN, instances)
 
 /* what an entry has under way and has used up */
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -171,6 +171,71 @@
     run_histories(address_history, HISTORIES);
 }
 
+/* remembered after a restart: used at first, then by its own word only */
+static void
+test_remembered(void)
+{
+    mg_manual_clock clock;
+    mg_manual_clock_init(&clock);
+    clock.mono = 100000;
+    mg_registry *r = mg_registry_new(&clock.clock);
+    mg_announcement saved = {.slots = 4, .born_ms = 5, .seq = 40};
+    mg_str_copy(saved.id, sizeof(saved.id), mg_str_of("i-1"));
+    mg_str_copy(saved.service, sizeof(saved.service), mg_str_of("s"));
+    mg_str_copy(saved.addr, sizeof(saved.addr), mg_str_of("10.0.0.1:80"));
+    saved.remembered = true;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &saved), MG_ANNOUNCE_NEW);
+    mg_instance *i = mg_registry_find(r, "i-1");
+    CU_ASSERT_TRUE(mg_instance_is_usable(i, clock.mono));
+    /* told once more, that is no sign of life */
+    clock.mono += MG_REMEMBER_MS / 2;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &saved), MG_ANNOUNCE_STALE);
+    clock.mono += MG_REMEMBER_MS / 2;
+    CU_ASSERT_FALSE(mg_instance_is_usable(i, clock.mono));
+    /* its own word, also one that was sent before the save */
+    mg_announcement own = saved;
+    own.remembered = false;
+    own.seq = 39;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &own), MG_ANNOUNCE_ALIVE);
+    CU_ASSERT_TRUE(mg_instance_is_usable(i, clock.mono + 1000));
+    /* nothing that was saved goes before what it says itself */
+    own.state = MG_INSTANCE_LEAVING;
+    own.seq = 41;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &own), MG_ANNOUNCE_STATE);
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &saved), MG_ANNOUNCE_STALE);
+    CU_ASSERT_FALSE(mg_instance_is_usable(i, clock.mono));
+    mg_registry_free(r);
+}
+
+static unsigned forgotten;
+
+static void
+count_forgotten(mg_instance *i)
+{
+    (void)i;
+    forgotten++;
+}
+
+static void
+test_remembered_is_forgotten(void)
+{
+    mg_manual_clock clock;
+    mg_manual_clock_init(&clock);
+    clock.mono = 100000;
+    mg_registry *r = mg_registry_new(&clock.clock);
+    mg_announcement saved = {.slots = 4, .seq = 1, .remembered = true};
+    mg_str_copy(saved.id, sizeof(saved.id), mg_str_of("i-1"));
+    mg_str_copy(saved.service, sizeof(saved.service), mg_str_of("s"));
+    mg_registry_announce(r, &saved);
+    mg_registry_sweep(r, count_forgotten);
+    CU_ASSERT_EQUAL(forgotten, 0);
+    clock.mono += MG_REMEMBER_MS;
+    mg_registry_sweep(r, count_forgotten);
+    CU_ASSERT_EQUAL(forgotten, 1);
+    CU_ASSERT_PTR_NULL(mg_registry_find(r, "i-1"));
+    mg_registry_free(r);
+}
+
 int
 main(void)
 {
@@ -179,6 +244,8 @@
         {"an address used again", test_address_used_again},
         {"histories of announcements", test_histories},
         {"histories of addresses", test_addresses},
+        {"remembered after a restart", test_remembered},
+        {"remembered and never heard of", test_remembered_is_forgotten},
         CU_TEST_INFO_NULL,
     };
     return run_suite("registry", tests);
