Callers are sent to as many hosts as the slots are worth

Cause: on the grown sites 84 to 90 entries share 450 to 560 slots, 5 or 6 each; at four fifths of the capacity an entry often has none free while another has. And the log's hosts, on which most faults strike, took a third of the callers on the small sites.

Change: the directory names a host for 24 slots or 60 requests a second, two of each failure domain and six in all at least, the same from each domain; the log's hosts only when there are fewer than six others. The entries that share the slots are those that are named and those that still have requests.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -67,6 +67,7 @@
     X(361, INFO, NODE_UP, "entry is live, as a hub says")                   \
     X(362, WARN, NODE_DOWN, "entry is no longer live; why")                 \
     X(364, INFO, HUBS, "hosts that pass on what nodes say have changed")    \
+    X(365, INFO, DIRECTORY, "number of hosts that callers are sent to")     \
     X(363, INFO, SETTINGS, "settings read again; what changed")             \
     X(400, WARN, BAD_INPUT, "malformed input refused")
 
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -744,19 +744,6 @@
                 mg_str_of(f->workspace ? f->workspace->name : "-"));
 }
 
-static mg_gw_usage *
-usage_of(mg_gateway *gw, const mg_client_workspace *w)
-{
-    mg_gw_usage *u;
-    HASH_FIND_STR(gw->usage, w->name, u);
-    if (u == NULL) {
-        u = mg_alloc(sizeof(*u));
-        mg_str_copy(u->workspace, sizeof(u->workspace), mg_str_of(w->name));
-        HASH_ADD_STR(gw->usage, workspace, u);
-    }
-    return u;
-}
-
 /* 0, or the status of a refusal */
 static int
 check_workspace(mg_flow *f)
@@ -782,7 +769,7 @@
                                                  f->call.output_tokens
                                            : w->plain_tokens;
     }
-    mg_gw_usage *u = usage_of(f->gw, w);
+    mg_gw_usage *u = mg_gw_usage_of(f->gw, w->name);
     const mg_gateway_limits *l = &f->gw->opts.limits;
     mg_quota_set(&u->quota, w->rate, w->burst,
                  w->by_tokens ? l->quota_margin * QUOTA_MARGIN_USED : 0,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,6 +10,8 @@
 #include "gateway/suspects.h"
 
 #define SWEEP_MS 500
+/* after its start an entry takes what others have used before as given, ms */
+#define BASELINE_MS 2500
 /* a report that is older counts no more, ms */
 #define REPORT_STALE_MS 2000
 
@@ -105,6 +107,9 @@
     }
     for (mg_gw_usage *u = gw->usage; u != NULL; u = u->hh.next) {
         mg_msg m = {.type = MG_MSG_LOAD_USAGE};
+        if (u->quota.used == 0) {
+            continue;
+        }
         m.u.load_usage.workspace = mg_str_of(u->workspace);
         m.u.load_usage.used = u->quota.used;
         mg_msg_encode(&m, loads);
@@ -127,17 +132,34 @@
     return 0;
 }
 
+mg_gw_usage *
+mg_gw_usage_of(mg_gateway *gw, const char *workspace)
+{
+    mg_gw_usage *u;
+    HASH_FIND_STR(gw->usage, workspace, u);
+    if (u == NULL) {
+        u = mg_alloc(sizeof(*u));
+        mg_str_copy(u->workspace, sizeof(u->workspace), mg_str_of(workspace));
+        mg_quota_set(&u->quota, 0, 0, 0, gw->opts.limits.quota_window_ms);
+        HASH_ADD_STR(gw->usage, workspace, u);
+    }
+    return u;
+}
+
+/* also of a workspace whose requests never came here: they may yet */
 static void
 drain_quota(mg_gateway *gw, const mg_gw_peer *p, const mg_load_usage_msg *l)
 {
     char name[MG_NAME_SIZE];
-    mg_gw_usage *u;
+    int64_t now = mg_now(gw->opts.clock);
     uint64_t before = used_before(p, l->workspace);
+    if (p->loads.n == 0 && now - gw->opened_ms < BASELINE_MS) {
+        return; /* a total since that entry's start, not of this window */
+    }
     mg_str_copy(name, sizeof(name), l->workspace);
-    HASH_FIND_STR(gw->usage, name, u);
-    if (u != NULL && l->used > before) {
-        mg_quota_drain(&u->quota, (double)(l->used - before),
-                       mg_now(gw->opts.clock));
+    if (l->used > before) {
+        mg_quota_drain(&mg_gw_usage_of(gw, name)->quota,
+                       (double)(l->used - before), now);
     }
 }
 
@@ -230,6 +252,22 @@
     all_due(gw);
 }
 
+bool
+mg_gateway_peer_busy(const mg_gateway *gw, const char *node)
+{
+    const mg_gw_peer *p;
+    mg_msg m;
+    HASH_FIND_STR(gw->peers, node, p);
+    mg_str rest = p != NULL ? mg_str_buf(&p->loads) : (mg_str){"", 0};
+    while (mg_msg_next(&rest, &m) == MG_OK) {
+        if (m.type == MG_MSG_LOAD_POOL ||
+            (m.type == MG_MSG_LOAD_TARGET && m.u.load_target.running > 0)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* targets of a silent entry are no longer counted as busy with its work */
 static void
 drop_stale_reports(mg_gateway *gw)
@@ -255,6 +293,7 @@
     init_list_head(&gw->due_pools);
     gw->suspects = mg_quarantine_new();
     gw->versions = mg_versions_new(opts->clock);
+    gw->opened_ms = mg_now(opts->clock);
     gw->entries = 1;
     gw->gen = 1;
     return gw;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -139,6 +139,9 @@
 void
 mg_gateway_take_report(mg_gateway *gw, const char *node, uint64_t incarnation,
                        mg_str loads);
+/* Whether the last report of another entry says that it has requests. */
+bool
+mg_gateway_peer_busy(const mg_gateway *gw, const char *node);
 /* Sends what can be sent now; once in each turn of the loop, before HTTP
    servers write. */
 void
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -89,6 +89,7 @@
     mg_buf crashes; /* LOAD_CRASH messages, not reported yet */
     mg_gw_peer *peers;
     size_t open;
+    int64_t opened_ms;
     size_t entries; /* live ones */
     size_t self;    /* this entry's place among them */
     uint64_t gen;   /* grows when entries or targets change */
@@ -156,6 +157,10 @@
 void
 mg_gw_pool_due(mg_gateway *gw, mg_gw_pool *p);
 
+/* What a workspace uses; made when it is not known yet. */
+mg_gw_usage *
+mg_gw_usage_of(mg_gateway *gw, const char *workspace);
+
 /* flow.c */
 void
 mg_flow_start(mg_gateway *gw, mg_http_req *r);
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -280,6 +280,16 @@
     }
 }
 
+/* the hubs are the hosts that keep the log */
+static void
+mark_hubs(mg_mesh *m)
+{
+    m->self.keeps_log = m->is_hub;
+    for (mg_mesh_node *o = m->nodes; o != NULL; o = o->hh.next) {
+        o->keeps_log = find_hub(m, o->node) != NULL;
+    }
+}
+
 static void
 expire_nodes(mg_mesh *m, int64_t now)
 {
@@ -402,6 +412,7 @@
     }
     n->report_incarnation = msg->u.report.incarnation;
     n->report_seq = msg->u.report.seq;
+    n->rate = (double)msg->u.report.rate;
     n->heard_ms = mg_now(m->opts.clock);
     n->live = true;
     m->opts.on_report(m->opts.user, name, msg->u.report.incarnation,
@@ -416,9 +427,11 @@
 }
 
 void
-mg_mesh_report(mg_mesh *m, mg_str loads)
+mg_mesh_report(mg_mesh *m, double rate, mg_str loads)
 {
     mg_msg msg = {.type = MG_MSG_REPORT};
+    m->self.rate = rate;
+    msg.u.report.rate = (uint64_t)rate;
     msg.u.report.node = mg_str_of(m->self.node);
     msg.u.report.incarnation = m->self.incarnation;
     msg.u.report.seq = ++m->report_seq;
@@ -555,6 +568,7 @@
 {
     int64_t now = mg_now(m->opts.clock);
     choose_primary(m, now);
+    mark_hubs(m);
     expire_nodes(m, now);
     if (now >= m->hello_at) {
         say_hello(m, false);
@@ -566,6 +580,16 @@
     }
 }
 
+double
+mg_mesh_rate(const mg_mesh *m)
+{
+    double rate = m->self.rate;
+    for (const mg_mesh_node *o = m->nodes; o != NULL; o = o->hh.next) {
+        rate += o->live ? o->rate : 0;
+    }
+    return rate;
+}
+
 size_t
 mg_mesh_ready_nodes(const mg_mesh *m, const mg_mesh_node **out, size_t max)
 {
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -39,6 +39,8 @@
     int64_t client_until; /* of a hub: the node gets batches until then */
     uint64_t report_incarnation;
     uint64_t report_seq;
+    double rate; /* requests in a second, as it reports */
+    bool keeps_log;
 } mg_mesh_node;
 
 typedef struct mg_mesh mg_mesh;
@@ -84,9 +86,9 @@
 void
 mg_mesh_announce(mg_mesh *m, const mg_announcement *a,
                  mg_announce_result result);
-/* Tells all others what this entry has under way. */
+/* Tells all others what this entry has under way, and its rate of requests. */
 void
-mg_mesh_report(mg_mesh *m, mg_str loads);
+mg_mesh_report(mg_mesh *m, double rate, mg_str loads);
 /* To all hubs, of which this node may be one: itself is not told. */
 void
 mg_mesh_tell_hubs(mg_mesh *m, const mg_msg *msg);
@@ -98,6 +100,9 @@
 /* Every 50 ms or so. */
 void
 mg_mesh_tick(mg_mesh *m);
+/* Requests in a second at all live nodes. */
+double
+mg_mesh_rate(const mg_mesh *m);
 /* Live and ready nodes, this one included when it is ready. */
 size_t
 mg_mesh_ready_nodes(const mg_mesh *m, const mg_mesh_node **out, size_t max);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,6 +9,7 @@
 #include "base/event.h"
 #include "base/loopwatch.h"
 #include "control/state.h"
+#include "node/directory.h"
 #include "node/target_file.h"
 
 #define TICK_MS 50
@@ -18,6 +19,10 @@
 #define REPORT_MOST_MS 500
 #define SWEEP_MS 1000
 #define STATS_MS 10000
+/* who takes callers is looked at so often, ms */
+#define ENTRIES_MS 200
+/* a rate is the mean over about this time, ms */
+#define RATE_MS 2000
 /* the targets are saved so long after a change, ms */
 #define SAVE_MS 200
 /* callers learn within this that the node is to be left, ms */
@@ -51,6 +56,12 @@
     int64_t report_at;
     int64_t sweep_at;
     int64_t stats_at;
+    int64_t entries_at;
+    const mg_mesh_node *named[ENTRIES_MAX]; /* to callers */
+    size_t named_count;
+    uint64_t rate_seen; /* requests when the rate was last looked at */
+    int64_t rate_at;
+    double rate; /* requests in a second */
     int64_t opened_at;
     mg_target_file *target_file; /* NULL: no data folder */
     int64_t save_at;             /* 0: nothing has changed */
@@ -422,20 +433,88 @@
 }
 
 static void
-tell_entries(mg_node *n)
+count_slots(void *user, mg_instance *i)
+{
+    if (i->is.state == MG_INSTANCE_READY) {
+        *(uint64_t *)user += i->is.slots;
+    }
+}
+
+static int
+by_node(const void *a, const void *b)
+{
+    return strcmp((*(const mg_mesh_node *const *)a)->node,
+                  (*(const mg_mesh_node *const *)b)->node);
+}
+
+/* which hosts callers are sent to */
+static void
+choose_named(mg_node *n, const mg_mesh_node **nodes, size_t count)
+{
+    static mg_directory_host hosts[ENTRIES_MAX];
+    static bool chosen[ENTRIES_MAX];
+    mg_directory_demand demand = {.rate = mg_mesh_rate(n->mesh)};
+    mg_registry_each(n->registry, count_slots, &demand.slots);
+    for (size_t i = 0; i < count; i++) {
+        hosts[i] = (mg_directory_host){nodes[i]->node, nodes[i]->domain,
+                                       nodes[i]->keeps_log};
+    }
+    size_t named = mg_directory_choose(hosts, count, &demand, chosen);
+    if (named != n->named_count) {
+        mg_log(MG_EV_DIRECTORY,
+               "named=%zu before=%zu ready=%zu slots=%" PRIu64 " rate=%.0f",
+               named, n->named_count, count, demand.slots, demand.rate);
+    }
+    n->named_count = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (chosen[i]) {
+            n->named[n->named_count++] = nodes[i];
+        }
+    }
+}
+
+/* the entries share the slots: those that are named, and those that still
+   have requests */
+static void
+tell_entries(mg_node *n, int64_t now)
 {
     const mg_mesh_node *nodes[ENTRIES_MAX];
     const char *names[ENTRIES_MAX];
-    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, ENTRIES_MAX);
     size_t others = 0;
+    size_t next = 0;
+    if (now < n->entries_at) {
+        return;
+    }
+    n->entries_at = now + ENTRIES_MS;
+    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, ENTRIES_MAX);
+    qsort(nodes, count, sizeof(nodes[0]), by_node);
+    choose_named(n, nodes, count);
     for (size_t i = 0; i < count; i++) {
-        if (strcmp(nodes[i]->node, n->settings.ip) != 0) {
+        bool named = next < n->named_count && n->named[next] == nodes[i];
+        next += named;
+        if (strcmp(nodes[i]->node, n->settings.ip) != 0 &&
+            (named || mg_gateway_peer_busy(n->gateway, nodes[i]->node))) {
             names[others++] = nodes[i]->node;
         }
     }
     mg_gateway_set_entries(n->gateway, n->settings.ip, names, others);
 }
 
+static void
+measure_rate(mg_node *n, int64_t now)
+{
+    uint64_t requests = mg_counter_value(MG_C_REQUESTS);
+    int64_t ms = now - n->rate_at;
+    if (ms <= 0) {
+        return;
+    }
+    double keep = ms < RATE_MS ? 1 - (double)ms / RATE_MS : 0;
+    double rate = (double)(requests - n->rate_seen) * 1000 / (double)ms;
+    n->rate = keep * n->rate + (1 - keep) * rate;
+    n->rate_seen = requests;
+    n->rate_at = now;
+}
+
 /* many nodes report less often, so that what each hears stays bounded */
 static int64_t
 report_ms(const mg_node *n)
@@ -472,12 +551,13 @@
     mg_group_client_tick(n->client);
     mg_mesh_set_ready(n->mesh, mg_node_ready(n));
     mg_mesh_tick(n->mesh);
-    tell_entries(n);
+    tell_entries(n, now);
     if (now >= n->report_at) {
         mg_buf loads = {0};
         n->report_at = now + report_ms(n);
+        measure_rate(n, now);
         mg_gateway_report(n->gateway, &loads);
-        mg_mesh_report(n->mesh, mg_str_buf(&loads));
+        mg_mesh_report(n->mesh, n->rate, mg_str_buf(&loads));
         mg_buf_free(&loads);
     }
     if (now >= n->sweep_at) {
@@ -805,5 +885,7 @@
 size_t
 mg_node_directory(const mg_node *n, const mg_mesh_node **out, size_t max)
 {
-    return mg_mesh_ready_nodes(n->mesh, out, max);
+    size_t count = n->named_count < max ? n->named_count : max;
+    memcpy(out, n->named, count * sizeof(out[0]));
+    return count;
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -48,6 +48,7 @@
 /* Whether callers may be sent here. */
 bool
 mg_node_ready(const mg_node *n);
+/* The hosts that callers are sent to; valid until the loop runs on. */
 size_t
 mg_node_directory(const mg_node *n, const mg_mesh_node **out, size_t max);
 
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -173,7 +173,7 @@
 
 /* what an entry has under way and has used up */
 #define MG_FIELDS_REPORT(F) \
-    F(STR, node) F(U64, incarnation) F(U64, seq) F(BIN, loads)
+    F(STR, node) F(U64, incarnation) F(U64, seq) F(U64, rate) F(BIN, loads)
 #define MG_FIELDS_REPORTS(F) F(BIN, reports)
 #define MG_FIELDS_LOAD_TARGET(F) \
     F(STR, id) F(U64, running) F(U64, prefill) F(U64, took_ms) F(U64, work_ms)
--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -156,7 +156,7 @@
             continue;
         }
         if ((clk.mono / STEP_MS + i) % (REPORT_MS / STEP_MS) == 0) {
-            mg_mesh_report(nodes[i].mesh, (mg_str){loads, sizeof(loads)});
+            mg_mesh_report(nodes[i].mesh, 1, (mg_str){loads, sizeof(loads)});
         }
         mg_mesh_tick(nodes[i].mesh);
     }
