Slots are dealt out within the failure domain first

Change: the deal gives every entry the same number of slots as before, as many as possible at targets of its own domain. The twin checks that, and that no slot is dealt to another domain without need.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -365,19 +365,28 @@
     return gw->open;
 }
 
+uint32_t
+mg_gw_domain_number(const char *domain)
+{
+    return (uint32_t)mg_hash(mg_str_of(domain));
+}
+
 void
-mg_gateway_set_entries(mg_gateway *gw, const char *self,
-                       const char *const *others, size_t n)
+mg_gateway_set_entries(mg_gateway *gw, const char *const *domains, size_t n,
+                       size_t self)
 {
-    size_t before = 0;
+    bool same = gw->entries == n && gw->self == self;
+    n = n < MG_GW_ENTRIES_MAX ? n : MG_GW_ENTRIES_MAX;
     for (size_t i = 0; i < n; i++) {
-        before += strcmp(others[i], self) < 0;
+        uint32_t number = mg_gw_domain_number(domains[i]);
+        same = same && gw->entry_domains[i] == number;
+        gw->entry_domains[i] = number;
     }
-    if (gw->entries != n + 1 || gw->self != before) {
-        gw->entries = n + 1;
-        gw->self = before;
+    if (!same) {
+        gw->entries = n;
+        gw->self = self;
         gw->gen++;
-        mg_versions_set_entries(gw->versions, before, n + 1);
+        mg_versions_set_entries(gw->versions, self, n);
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -128,10 +128,13 @@
 double
 mg_gateway_running_on_others(const mg_gateway *gw, const char *service,
                              const char *version);
-/* Names of the other entries that are live, and this one's. */
+/*
+ * Failure domains of the entries that share the targets' slots, in an order
+ * that is the same everywhere; self: this entry's place among them.
+ */
 void
-mg_gateway_set_entries(mg_gateway *gw, const char *self,
-                       const char *const *others, size_t n);
+mg_gateway_set_entries(mg_gateway *gw, const char *const *domains, size_t n,
+                       size_t self);
 /* What this entry has under way: LOAD_* messages. */
 void
 mg_gateway_report(mg_gateway *gw, mg_buf *loads);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -19,6 +19,8 @@
 
 /* the workspace's tier, then the route's */
 #define MG_GW_TIERS (MG_TIER_MAX * MG_TIER_MAX)
+/* entries that share the slots; more share them as these do */
+#define MG_GW_ENTRIES_MAX 1024
 
 /* what a gateway knows of an instance */
 typedef struct mg_gw_target {
@@ -90,9 +92,10 @@
     mg_gw_peer *peers;
     size_t open;
     int64_t opened_ms;
-    size_t entries; /* live ones */
+    size_t entries; /* that share the slots */
     size_t self;    /* this entry's place among them */
-    uint64_t gen;   /* grows when entries or targets change */
+    uint32_t entry_domains[MG_GW_ENTRIES_MAX];
+    uint64_t gen; /* grows when entries or targets change */
     bool closed;
     uint64_t next_ticket;
     int64_t sweep_at;
@@ -157,6 +160,9 @@
 void
 mg_gw_pool_due(mg_gateway *gw, mg_gw_pool *p);
 
+/* A number for a failure domain's name, the same everywhere. */
+uint32_t
+mg_gw_domain_number(const char *domain);
 /* What a workspace uses; made when it is not known yet. */
 mg_gw_usage *
 mg_gw_usage_of(mg_gateway *gw, const char *workspace);
--- a/src/gateway/share.h
+++ b/src/gateway/share.h
@@ -17,14 +17,21 @@
 #include <stddef.h>
 #include <stdint.h>
 
+typedef struct mg_share_target {
+    uint32_t slots;
+    uint32_t domain; /* number of its failure domain */
+} mg_share_target;
+
 /*
- * Of n targets in an order that is the same everywhere, with slots[i] each,
- * share[i] becomes the number that belongs to entry self of count entries
- * (0-based).
+ * Of n targets in an order that is the same everywhere, share[i] becomes the
+ * number of slots that belongs to entry self of count entries (0-based);
+ * domains[] are the entries' failure domains. All entries get the same
+ * number of slots, or one more; as many of them as possible at targets of
+ * their own domain.
  */
 void
-mg_share_deal(const uint32_t *slots, size_t n, size_t self, size_t count,
-              uint32_t *share);
+mg_share_deal(const mg_share_target *targets, size_t n, size_t self,
+              const uint32_t *domains, size_t count, uint32_t *share);
 /*
  * Slots of others that an entry may use of a target with so many free, until
  * the next time: at random, in [0, 1), rounded up or down. waiting: other
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -193,7 +193,7 @@
 deal_slots(mg_gateway *gw, mg_gw_pool *p, const mg_instance_group *g)
 {
     static mg_gw_target *targets[CANDIDATES_MAX];
-    static uint32_t slots[CANDIDATES_MAX];
+    static mg_share_target shares[CANDIDATES_MAX];
     static uint32_t share[CANDIDATES_MAX];
     size_t n = 0;
     if (p->share_gen == gw->gen) {
@@ -212,9 +212,11 @@
     }
     qsort(targets, n, sizeof(targets[0]), by_id);
     for (size_t i = 0; i < n; i++) {
-        slots[i] = slots_of(targets[i]);
+        shares[i] = (mg_share_target){
+            slots_of(targets[i]),
+            mg_gw_domain_number(targets[i]->instance->is.domain)};
     }
-    mg_share_deal(slots, n, gw->self, gw->entries, share);
+    mg_share_deal(shares, n, gw->self, gw->entry_domains, gw->entries, share);
     for (size_t i = 0; i < n; i++) {
         targets[i]->share = share[i];
         p->share += share[i];
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -479,8 +479,9 @@
 tell_entries(mg_node *n, int64_t now)
 {
     const mg_mesh_node *nodes[ENTRIES_MAX];
-    const char *names[ENTRIES_MAX];
-    size_t others = 0;
+    const char *domains[ENTRIES_MAX];
+    size_t entries = 0;
+    size_t self = 0;
     size_t next = 0;
     if (now < n->entries_at) {
         return;
@@ -490,14 +491,20 @@
     qsort(nodes, count, sizeof(nodes[0]), by_node);
     choose_named(n, nodes, count);
     for (size_t i = 0; i < count; i++) {
+        bool is_self = strcmp(nodes[i]->node, n->settings.ip) == 0;
         bool named = next < n->named_count && n->named[next] == nodes[i];
         next += named;
-        if (strcmp(nodes[i]->node, n->settings.ip) != 0 &&
-            (named || mg_gateway_peer_busy(n->gateway, nodes[i]->node))) {
-            names[others++] = nodes[i]->node;
+        if (is_self) {
+            self = entries;
         }
+        if (is_self || named ||
+            mg_gateway_peer_busy(n->gateway, nodes[i]->node)) {
+            domains[entries++] = nodes[i]->domain;
+        }
+    }
+    if (entries > 0) {
+        mg_gateway_set_entries(n->gateway, domains, entries, self);
     }
-    mg_gateway_set_entries(n->gateway, n->settings.ip, names, others);
 }
 
 static void
--- a/tests/unit/gateway_test.c
+++ b/tests/unit/gateway_test.c
@@ -137,9 +137,13 @@
 deal_history(uint64_t seed)
 {
     mg_rng r;
-    uint32_t slots[40];
+    mg_share_target targets[40];
+    uint32_t domains[100];
     uint32_t share[40];
     uint32_t dealt[40] = {0};
+    uint32_t supply[3] = {0}; /* slots, and entries, of each domain */
+    uint32_t mouths[3] = {0};
+    uint32_t local = 0;
     uint32_t total = 0;
     uint32_t least = UINT32_MAX;
     uint32_t most = 0;
@@ -147,24 +151,39 @@
     size_t n = 1 + mg_rng_below(&r, 40);
     size_t entries = 1 + mg_rng_below(&r, 100);
     for (size_t i = 0; i < n; i++) {
-        slots[i] = 1 + mg_rng_below(&r, 8);
-        total += slots[i];
+        targets[i] =
+            (mg_share_target){1 + mg_rng_below(&r, 8), mg_rng_below(&r, 3)};
+        total += targets[i].slots;
+        supply[targets[i].domain] += targets[i].slots;
+    }
+    for (size_t e = 0; e < entries; e++) {
+        domains[e] = mg_rng_below(&r, 3);
+        mouths[domains[e]]++;
     }
     for (size_t e = 0; e < entries; e++) {
         uint32_t sum = 0;
-        mg_share_deal(slots, n, e, entries, share);
+        mg_share_deal(targets, n, e, domains, entries, share);
         for (size_t i = 0; i < n; i++) {
             dealt[i] += share[i];
             sum += share[i];
+            local += targets[i].domain == domains[e] ? share[i] : 0;
         }
         least = sum < least ? sum : least;
         most = sum > most ? sum : most;
     }
     for (size_t i = 0; i < n; i++) {
-        if (dealt[i] != slots[i]) {
+        if (dealt[i] != targets[i].slots) {
             return "a slot was dealt to none or to two";
         }
     }
+    uint32_t least_local = 0;
+    for (int d = 0; d < 3; d++) {
+        uint32_t even = mouths[d] * (total / (uint32_t)entries);
+        least_local += supply[d] < even ? supply[d] : even;
+    }
+    if (local < least_local) {
+        return "slots were dealt to other domains without need";
+    }
     return most - least > 1 ? "entries got uneven parts" : NULL;
 }
 
@@ -207,7 +226,8 @@
 static const char *
 burst_history(uint64_t seed)
 {
-    uint32_t slots[BURST_TARGETS];
+    mg_share_target targets[BURST_TARGETS];
+    uint32_t domains[BURST_ENTRIES] = {0};
     uint32_t own[BURST_ENTRIES][BURST_TARGETS] = {{0}};
     uint32_t seen[2][BURST_TARGETS] = {{0}};
     uint32_t worst = 0;
@@ -215,13 +235,14 @@
     mg_rng r;
     mg_rng_init(&r, seed);
     for (size_t t = 0; t < BURST_TARGETS; t++) {
-        slots[t] = BURST_SLOTS;
+        targets[t] = (mg_share_target){BURST_SLOTS, 0};
     }
     for (int round = 0; round < BURST_ROUNDS; round++) {
         for (size_t e = 0; e < BURST_ENTRIES; e++) {
             mg_candidate c[BURST_TARGETS];
             uint32_t share[BURST_TARGETS];
-            mg_share_deal(slots, BURST_TARGETS, e, BURST_ENTRIES, share);
+            mg_share_deal(targets, BURST_TARGETS, e, domains, BURST_ENTRIES,
+                          share);
             for (size_t t = 0; t < BURST_TARGETS; t++) {
                 double running =
                     seen[1][t] > own[e][t] ? seen[1][t] : own[e][t];
@@ -347,17 +368,22 @@
 static const char *
 many_history(uint64_t seed)
 {
-    uint32_t slots[MANY_TARGETS];
+    mg_share_target targets[MANY_TARGETS];
+    uint32_t domains[MANY_ENTRIES];
     unsigned sent = 0;
     unsigned full = 0;
     mg_rng r;
     mg_rng_init(&r, seed);
     memset(&many, 0, sizeof(many));
     for (int t = 0; t < MANY_TARGETS; t++) {
-        slots[t] = MANY_SLOTS;
+        targets[t] = (mg_share_target){MANY_SLOTS, (uint32_t)t % 3};
+    }
+    for (uint32_t e = 0; e < MANY_ENTRIES; e++) {
+        domains[e] = e % 3;
     }
     for (size_t e = 0; e < MANY_ENTRIES; e++) {
-        mg_share_deal(slots, MANY_TARGETS, e, MANY_ENTRIES, many.share[e]);
+        mg_share_deal(targets, MANY_TARGETS, e, domains, MANY_ENTRIES,
+                      many.share[e]);
     }
     for (int round = 0; round < MANY_ROUNDS; round++) {
         for (int e = 0; e < MANY_ENTRIES; e++) {
