Quota counts what other entries admit before they report it

Change: what the others admitted in the last five slices says what they admit until their next reports; the limit is checked with it. Three tenths of the stated overage make up for what that holds back. Entries with requests in hand, which are fewer than the hosts, report more often. node.c is split: orders of operators and the choice of entries are files of their own.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -30,6 +30,7 @@
 #define DECODE_DEFAULT 64
 /* the rest is left for what entries admit before they hear of each other */
 #define QUOTA_MARGIN_USED 0.4
+#define QUOTA_OVERAGE_USED 0.3
 
 static void
 on_timer(uv_timer_t *t);
@@ -771,9 +772,11 @@
     }
     mg_gw_usage *u = mg_gw_usage_of(f->gw, w->name);
     const mg_gateway_limits *l = &f->gw->opts.limits;
-    mg_quota_set(&u->quota, w->rate, w->burst,
+    double more = 1 + l->quota_overage * QUOTA_OVERAGE_USED;
+    mg_quota_set(&u->quota, w->rate * more, w->burst * more,
                  w->by_tokens ? l->quota_margin * QUOTA_MARGIN_USED : 0,
                  l->quota_window_ms);
+    mg_quota_set_lag(&u->quota, f->gw->report_age_ms);
     if (!mg_quota_take(&u->quota, f->quota_cost, now_of(f))) {
         mg_log(MG_EV_QUOTA,
                "id=%.*s workspace=%s cost=%.0f in_window=%.0f rate=%.0f "
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -252,6 +252,12 @@
     all_due(gw);
 }
 
+void
+mg_gateway_set_report_age(mg_gateway *gw, int64_t ms)
+{
+    gw->report_age_ms = ms;
+}
+
 bool
 mg_gateway_peer_busy(const mg_gateway *gw, const char *node)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,7 +77,8 @@
     uint32_t retry_slack;
     int64_t retry_window_ms;
     int64_t quota_window_ms;
-    double quota_margin; /* tokens in a window that errors may cost */
+    double quota_margin;  /* tokens in a window that errors may cost */
+    double quota_overage; /* part of a quota that errors may cost */
 } mg_gateway_limits;
 
 typedef struct mg_gateway_options {
@@ -142,6 +143,9 @@
 void
 mg_gateway_take_report(mg_gateway *gw, const char *node, uint64_t incarnation,
                        mg_str loads);
+/* How old what is known of other entries gets before they report again. */
+void
+mg_gateway_set_report_age(mg_gateway *gw, int64_t ms);
 /* Whether the last report of another entry says that it has requests. */
 bool
 mg_gateway_peer_busy(const mg_gateway *gw, const char *node);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -92,6 +92,7 @@
     mg_gw_peer *peers;
     size_t open;
     int64_t opened_ms;
+    int64_t report_age_ms;
     size_t entries; /* that share the slots */
     size_t self;    /* this entry's place among them */
     uint32_t entry_domains[MG_GW_ENTRIES_MAX];
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* the others' rate is taken from so many slices */
+#define RATE_SLICES 5
+
 static double *
 slice_at(mg_quota *q, int64_t slice)
 {
@@ -14,6 +17,7 @@
     int64_t slice = now / q->slice_ms;
     if (slice - q->slice >= MG_QUOTA_SLICES) {
         memset(q->used_in, 0, sizeof(q->used_in));
+        memset(q->others_in, 0, sizeof(q->others_in));
         q->used_window = 0;
         q->slice = slice;
     }
@@ -21,6 +25,7 @@
         q->slice++;
         q->used_window -= *slice_at(q, q->slice);
         *slice_at(q, q->slice) = 0;
+        q->others_in[q->slice % MG_QUOTA_SLICES] = 0;
     }
 }
 
@@ -46,6 +51,7 @@
     slice_ms = slice_ms > 0 ? slice_ms : 1;
     if (q->slice_ms != slice_ms) {
         memset(q->used_in, 0, sizeof(q->used_in));
+        memset(q->others_in, 0, sizeof(q->others_in));
         q->used_window = 0;
         q->slice = 0;
         q->slice_ms = slice_ms;
@@ -55,11 +61,28 @@
     q->margin = margin;
 }
 
+void
+mg_quota_set_lag(mg_quota *q, int64_t lag_ms)
+{
+    q->lag_ms = lag_ms;
+}
+
+/* what other entries have admitted since their last reports, estimated */
+static double
+unheard(const mg_quota *q)
+{
+    double lately = 0;
+    for (int64_t k = 0; k < RATE_SLICES && k <= q->slice; k++) {
+        lately += q->others_in[(q->slice - k) % MG_QUOTA_SLICES];
+    }
+    return lately * (double)q->lag_ms / (double)(RATE_SLICES * q->slice_ms);
+}
+
 bool
 mg_quota_take(mg_quota *q, double cost, int64_t now)
 {
     advance(q, now);
-    if (q->rate > 0 && q->used_window >= limit_of(q)) {
+    if (q->rate > 0 && q->used_window + unheard(q) >= limit_of(q)) {
         return false;
     }
     add(q, cost);
@@ -72,6 +95,7 @@
 {
     advance(q, now);
     add(q, cost);
+    q->others_in[q->slice % MG_QUOTA_SLICES] += cost;
 }
 
 void
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -4,8 +4,9 @@
  * In any window a workspace may use rate times the window, plus the burst.
  * Every entry counts for itself what all entries have admitted in the last
  * window: its own use at once, the others' as they report it, as totals that
- * only grow. So the sum over a window stays within the quota plus what was
- * admitted within the delay of the reports.
+ * only grow. What the others admit while their reports are under way is
+ * estimated from what they admitted lately; so the sum over a window stays
+ * close to the quota also where many entries report seldom.
  *
  * Pure; time is passed in.
  */
@@ -24,13 +25,18 @@
     int64_t slice_ms; /* a window is MG_QUOTA_SLICES of them */
     int64_t slice;    /* number of the newest one */
     double used_in[MG_QUOTA_SLICES];
+    double others_in[MG_QUOTA_SLICES]; /* of it, by other entries */
     double used_window;
-    uint64_t used; /* by this entry, ever */
+    int64_t lag_ms; /* age of the others' reports when the next one comes */
+    uint64_t used;  /* by this entry, ever */
 } mg_quota;
 
 void
 mg_quota_set(mg_quota *q, double rate, double burst, double margin,
              int64_t window_ms);
+/* How old what is known of the other entries gets, ms. */
+void
+mg_quota_set_lag(mg_quota *q, int64_t lag_ms);
 /* Takes cost if the window has any room left. */
 bool
 mg_quota_take(mg_quota *q, double cost, int64_t now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -1,4 +1,4 @@
-#include "node/node.h"
+#include "node/node_int.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -7,22 +7,16 @@
 
 #include "base/counter.h"
 #include "base/event.h"
-#include "base/loopwatch.h"
-#include "control/state.h"
-#include "node/directory.h"
-#include "node/target_file.h"
 
 #define TICK_MS 50
 #define REPORT_MS 100
 /* so many nodes report at that interval */
-#define REPORT_NODES 16
+#define REPORT_NODES 10
 #define REPORT_MOST_MS 500
+/* a report is on its way through the hubs for so long, ms */
+#define REPORT_WAY_MS 150
 #define SWEEP_MS 1000
 #define STATS_MS 10000
-/* who takes callers is looked at so often, ms */
-#define ENTRIES_MS 200
-/* a rate is the mean over about this time, ms */
-#define RATE_MS 2000
 /* the targets are saved so long after a change, ms */
 #define SAVE_MS 200
 /* callers learn within this that the node is to be left, ms */
@@ -30,71 +24,12 @@
 /* the end comes so much before the grace time is over, ms */
 #define DRAIN_MARGIN_MS 700
 #define BODY_MAX (16u << 20)
-#define SECTION "document"
-#define ENTRIES_MAX 1024
 /* without disks: so many hosts offer to keep the log in memory, and not
    before the others had time to say that they have none, ms */
 #define MEMORY_HOSTS 10
 #define MEMORY_AFTER_MS 2000
 
-struct mg_node {
-    uv_loop_t *loop;
-    mg_clock *clock;
-    mg_node_settings settings;
-    mg_document_codec *codec;
-    uint64_t incarnation;
-    mg_net *net;
-    mg_mesh *mesh;
-    mg_group *group; /* NULL: no voter */
-    mg_group_client *client;
-    mg_registry *registry;
-    mg_gateway *gateway;
-    mg_mover *mover;
-    mg_http_server *callers;
-    uv_timer_t timer;
-    uv_prepare_t prepare;
-    int64_t report_at;
-    int64_t sweep_at;
-    int64_t stats_at;
-    int64_t entries_at;
-    const mg_mesh_node *named[ENTRIES_MAX]; /* to callers */
-    size_t named_count;
-    uint64_t rate_seen; /* requests when the rate was last looked at */
-    int64_t rate_at;
-    double rate; /* requests in a second */
-    int64_t opened_at;
-    mg_target_file *target_file; /* NULL: no data folder */
-    int64_t save_at;             /* 0: nothing has changed */
-    mg_loopwatch watch;
-    mg_seats seats;  /* voters of the log, who are hubs too */
-    mg_buf document; /* text in force */
-    uint64_t document_version;
-    int64_t drain_since; /* 0: not draining */
-};
-
-/* ------------------------------------------------------------ documents */
-
-static void
-on_section(mg_node *n, const mg_rec_section_msg *s)
-{
-    mg_error err;
-    mg_routing *t;
-    if (s->version <= n->document_version && n->document.n > 0) {
-        return;
-    }
-    if (n->codec->read(n->codec, s->text, &t, &err) != MG_OK) {
-        mg_log(MG_EV_CONFIG_BAD, "version=%" PRIu64 " why=%s", s->version,
-               err.text);
-        return;
-    }
-    n->document_version = s->version;
-    n->document.n = 0;
-    mg_buf_put(&n->document, s->text.p, s->text.n);
-    if (n->callers != NULL) {
-        mg_http_set_limits(n->callers, &t->limits);
-    }
-    mg_gateway_set_routing(n->gateway, t);
-}
+/* -------------------------------------------------------------- records */
 
 static void
 dial_own_group(mg_node *n);
@@ -142,7 +77,7 @@
         return;
     }
     if (m.type == MG_MSG_REC_SECTION) {
-        on_section(n, &m.u.rec_section);
+        mg_node_take_section(n, &m.u.rec_section);
     }
     else if (m.type == MG_MSG_SEATS) {
         on_seats(n, r->rev, m.u.seats.holders);
@@ -153,155 +88,6 @@
     }
 }
 
-/* an operator's document on its way through the log */
-struct put {
-    mg_node *node;
-    uint64_t version;
-    mg_group_done done;
-    void *user;
-};
-
-static void
-put_done(void *user, mg_rc rc, uint64_t rev, const char *why)
-{
-    struct put *p = user;
-    /* a version that is not higher than the accepted one changes nothing */
-    if (rc == MG_E_STALE || rc == MG_E_CONFLICT) {
-        rc = MG_OK;
-    }
-    mg_log(rc == MG_OK ? MG_EV_DOC_ACCEPTED : MG_EV_DOC_REFUSED,
-           "version=%" PRIu64 " rc=%s rev=%" PRIu64 " why=%s", p->version,
-           mg_rc_name(rc), rev, why);
-    p->done(p->user, rc, rev, why);
-    free(p);
-}
-
-void
-mg_node_put_document(mg_node *n, mg_str text, mg_group_done done, void *user)
-{
-    mg_error err;
-    mg_routing *t;
-    mg_rc rc = n->codec->read(n->codec, text, &t, &err);
-    if (rc != MG_OK) {
-        mg_log(MG_EV_DOC_REFUSED, "rc=%s why=%s", mg_rc_name(rc), err.text);
-        done(user, rc, 0, err.text);
-        return;
-    }
-    char digest[MG_HEX_SHA256_SIZE];
-    mg_buf section = {0};
-    mg_msg m = {.type = MG_MSG_REC_SECTION};
-    mg_sha256_hex(text, digest);
-    m.u.rec_section.name = mg_str_of(SECTION);
-    m.u.rec_section.version = t->version;
-    m.u.rec_section.digest = mg_str_of(digest);
-    m.u.rec_section.text = text;
-    mg_msg_encode(&m, &section);
-    mg_msg cmd = {.type = MG_MSG_CMD_DOCUMENT};
-    cmd.u.cmd_document.base_rev = MG_BASE_ANY;
-    cmd.u.cmd_document.sections = mg_str_buf(&section);
-    struct put *p = mg_alloc(sizeof(*p));
-    *p = (struct put){n, t->version, done, user};
-    mg_routing_unref(t);
-    mg_group_client_propose(n->client, &cmd, n->settings.ack_ms, put_done, p);
-    mg_buf_free(&section);
-}
-
-struct get {
-    mg_node *node;
-    void (*done)(void *user, mg_rc rc, mg_str text);
-    void *user;
-};
-
-static void
-get_done(void *user, mg_rc rc, uint64_t rev, const char *why)
-{
-    struct get *g = user;
-    (void)rev;
-    (void)why;
-    if (rc == MG_OK && g->node->document.n == 0) {
-        rc = MG_E_NOT_FOUND;
-    }
-    g->done(g->user, rc, mg_str_buf(&g->node->document));
-    free(g);
-}
-
-void
-mg_node_get_document(mg_node *n,
-                     void (*done)(void *user, mg_rc rc, mg_str text),
-                     void *user)
-{
-    struct get *g = mg_alloc(sizeof(*g));
-    *g = (struct get){n, done, user};
-    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_done, g);
-}
-
-/* ---------------------------------------------------------------- moves */
-
-static double
-running_on_others(void *user, const char *service, const char *version)
-{
-    const mg_node *n = user;
-    return mg_gateway_running_on_others(n->gateway, service, version);
-}
-
-static void
-tell_move_news(void *user, const mg_msg *m)
-{
-    mg_node *n = user;
-    mg_mesh_tell_hubs(n->mesh, m);
-    if (mg_mesh_is_hub(n->mesh)) {
-        mg_mover_samples(n->mover, &m->u.rollout_samples);
-    }
-}
-
-void
-mg_node_start_move(mg_node *n, const char *service, const char *version,
-                   int64_t window_ms, mg_group_done done, void *user)
-{
-    const mg_routing *t = mg_gateway_routing(n->gateway);
-    if (t == NULL) {
-        done(user, MG_E_NO_QUORUM, 0, "no document is known here");
-        return;
-    }
-    if (mg_routing_service(t, mg_str_of(service)) == NULL) {
-        done(user, MG_E_NOT_FOUND, 0, "no such service");
-        return;
-    }
-    mg_mover_start(n->mover, service, version, window_ms, done, user);
-}
-
-struct get_move {
-    mg_node *node;
-    char service[MG_NAME_SIZE];
-    void (*done)(void *user, mg_rc rc, const mg_move_status *s);
-    void *user;
-};
-
-static void
-get_move_done(void *user, mg_rc rc, uint64_t rev, const char *why)
-{
-    struct get_move *g = user;
-    mg_move_status s;
-    (void)rev;
-    (void)why;
-    bool known =
-        rc == MG_OK && mg_mover_status(g->node->mover, g->service, &s);
-    g->done(g->user, rc, known ? &s : NULL);
-    free(g);
-}
-
-void
-mg_node_get_move(mg_node *n, const char *service,
-                 void (*done)(void *user, mg_rc rc, const mg_move_status *s),
-                 void *user)
-{
-    struct get_move *g = mg_alloc(sizeof(*g));
-    *g = (struct get_move){.node = n, .done = done, .user = user};
-    mg_str_copy(g->service, sizeof(g->service), mg_str_of(service));
-    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_move_done,
-                            g);
-}
-
 /* -------------------------------------------------------------- targets */
 
 static mg_announce_result
@@ -432,102 +218,15 @@
     }
 }
 
-static void
-count_slots(void *user, mg_instance *i)
-{
-    if (i->is.state == MG_INSTANCE_READY) {
-        *(uint64_t *)user += i->is.slots;
-    }
-}
-
-static int
-by_node(const void *a, const void *b)
-{
-    return strcmp((*(const mg_mesh_node *const *)a)->node,
-                  (*(const mg_mesh_node *const *)b)->node);
-}
-
-/* which hosts callers are sent to */
-static void
-choose_named(mg_node *n, const mg_mesh_node **nodes, size_t count)
-{
-    static mg_directory_host hosts[ENTRIES_MAX];
-    static bool chosen[ENTRIES_MAX];
-    mg_directory_demand demand = {.rate = mg_mesh_rate(n->mesh)};
-    mg_registry_each(n->registry, count_slots, &demand.slots);
-    for (size_t i = 0; i < count; i++) {
-        hosts[i] = (mg_directory_host){nodes[i]->node, nodes[i]->domain,
-                                       nodes[i]->keeps_log};
-    }
-    size_t named = mg_directory_choose(hosts, count, &demand, chosen);
-    if (named != n->named_count) {
-        mg_log(MG_EV_DIRECTORY,
-               "named=%zu before=%zu ready=%zu slots=%" PRIu64 " rate=%.0f",
-               named, n->named_count, count, demand.slots, demand.rate);
-    }
-    n->named_count = 0;
-    for (size_t i = 0; i < count; i++) {
-        if (chosen[i]) {
-            n->named[n->named_count++] = nodes[i];
-        }
-    }
-}
-
-/* the entries share the slots: those that are named, and those that still
-   have requests */
-static void
-tell_entries(mg_node *n, int64_t now)
-{
-    const mg_mesh_node *nodes[ENTRIES_MAX];
-    const char *domains[ENTRIES_MAX];
-    size_t entries = 0;
-    size_t self = 0;
-    size_t next = 0;
-    if (now < n->entries_at) {
-        return;
-    }
-    n->entries_at = now + ENTRIES_MS;
-    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, ENTRIES_MAX);
-    qsort(nodes, count, sizeof(nodes[0]), by_node);
-    choose_named(n, nodes, count);
-    for (size_t i = 0; i < count; i++) {
-        bool is_self = strcmp(nodes[i]->node, n->settings.ip) == 0;
-        bool named = next < n->named_count && n->named[next] == nodes[i];
-        next += named;
-        if (is_self) {
-            self = entries;
-        }
-        if (is_self || named ||
-            mg_gateway_peer_busy(n->gateway, nodes[i]->node)) {
-            domains[entries++] = nodes[i]->domain;
-        }
-    }
-    if (entries > 0) {
-        mg_gateway_set_entries(n->gateway, domains, entries, self);
-    }
-}
-
-static void
-measure_rate(mg_node *n, int64_t now)
-{
-    uint64_t requests = mg_counter_value(MG_C_REQUESTS);
-    int64_t ms = now - n->rate_at;
-    if (ms <= 0) {
-        return;
-    }
-    double keep = ms < RATE_MS ? 1 - (double)ms / RATE_MS : 0;
-    double rate = (double)(requests - n->rate_seen) * 1000 / (double)ms;
-    n->rate = keep * n->rate + (1 - keep) * rate;
-    n->rate_seen = requests;
-    n->rate_at = now;
-}
-
-/* many nodes report less often, so that what each hears stays bounded */
+/* many nodes report less often, so that what each hears stays bounded; those
+   with requests in hand, which are fewer, more often than the others */
 static int64_t
 report_ms(const mg_node *n)
 {
-    int64_t nodes = (int64_t)mg_mesh_live_count(n->mesh);
-    int64_t ms = REPORT_MS * nodes / REPORT_NODES;
+    size_t nodes = mg_gateway_open(n->gateway) > 0
+                       ? n->named_count
+                       : mg_mesh_live_count(n->mesh);
+    int64_t ms = REPORT_MS * (int64_t)nodes / REPORT_NODES;
     ms = ms > REPORT_MS ? ms : REPORT_MS;
     return ms < REPORT_MOST_MS ? ms : REPORT_MOST_MS;
 }
@@ -558,11 +257,12 @@
     mg_group_client_tick(n->client);
     mg_mesh_set_ready(n->mesh, mg_node_ready(n));
     mg_mesh_tick(n->mesh);
-    tell_entries(n, now);
+    mg_node_tell_entries(n, now);
     if (now >= n->report_at) {
         mg_buf loads = {0};
         n->report_at = now + report_ms(n);
-        measure_rate(n, now);
+        mg_gateway_set_report_age(n->gateway, report_ms(n) + REPORT_WAY_MS);
+        mg_node_measure_rate(n, now);
         mg_gateway_report(n->gateway, &loads);
         mg_mesh_report(n->mesh, n->rate, mg_str_buf(&loads));
         mg_buf_free(&loads);
@@ -580,7 +280,7 @@
         n->stats_at = now + STATS_MS;
         log_stats(n);
     }
-    mg_gateway_move_news(n->gateway, tell_move_news, n);
+    mg_node_tell_moves(n);
     mg_mover_tick(n->mover, mg_mesh_leads(n->mesh));
     mg_gateway_tick(n->gateway);
     if (n->drain_since != 0) {
@@ -733,7 +433,7 @@
         .registry = n->registry,
         .client = n->client,
         .ack_ms = s->ack_ms,
-        .running_on_others = running_on_others,
+        .running_on_others = mg_node_running_on_others,
         .user = n,
     });
     mg_mesh_set_contacts(n->mesh, &n->seats, mesh_port);
@@ -798,6 +498,7 @@
         .retry_ratio = s->retry_ratio,
         .retry_slack = (uint32_t)s->retry_slack,
         .retry_window_ms = (int64_t)(s->retry_window_s * 1000),
+        .quota_overage = s->quota_overage,
         .quota_margin = s->quota_margin,
         .quota_window_ms = (int64_t)(s->quota_window_s * 1000),
     };
@@ -888,11 +589,3 @@
         mg_http_drain(n->callers);
     }
 }
-
-size_t
-mg_node_directory(const mg_node *n, const mg_mesh_node **out, size_t max)
-{
-    size_t count = n->named_count < max ? n->named_count : max;
-    memcpy(out, n->named, count * sizeof(out[0]));
-    return count;
-}
--- /dev/null
+++ b/src/node/node_entries.c
@@ -0,0 +1,111 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/event.h"
+#include "node/directory.h"
+#include "node/node_int.h"
+
+/* who takes callers is looked at so often, ms */
+#define ENTRIES_MS 200
+/* a rate is the mean over about this time, ms */
+#define RATE_MS 2000
+
+static void
+count_slots(void *user, mg_instance *i)
+{
+    if (i->is.state == MG_INSTANCE_READY) {
+        *(uint64_t *)user += i->is.slots;
+    }
+}
+
+static int
+by_node(const void *a, const void *b)
+{
+    return strcmp((*(const mg_mesh_node *const *)a)->node,
+                  (*(const mg_mesh_node *const *)b)->node);
+}
+
+/* which hosts callers are sent to */
+static void
+choose_named(mg_node *n, const mg_mesh_node **nodes, size_t count)
+{
+    static mg_directory_host hosts[MG_NODE_ENTRIES_MAX];
+    static bool chosen[MG_NODE_ENTRIES_MAX];
+    mg_directory_demand demand = {.rate = mg_mesh_rate(n->mesh)};
+    mg_registry_each(n->registry, count_slots, &demand.slots);
+    for (size_t i = 0; i < count; i++) {
+        hosts[i] = (mg_directory_host){nodes[i]->node, nodes[i]->domain,
+                                       nodes[i]->keeps_log};
+    }
+    size_t named = mg_directory_choose(hosts, count, &demand, chosen);
+    if (named != n->named_count) {
+        mg_log(MG_EV_DIRECTORY,
+               "named=%zu before=%zu ready=%zu slots=%" PRIu64 " rate=%.0f",
+               named, n->named_count, count, demand.slots, demand.rate);
+    }
+    n->named_count = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (chosen[i]) {
+            n->named[n->named_count++] = nodes[i];
+        }
+    }
+}
+
+/* the entries share the slots: those that are named, and those that still
+   have requests */
+void
+mg_node_tell_entries(mg_node *n, int64_t now)
+{
+    const mg_mesh_node *nodes[MG_NODE_ENTRIES_MAX];
+    const char *domains[MG_NODE_ENTRIES_MAX];
+    size_t entries = 0;
+    size_t self = 0;
+    size_t next = 0;
+    if (now < n->entries_at) {
+        return;
+    }
+    n->entries_at = now + ENTRIES_MS;
+    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, MG_NODE_ENTRIES_MAX);
+    qsort(nodes, count, sizeof(nodes[0]), by_node);
+    choose_named(n, nodes, count);
+    for (size_t i = 0; i < count; i++) {
+        bool is_self = strcmp(nodes[i]->node, n->settings.ip) == 0;
+        bool named = next < n->named_count && n->named[next] == nodes[i];
+        next += named;
+        if (is_self) {
+            self = entries;
+        }
+        if (is_self || named ||
+            mg_gateway_peer_busy(n->gateway, nodes[i]->node)) {
+            domains[entries++] = nodes[i]->domain;
+        }
+    }
+    if (entries > 0) {
+        mg_gateway_set_entries(n->gateway, domains, entries, self);
+    }
+}
+
+void
+mg_node_measure_rate(mg_node *n, int64_t now)
+{
+    uint64_t requests = mg_counter_value(MG_C_REQUESTS);
+    int64_t ms = now - n->rate_at;
+    if (ms <= 0) {
+        return;
+    }
+    double keep = ms < RATE_MS ? 1 - (double)ms / RATE_MS : 0;
+    double rate = (double)(requests - n->rate_seen) * 1000 / (double)ms;
+    n->rate = keep * n->rate + (1 - keep) * rate;
+    n->rate_seen = requests;
+    n->rate_at = now;
+}
+
+size_t
+mg_node_directory(const mg_node *n, const mg_mesh_node **out, size_t max)
+{
+    size_t count = n->named_count < max ? n->named_count : max;
+    memcpy(out, n->named, count * sizeof(out[0]));
+    return count;
+}
--- /dev/null
+++ b/src/node/node_orders.c
@@ -0,0 +1,187 @@
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "base/event.h"
+#include "control/state.h"
+#include "node/node_int.h"
+
+#define SECTION "document"
+
+/* ------------------------------------------------------------ documents */
+
+void
+mg_node_take_section(mg_node *n, const mg_rec_section_msg *s)
+{
+    mg_error err;
+    mg_routing *t;
+    if (s->version <= n->document_version && n->document.n > 0) {
+        return;
+    }
+    if (n->codec->read(n->codec, s->text, &t, &err) != MG_OK) {
+        mg_log(MG_EV_CONFIG_BAD, "version=%" PRIu64 " why=%s", s->version,
+               err.text);
+        return;
+    }
+    n->document_version = s->version;
+    n->document.n = 0;
+    mg_buf_put(&n->document, s->text.p, s->text.n);
+    if (n->callers != NULL) {
+        mg_http_set_limits(n->callers, &t->limits);
+    }
+    mg_gateway_set_routing(n->gateway, t);
+}
+
+/* an operator's document on its way through the log */
+struct put {
+    mg_node *node;
+    uint64_t version;
+    mg_group_done done;
+    void *user;
+};
+
+static void
+put_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct put *p = user;
+    /* a version that is not higher than the accepted one changes nothing */
+    if (rc == MG_E_STALE || rc == MG_E_CONFLICT) {
+        rc = MG_OK;
+    }
+    mg_log(rc == MG_OK ? MG_EV_DOC_ACCEPTED : MG_EV_DOC_REFUSED,
+           "version=%" PRIu64 " rc=%s rev=%" PRIu64 " why=%s", p->version,
+           mg_rc_name(rc), rev, why);
+    p->done(p->user, rc, rev, why);
+    free(p);
+}
+
+void
+mg_node_put_document(mg_node *n, mg_str text, mg_group_done done, void *user)
+{
+    mg_error err;
+    mg_routing *t;
+    mg_rc rc = n->codec->read(n->codec, text, &t, &err);
+    if (rc != MG_OK) {
+        mg_log(MG_EV_DOC_REFUSED, "rc=%s why=%s", mg_rc_name(rc), err.text);
+        done(user, rc, 0, err.text);
+        return;
+    }
+    char digest[MG_HEX_SHA256_SIZE];
+    mg_buf section = {0};
+    mg_msg m = {.type = MG_MSG_REC_SECTION};
+    mg_sha256_hex(text, digest);
+    m.u.rec_section.name = mg_str_of(SECTION);
+    m.u.rec_section.version = t->version;
+    m.u.rec_section.digest = mg_str_of(digest);
+    m.u.rec_section.text = text;
+    mg_msg_encode(&m, &section);
+    mg_msg cmd = {.type = MG_MSG_CMD_DOCUMENT};
+    cmd.u.cmd_document.base_rev = MG_BASE_ANY;
+    cmd.u.cmd_document.sections = mg_str_buf(&section);
+    struct put *p = mg_alloc(sizeof(*p));
+    *p = (struct put){n, t->version, done, user};
+    mg_routing_unref(t);
+    mg_group_client_propose(n->client, &cmd, n->settings.ack_ms, put_done, p);
+    mg_buf_free(&section);
+}
+
+struct get {
+    mg_node *node;
+    void (*done)(void *user, mg_rc rc, mg_str text);
+    void *user;
+};
+
+static void
+get_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct get *g = user;
+    (void)rev;
+    (void)why;
+    if (rc == MG_OK && g->node->document.n == 0) {
+        rc = MG_E_NOT_FOUND;
+    }
+    g->done(g->user, rc, mg_str_buf(&g->node->document));
+    free(g);
+}
+
+void
+mg_node_get_document(mg_node *n,
+                     void (*done)(void *user, mg_rc rc, mg_str text),
+                     void *user)
+{
+    struct get *g = mg_alloc(sizeof(*g));
+    *g = (struct get){n, done, user};
+    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_done, g);
+}
+
+/* ---------------------------------------------------------------- moves */
+
+double
+mg_node_running_on_others(void *user, const char *service, const char *version)
+{
+    const mg_node *n = user;
+    return mg_gateway_running_on_others(n->gateway, service, version);
+}
+
+static void
+tell_move_news(void *user, const mg_msg *m)
+{
+    mg_node *n = user;
+    mg_mesh_tell_hubs(n->mesh, m);
+    if (mg_mesh_is_hub(n->mesh)) {
+        mg_mover_samples(n->mover, &m->u.rollout_samples);
+    }
+}
+
+void
+mg_node_tell_moves(mg_node *n)
+{
+    mg_gateway_move_news(n->gateway, tell_move_news, n);
+}
+
+void
+mg_node_start_move(mg_node *n, const char *service, const char *version,
+                   int64_t window_ms, mg_group_done done, void *user)
+{
+    const mg_routing *t = mg_gateway_routing(n->gateway);
+    if (t == NULL) {
+        done(user, MG_E_NO_QUORUM, 0, "no document is known here");
+        return;
+    }
+    if (mg_routing_service(t, mg_str_of(service)) == NULL) {
+        done(user, MG_E_NOT_FOUND, 0, "no such service");
+        return;
+    }
+    mg_mover_start(n->mover, service, version, window_ms, done, user);
+}
+
+struct get_move {
+    mg_node *node;
+    char service[MG_NAME_SIZE];
+    void (*done)(void *user, mg_rc rc, const mg_move_status *s);
+    void *user;
+};
+
+static void
+get_move_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    struct get_move *g = user;
+    mg_move_status s;
+    (void)rev;
+    (void)why;
+    bool known =
+        rc == MG_OK && mg_mover_status(g->node->mover, g->service, &s);
+    g->done(g->user, rc, known ? &s : NULL);
+    free(g);
+}
+
+void
+mg_node_get_move(mg_node *n, const char *service,
+                 void (*done)(void *user, mg_rc rc, const mg_move_status *s),
+                 void *user)
+{
+    struct get_move *g = mg_alloc(sizeof(*g));
+    *g = (struct get_move){.node = n, .done = done, .user = user};
+    mg_str_copy(g->service, sizeof(g->service), mg_str_of(service));
+    mg_group_client_confirm(n->client, n->settings.ack_ms / 2, get_move_done,
+                            g);
+}
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -57,6 +57,7 @@
      NULL},
     {"quota_window_s", MG_KEY_REAL, false, AT(quota_window_s), 0.1, 3600,
      NULL},
+    {"quota_overage", MG_KEY_REAL, false, AT(quota_overage), 0, 10, NULL},
     {"quota_margin", MG_KEY_REAL, false, AT(quota_margin), 0, 1e12, NULL},
     {"directory_ttl_s", MG_KEY_REAL, false, AT(directory_ttl_s), 0.1, 3600,
      NULL},
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -36,6 +36,7 @@
     int64_t retry_slack;
     double retry_window_s;
     double quota_window_s;
+    double quota_overage;   /* part of a quota that errors may cost */
     double quota_margin;    /* tokens in a window that errors may cost */
     double directory_ttl_s; /* how long callers keep an answer */
     double grace_s;         /* from SIGTERM to the end at the latest */
--- a/tests/unit/quota_test.c
+++ b/tests/unit/quota_test.c
@@ -116,6 +116,72 @@
     run_histories(history, 300);
 }
 
+/*
+ * Twenty entries that report every 0.6 s, under two to six times the quota:
+ * in no window more than a tenth beyond it, and no less than four fifths.
+ */
+#define MANY 20
+#define MANY_DELAY_MS 600
+#define MANY_OVERAGE 0.1
+#define MANY_WINDOW_MS 8000
+#define MANY_END_MS 24000
+
+static const char *
+many_history(uint64_t seed)
+{
+    static double admitted[MANY_END_MS];
+    static mg_quota q[MANY];
+    static uint64_t told[MANY];
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    memset(admitted, 0, sizeof(admitted));
+    memset(q, 0, sizeof(q));
+    memset(told, 0, sizeof(told));
+    double rate = 50000 + mg_rng_below(&r, 200000);
+    double burst = rate;
+    double cost = 1000 + mg_rng_below(&r, 2000);
+    double per_ms = rate / 1000 * (2 + 4 * mg_rng_unit(&r));
+    double asked = 0;
+    double sum = 0;
+    double last = 0;
+    double limit = rate * MANY_WINDOW_MS / 1000 + burst;
+    for (int i = 0; i < MANY; i++) {
+        mg_quota_set(&q[i], rate, burst, 0, MANY_WINDOW_MS);
+        mg_quota_set_lag(&q[i], MANY_DELAY_MS);
+    }
+    for (int64_t now = 0; now < MANY_END_MS; now++) {
+        for (asked += per_ms; asked >= cost; asked -= cost) {
+            uint32_t i = mg_rng_below(&r, MANY);
+            admitted[now] += mg_quota_take(&q[i], cost, now) ? cost : 0;
+        }
+        for (int i = 0; i < MANY; i++) {
+            if ((now + i * 30) % MANY_DELAY_MS != 0) {
+                continue;
+            }
+            for (int k = 0; k < MANY; k++) {
+                if (k != i) {
+                    mg_quota_drain(&q[k], (double)(q[i].used - told[i]), now);
+                }
+            }
+            told[i] = q[i].used;
+        }
+        sum += admitted[now];
+        sum -= now >= MANY_WINDOW_MS ? admitted[now - MANY_WINDOW_MS] : 0;
+        last += now >= MANY_WINDOW_MS ? admitted[now] : 0;
+        if (sum > limit * (1 + MANY_OVERAGE) + MANY * cost) {
+            return "admitted more than the quota and its tenth";
+        }
+    }
+    double owed = rate * (MANY_END_MS - MANY_WINDOW_MS) / 1000;
+    return last < 0.8 * owed ? "admitted far less than the quota" : NULL;
+}
+
+static void
+test_many(void)
+{
+    run_histories(many_history, 100);
+}
+
 int
 main(void)
 {
@@ -126,6 +192,7 @@
         {"a long pause empties the window",
          test_a_long_pause_empties_the_window},
         {"histories of entries that report late", test_histories},
+        {"many entries that report seldom", test_many},
         CU_TEST_INFO_NULL,
     };
     return run_suite("quota", tests);
