Only named hosts share the slots, and who is named changes seldom

Cause: on the grown sites the time to the first event at the targets rose to five times the prediction within 20 s of trouble and stayed there, though the entries saw 4 of 6 slots in use: requests waited in the targets' own queues. Each request that strayed to a host that is not named made that host an entry for a moment and dealt out all slots anew, while requests went on where the former deal had put them; and the number of named hosts wavered between 21 and 24.

Change: the deal is among the named hosts; others serve with what is lent. A host stays named until half as many more than needed are.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -258,22 +258,6 @@
     gw->report_age_ms = ms;
 }
 
-bool
-mg_gateway_peer_busy(const mg_gateway *gw, const char *node)
-{
-    const mg_gw_peer *p;
-    mg_msg m;
-    HASH_FIND_STR(gw->peers, node, p);
-    mg_str rest = p != NULL ? mg_str_buf(&p->loads) : (mg_str){"", 0};
-    while (mg_msg_next(&rest, &m) == MG_OK) {
-        if (m.type == MG_MSG_LOAD_POOL ||
-            (m.type == MG_MSG_LOAD_TARGET && m.u.load_target.running > 0)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* targets of a silent entry are no longer counted as busy with its work */
 static void
 drop_stale_reports(mg_gateway *gw)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -131,7 +131,8 @@
                              const char *version);
 /*
  * Failure domains of the entries that share the targets' slots, in an order
- * that is the same everywhere; self: this entry's place among them.
+ * that is the same everywhere; self: this entry's place among them, n when
+ * it is none of them and has only what the others lend.
  */
 void
 mg_gateway_set_entries(mg_gateway *gw, const char *const *domains, size_t n,
@@ -146,9 +147,6 @@
 /* How old what is known of other entries gets before they report again. */
 void
 mg_gateway_set_report_age(mg_gateway *gw, int64_t ms);
-/* Whether the last report of another entry says that it has requests. */
-bool
-mg_gateway_peer_busy(const mg_gateway *gw, const char *node);
 /* Sends what can be sent now; once in each turn of the loop, before HTTP
    servers write. */
 void
--- a/src/gateway/versions.c
+++ b/src/gateway/versions.c
@@ -76,7 +76,9 @@
 static uint64_t
 own_part(const mg_versions *v, uint64_t reserved)
 {
-    return (reserved + v->entries - 1 - v->self) / v->entries;
+    return v->self < v->entries
+               ? (reserved + v->entries - 1 - v->self) / v->entries
+               : 0;
 }
 
 static void
--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -5,6 +5,8 @@
 #include "base/bytes.h"
 
 #define DOMAINS_MAX 64
+/* hosts named so far stay named up to this factor of what is needed */
+#define KEEP_FACTOR 1.5
 
 /* the hosts by failure domain, with the hash that orders them in it */
 struct view {
@@ -55,7 +57,11 @@
     size_t want =
         larger(MG_DIRECTORY_LEAST, MG_DIRECTORY_PER_DOMAIN * v->domain_count);
     want = larger(want, (size_t)(demand->slots / MG_DIRECTORY_SLOTS));
-    return larger(want, (size_t)(demand->rate / MG_DIRECTORY_RATE));
+    want = larger(want, (size_t)(demand->rate / MG_DIRECTORY_RATE));
+    /* each change deals out all slots anew */
+    bool keeps = demand->before > want &&
+                 (double)demand->before <= KEEP_FACTOR * (double)want;
+    return keeps ? demand->before : want;
 }
 
 /* the first by hash that is not chosen yet; n: none */
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -38,6 +38,7 @@
 typedef struct mg_directory_demand {
     uint64_t slots; /* of all ready targets */
     double rate;    /* requests in a second, all entries together */
+    size_t before;  /* hosts named so far: a few more than needed are kept */
 } mg_directory_demand;
 
 /*
--- a/src/node/node_entries.c
+++ b/src/node/node_entries.c
@@ -33,7 +33,8 @@
 {
     static mg_directory_host hosts[MG_NODE_ENTRIES_MAX];
     static bool chosen[MG_NODE_ENTRIES_MAX];
-    mg_directory_demand demand = {.rate = mg_mesh_rate(n->mesh)};
+    mg_directory_demand demand = {.rate = mg_mesh_rate(n->mesh),
+                                  .before = n->named_count};
     mg_registry_each(n->registry, count_slots, &demand.slots);
     for (size_t i = 0; i < count; i++) {
         hosts[i] = (mg_directory_host){nodes[i]->node, nodes[i]->domain,
@@ -53,16 +54,18 @@
     }
 }
 
-/* the entries share the slots: those that are named, and those that still
-   have requests */
+/*
+ * The named hosts share the slots. Others serve who still comes to them with
+ * what is lent: were they counted, each request that strays there would deal
+ * out all slots anew, while requests still run where the former deal put
+ * them.
+ */
 void
 mg_node_tell_entries(mg_node *n, int64_t now)
 {
     const mg_mesh_node *nodes[MG_NODE_ENTRIES_MAX];
     const char *domains[MG_NODE_ENTRIES_MAX];
-    size_t entries = 0;
-    size_t self = 0;
-    size_t next = 0;
+    size_t self;
     if (now < n->entries_at) {
         return;
     }
@@ -70,20 +73,15 @@
     size_t count = mg_mesh_ready_nodes(n->mesh, nodes, MG_NODE_ENTRIES_MAX);
     qsort(nodes, count, sizeof(nodes[0]), by_node);
     choose_named(n, nodes, count);
-    for (size_t i = 0; i < count; i++) {
-        bool is_self = strcmp(nodes[i]->node, n->settings.ip) == 0;
-        bool named = next < n->named_count && n->named[next] == nodes[i];
-        next += named;
-        if (is_self) {
-            self = entries;
-        }
-        if (is_self || named ||
-            mg_gateway_peer_busy(n->gateway, nodes[i]->node)) {
-            domains[entries++] = nodes[i]->domain;
+    self = n->named_count;
+    for (size_t i = 0; i < n->named_count; i++) {
+        domains[i] = n->named[i]->domain;
+        if (strcmp(n->named[i]->node, n->settings.ip) == 0) {
+            self = i;
         }
     }
-    if (entries > 0) {
-        mg_gateway_set_entries(n->gateway, domains, entries, self);
+    if (n->named_count > 0) {
+        mg_gateway_set_entries(n->gateway, domains, n->named_count, self);
     }
 }
 
--- a/tests/unit/directory_test.c
+++ b/tests/unit/directory_test.c
@@ -106,6 +106,17 @@
             return "more demand took a host away";
         }
     }
+    /* a little less takes none away either: all slots would move */
+    memcpy(before, set.chosen, sizeof(before));
+    d.before = count_hosts(NULL, false, true);
+    d.rate *= 0.92;
+    d.slots -= d.slots / 16;
+    mg_directory_choose(set.hosts, set.n, &d, set.chosen);
+    for (size_t i = 0; i < set.n; i++) {
+        if (before[i] && !set.chosen[i] && !set.hosts[i].keeps_log) {
+            return "a little less demand took a host away";
+        }
+    }
     /* another order of the hosts changes nothing */
     memcpy(before, set.chosen, sizeof(before));
     mg_directory_host first = set.hosts[0];
