Lent slots: the better of two at random, and single ones seldomer

A single slot of a half free target was lent to every entry.

Change: among lent slots the better of two at random is taken; a single slot is lent as often as all entries together may take what is free, but always to an entry with few slots of its own.

--- a/src/gateway/pick.c
+++ b/src/gateway/pick.c
@@ -46,29 +46,37 @@
     return cost + (c->near ? 0.0 : FAR_COST);
 }
 
-int
-mg_pick(const mg_pick_request *r, const mg_candidate *c, size_t n, double tie)
+/* which candidates come into question */
+struct choice {
+    const mg_pick_request *r;
+    const mg_candidate *c;
+    size_t n;
+    bool sound; /* some are not doubtful: the others are left out */
+    bool own;   /* there are own slots: the lent ones are left out */
+};
+
+static bool
+is_eligible(const struct choice *h, size_t i)
+{
+    const mg_candidate *c = &h->c[i];
+    if (h->sound && c->doubtful) {
+        return false;
+    }
+    return h->own ? has_own_slot(h->r, c) : mg_pick_has_room(h->r, c);
+}
+
+static int
+best_from(const struct choice *h, double tie)
 {
     int best = -1;
     double best_cost = 0;
-    bool sound = false;
-    bool own = false;
-    for (size_t i = 0; i < n; i++) {
-        sound = sound || !c[i].doubtful;
-    }
-    for (size_t i = 0; i < n; i++) {
-        own = own || (has_own_slot(r, &c[i]) && !(sound && c[i].doubtful));
-    }
-    size_t start = (size_t)(tie * (double)n);
-    for (size_t k = 0; k < n; k++) {
-        size_t i = (start + k) % n;
-        if (own ? !has_own_slot(r, &c[i]) : !mg_pick_has_room(r, &c[i])) {
-            continue;
-        }
-        if (sound && c[i].doubtful) {
+    size_t start = (size_t)(tie * (double)h->n);
+    for (size_t k = 0; k < h->n; k++) {
+        size_t i = (start + k) % h->n;
+        if (!is_eligible(h, i)) {
             continue;
         }
-        double cost = cost_of(r, &c[i]);
+        double cost = cost_of(h->r, &h->c[i]);
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
@@ -76,3 +84,50 @@
     }
     return best;
 }
+
+/* the eligible one with that rank */
+static int
+nth_eligible(const struct choice *h, size_t rank)
+{
+    for (size_t i = 0; i < h->n; i++) {
+        if (is_eligible(h, i) && rank-- == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* the better of two at random: of many entries that see the same, not all
+   take the same target */
+static int
+better_of_two(const struct choice *h, double tie)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < h->n; i++) {
+        count += is_eligible(h, i);
+    }
+    if (count == 0) {
+        return -1;
+    }
+    double place = tie * (double)count;
+    size_t first = (size_t)place;
+    size_t step = (size_t)((place - (double)first) * (double)(count - 1));
+    size_t second = count > 1 ? (first + 1 + step) % count : first;
+    int a = nth_eligible(h, first);
+    int b = nth_eligible(h, second);
+    return cost_of(h->r, &h->c[a]) <= cost_of(h->r, &h->c[b]) ? a : b;
+}
+
+int
+mg_pick(const mg_pick_request *r, const mg_candidate *c, size_t n, double tie)
+{
+    struct choice h = {r, c, n, false, false};
+    for (size_t i = 0; i < n; i++) {
+        h.sound = h.sound || !c[i].doubtful;
+    }
+    for (size_t i = 0; i < n; i++) {
+        h.own =
+            h.own || (has_own_slot(r, &c[i]) && !(h.sound && c[i].doubtful));
+    }
+    return h.own ? best_from(&h, tie) : better_of_two(&h, tie);
+}
--- a/src/gateway/pick.h
+++ b/src/gateway/pick.h
@@ -5,6 +5,7 @@
  * that belong to it before it uses others that it was lent
  * (gateway/share.h): of its own it knows for sure which are free, while many
  * entries that see the others late would all take the same fast target.
+ * Of lent slots it takes the better of two at random.
  * For those with room the time to the first event is predicted, from the
  * prompt, the prompts that the target still reads for others, and the pace
  * that was learned of it. Being faster than a part of the goal is worth
@@ -46,9 +47,9 @@
 bool
 mg_pick_has_room(const mg_pick_request *r, const mg_candidate *c);
 /*
- * Index of the best candidate with room, -1 when there is none. Doubtful
- * ones are taken only when no other exists. tie, uniform in [0, 1), spreads
- * equals.
+ * Index of the best candidate with an own slot, else of the better of two
+ * with a lent one, -1 when there is none. Doubtful ones are taken only when
+ * no other exists. tie is uniform in [0, 1).
  */
 int
 mg_pick(const mg_pick_request *r, const mg_candidate *c, size_t n, double tie);
--- a/src/gateway/share.c
+++ b/src/gateway/share.c
@@ -75,14 +75,17 @@
 /* reports are about two of their intervals old: what was lent since is not
    seen yet */
 #define LOAN_PART 0.5
+#define FEW_OWN_SLOTS 4
 
 uint32_t
 mg_share_loans(double free_slots, uint32_t slots, size_t entries,
-               size_t waiting, double random)
+               size_t waiting, uint32_t own, double random)
 {
     double by = sqrt((double)entries);
     by = (double)waiting + 1 > by ? (double)waiting + 1 : by;
     double part = free_slots * LOAN_PART / by;
     uint32_t loans = part > 0 ? (uint32_t)(part + random) : 0;
-    return loans == 0 && 2 * free_slots >= slots ? 1 : loans;
+    bool one = 2 * free_slots >= slots &&
+               (own < FEW_OWN_SLOTS || random * by < free_slots);
+    return loans == 0 && one ? 1 : loans;
 }
--- a/src/gateway/share.h
+++ b/src/gateway/share.h
@@ -37,10 +37,11 @@
  * the next time: at random, in [0, 1), rounded up or down. waiting: other
  * entries that said that they wait for a slot. At least the square root of
  * all is counted, for those that have not said so yet. Of a target that is
- * half free one slot is always lent.
+ * half free one slot is lent: always to an entry with few own slots in the
+ * service, else as often as all together may take what is free.
  */
 uint32_t
 mg_share_loans(double free_slots, uint32_t slots, size_t entries,
-               size_t waiting, double random);
+               size_t waiting, uint32_t own, double random);
 
 #endif
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -123,10 +123,10 @@
     mg_gateway *gw = t->gw;
     uint32_t slots = slots_of(t);
     double left = (double)slots - t->reported - t->running;
-    size_t waiting =
-        (size_t)mg_gw_pool_of(gw, t->instance->is.service)->waiting_entries;
-    t->loans = mg_share_loans(left, slots, gw->entries, waiting,
-                              mg_rng_unit(&gw->rng));
+    const mg_gw_pool *p = mg_gw_pool_of(gw, t->instance->is.service);
+    t->loans =
+        mg_share_loans(left, slots, gw->entries, (size_t)p->waiting_entries,
+                       p->share, mg_rng_unit(&gw->rng));
 }
 
 /* some of the entry's slots are left for higher tiers, which come too */
