--- a/tests/unit/gateway_test.c
+++ b/tests/unit/gateway_test.c
@@ -207,8 +207,9 @@
         }
     }
     uint32_t least_local = 0;
+    uint32_t each = entries > 0 ? total / (uint32_t)entries : 0;
     for (int d = 0; d < 3; d++) {
-        uint32_t even = mouths[d] * (total / (uint32_t)entries);
+        uint32_t even = mouths[d] * each;
         least_local += supply[d] < even ? supply[d] : even;
     }
     if (local < least_local) {
