--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -179,10 +179,8 @@
     mg_manual_clock_init(&clock);
     clock.mono = 100000;
     mg_registry *r = mg_registry_new(&clock.clock);
-    mg_announcement saved = {.slots = 4, .born_ms = 5, .seq = 40};
-    mg_str_copy(saved.id, sizeof(saved.id), mg_str_of("i-1"));
-    mg_str_copy(saved.service, sizeof(saved.service), mg_str_of("s"));
-    mg_str_copy(saved.addr, sizeof(saved.addr), mg_str_of("10.0.0.1:80"));
+    mg_announcement saved =
+        announcement("i-1", "10.0.0.1:80", 5, 40, MG_INSTANCE_READY);
     saved.remembered = true;
     CU_ASSERT_EQUAL(mg_registry_announce(r, &saved), MG_ANNOUNCE_NEW);
     mg_instance *i = mg_registry_find(r, "i-1");
@@ -223,9 +221,9 @@
     mg_manual_clock_init(&clock);
     clock.mono = 100000;
     mg_registry *r = mg_registry_new(&clock.clock);
-    mg_announcement saved = {.slots = 4, .seq = 1, .remembered = true};
-    mg_str_copy(saved.id, sizeof(saved.id), mg_str_of("i-1"));
-    mg_str_copy(saved.service, sizeof(saved.service), mg_str_of("s"));
+    mg_announcement saved =
+        announcement("i-1", "10.0.0.1:80", 5, 1, MG_INSTANCE_READY);
+    saved.remembered = true;
     mg_registry_announce(r, &saved);
     mg_registry_sweep(r, count_forgotten);
     CU_ASSERT_EQUAL(forgotten, 0);
