Links: bytes sent by kind, bytes that wait, memory of the log and the heap

Adds counters of bytes by kind of message, gauges of unsent bytes and of the log's entries, the heap's size, all in the metrics and the first two in STATS, and LINK_UNSENT (113), at most once a second, with the largest peer. No decision is changed.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -1,12 +1,14 @@
 #include "base/counter.h"
 
 #include <inttypes.h>
+#include <malloc.h>
 
 #define SUB_BITS 4
 #define SUB_COUNT (1 << SUB_BITS)
 #define VALUE_LIMIT ((INT64_C(1) << 40) - 1)
 
 static uint64_t counters[MG_COUNTERS];
+static int64_t gauges[MG_GAUGES];
 static mg_histogram histograms[MG_HISTOGRAMS];
 
 static const char *const counter_names[] = {
@@ -15,6 +17,12 @@
 #undef X
 };
 
+static const char *const gauge_names[] = {
+#define X(id, name) name,
+    MG_GAUGE_LIST(X)
+#undef X
+};
+
 static const char *const histogram_names[] = {
 #define X(id, name) name,
     MG_HISTOGRAM_LIST(X)
@@ -33,6 +41,18 @@
     return __atomic_load_n(&counters[c], __ATOMIC_RELAXED);
 }
 
+void
+mg_gauge_add(mg_gauge g, int64_t n)
+{
+    __atomic_fetch_add(&gauges[g], n, __ATOMIC_RELAXED);
+}
+
+int64_t
+mg_gauge_value(mg_gauge g)
+{
+    return __atomic_load_n(&gauges[g], __ATOMIC_RELAXED);
+}
+
 static size_t
 bucket_of(int64_t value)
 {
@@ -104,6 +124,15 @@
         mg_buf_printf(out, "marigold_%s %" PRIu64 "\n", counter_names[i],
                       counters[i]);
     }
+    for (size_t i = 0; i < MG_GAUGES; i++) {
+        mg_buf_printf(out, "marigold_%s %" PRId64 "\n", gauge_names[i],
+                      mg_gauge_value((mg_gauge)i));
+    }
+    struct mallinfo2 heap = mallinfo2();
+    mg_buf_printf(out, "marigold_heap_used_bytes %zu\n",
+                  heap.uordblks + heap.hblkhd);
+    mg_buf_printf(out, "marigold_heap_mapped_bytes %zu\n",
+                  heap.arena + heap.hblkhd);
     for (size_t i = 0; i < MG_HISTOGRAMS; i++) {
         const mg_histogram *h = &histograms[i];
         static const double quantiles[] = {0.5, 0.95, 0.99};
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/counter.h"
+
 struct log_entry {
     uint64_t term;
     char *data;
@@ -48,6 +50,7 @@
     struct log_entry *log;
     size_t log_count;
     size_t log_cap;
+    size_t log_bytes; /* of the entries' data */
     uint64_t snap_index;
     uint64_t snap_term;
     mg_buf snap;
@@ -147,6 +150,22 @@
     set_role(r, MG_RAFT_FOLLOWER);
 }
 
+/* counts the bytes of the entries in memory */
+static void
+add_log_bytes(mg_raft *r, int64_t n)
+{
+    r->log_bytes += (size_t)n;
+    mg_gauge_add(MG_G_LOG_MEMORY, n);
+}
+
+static void
+drop_last_entry(mg_raft *r)
+{
+    struct log_entry *s = &r->log[--r->log_count];
+    add_log_bytes(r, -(int64_t)s->size);
+    free(s->data);
+}
+
 static void
 push_entry(mg_raft *r, uint64_t term, mg_str data)
 {
@@ -158,6 +177,7 @@
     s->term = term;
     s->size = data.n;
     s->data = mg_alloc(data.n);
+    add_log_bytes(r, (int64_t)data.n);
     if (data.n > 0) {
         memcpy(s->data, data.p, data.n);
     }
@@ -184,7 +204,7 @@
 {
     MG_INVARIANT(index > r->commit_index);
     while (last_index(r) >= index) {
-        free(r->log[--r->log_count].data);
+        drop_last_entry(r);
     }
     if (r->synced_index >= index) {
         r->synced_index = index - 1;
@@ -197,7 +217,7 @@
 clear_log(mg_raft *r)
 {
     while (r->log_count > 0) {
-        free(r->log[--r->log_count].data);
+        drop_last_entry(r);
     }
 }
 
@@ -582,6 +602,7 @@
     size_t drop = (size_t)(index - r->snap_index);
     drop = drop < r->log_count ? drop : r->log_count;
     for (size_t i = 0; i < drop; i++) {
+        add_log_bytes(r, -(int64_t)r->log[i].size);
         free(r->log[i].data);
     }
     memmove(r->log, r->log + drop, (r->log_count - drop) * sizeof(*r->log));
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -239,13 +239,22 @@
     mg_log(MG_EV_STATS,
            "requests=%" PRIu64 " answered=%" PRIu64 " refused=%" PRIu64
            " cut=%" PRIu64 " cancelled=%" PRIu64 " open=%zu nodes=%zu "
-           "turn_p99_us=%" PRId64 " first_byte_p99_us=%" PRId64,
+           "turn_p99_us=%" PRId64 " first_byte_p99_us=%" PRId64
+           " report_bytes=%" PRIu64 " member_bytes=%" PRIu64
+           " record_bytes=%" PRIu64 " log_bytes=%" PRIu64
+           " other_bytes=%" PRIu64 " unsent=%" PRId64,
            mg_counter_value(MG_C_REQUESTS), mg_counter_value(MG_C_COMPLETED),
            mg_counter_value(MG_C_REFUSED), mg_counter_value(MG_C_TRUNCATED),
            mg_counter_value(MG_C_CANCELLED),
            mg_gateway_open_requests(n->gateway), mg_mesh_live_count(n->mesh),
            mg_observed_quantile(MG_H_LOOP_ITERATION, 0.99),
-           mg_observed_quantile(MG_H_FIRST_BYTE, 0.99));
+           mg_observed_quantile(MG_H_FIRST_BYTE, 0.99),
+           mg_counter_value(MG_C_LINK_REPORT_BYTES),
+           mg_counter_value(MG_C_LINK_MEMBER_BYTES),
+           mg_counter_value(MG_C_LINK_RECORD_BYTES),
+           mg_counter_value(MG_C_LINK_LOG_BYTES),
+           mg_counter_value(MG_C_LINK_OTHER_BYTES),
+           mg_gauge_value(MG_G_LINK_UNSENT));
 }
 
 static void
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -12,6 +12,9 @@
 
 #define TICK_INTERVAL_MS 100
 #define BACKLOG 128
+/* unsent bytes of all connections above which they are logged */
+#define UNSENT_LOG_BYTES (4u << 20)
+#define UNSENT_LOG_INTERVAL_MS 1000
 
 typedef struct conn conn;
 
@@ -50,6 +53,8 @@
     struct list_head conns;
     struct list_head dials;
     int incoming_count;
+    size_t unsent; /* bytes of all connections at the last tick */
+    int64_t unsent_logged_ms;
     int open_handles;
     bool closing;
 };
@@ -126,10 +131,42 @@
     return c;
 }
 
+static mg_counter
+counter_of(mg_msg_type type)
+{
+    switch (type) {
+    case MG_MSG_REPORT:
+    case MG_MSG_REPORTS:
+        return MG_C_LINK_REPORT_BYTES;
+    case MG_MSG_NODE:
+    case MG_MSG_NODES:
+    case MG_MSG_INSTANCE:
+    case MG_MSG_INSTANCES:
+        return MG_C_LINK_MEMBER_BYTES;
+    case MG_MSG_PULL_REP:
+    case MG_MSG_PROPOSE:
+        return MG_C_LINK_RECORD_BYTES;
+    case MG_MSG_APPEND:
+    case MG_MSG_SNAPSHOT:
+        return MG_C_LINK_LOG_BYTES;
+    default:
+        return MG_C_LINK_OTHER_BYTES;
+    }
+}
+
 static void
 queue_message(conn *c, const mg_msg *m)
 {
+    size_t before = c->out.n;
     mg_frame_encode(m, &c->out);
+    mg_count(counter_of(m->type), c->out.n - before);
+}
+
+static size_t
+unsent_bytes(const conn *c)
+{
+    return c->out.n +
+           uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
 }
 
 static void
@@ -387,11 +424,43 @@
     }
 }
 
+/* Logs the total and the peer for which most bytes wait. */
+static void
+log_unsent(mg_net *net, const conn *largest, int64_t now)
+{
+    if (net->unsent < UNSENT_LOG_BYTES || largest == NULL ||
+        now - net->unsent_logged_ms < UNSENT_LOG_INTERVAL_MS) {
+        return;
+    }
+    net->unsent_logged_ms = now;
+    mg_log(MG_EV_LINK_UNSENT, "bytes=%zu largest_peer=%s largest_bytes=%zu",
+           net->unsent, largest->peer, unsent_bytes(largest));
+}
+
+static void
+measure_unsent(mg_net *net, int64_t now)
+{
+    const conn *largest = NULL;
+    size_t total = 0;
+    list_for_each(el, &net->conns)
+    {
+        const conn *c = list_entry(el, conn, link);
+        total += unsent_bytes(c);
+        if (largest == NULL || unsent_bytes(c) > unsent_bytes(largest)) {
+            largest = c;
+        }
+    }
+    mg_gauge_add(MG_G_LINK_UNSENT, (int64_t)total - (int64_t)net->unsent);
+    net->unsent = total;
+    log_unsent(net, largest, now);
+}
+
 static void
 on_tick(uv_timer_t *t)
 {
     mg_net *net = t->data;
     int64_t now = mg_now(net->opts.clock);
+    measure_unsent(net, now);
     list_for_each_safe(el, el1, &net->conns)
     {
         check_conn_timeouts(list_entry(el, conn, link), now);
