Test (red): restarted nodes make hubs send changes without end

Hubs take any message about a node whose incarnation differs from the one they know, in either direction, and forward it to all.

--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -20,6 +20,13 @@
 /* limit of messages per second that a node other than a hub may send */
 #define SENT_PER_S_MAX 6
 #define QUEUE_MAX 400000
+/* hosts that restart together, and the time that messages of one hub to the
+   other hubs are late */
+#define RESTARTS 60
+#define LATE_MS 400
+/* limit of changes of nodes that a node receives for each restart: twice from
+   each hub, starting and ready, and once more for copies that cross */
+#define CHANGES_PER_RESTART_MAX (4 * HUBS)
 
 /* the links of one node */
 struct mg_net {
@@ -34,11 +41,13 @@
     bool up;
     uint64_t sent;
     uint64_t received_bytes;
+    uint64_t received_changes; /* NODE messages */
 };
 
 struct packet {
     int from;
     int to;
+    int64_t due_ms;
     mg_buf bytes;
 };
 
@@ -46,6 +55,7 @@
 static struct packet *queue;
 static size_t queued;
 static mg_manual_clock clk;
+static int late_hub = -1; /* its messages to other hubs are LATE_MS late */
 
 static int
 node_index(const char *ip)
@@ -94,7 +104,10 @@
         return MG_E_CLOSED;
     }
     struct packet *p = &queue[queued++];
-    *p = (struct packet){.from = net->node, .to = to};
+    *p = (struct packet){.from = net->node, .to = to, .due_ms = clk.mono};
+    if (net->node == late_hub && to < HUBS) {
+        p->due_ms += LATE_MS;
+    }
     mg_msg_encode(m, &p->bytes);
     nodes[net->node].sent++;
     return MG_OK;
@@ -137,8 +150,13 @@
         struct packet *p = &packets[i];
         mg_str rest = mg_str_buf(&p->bytes);
         mg_msg m;
+        if (p->due_ms > clk.mono && queued < QUEUE_MAX) {
+            queue[queued++] = *p;
+            continue;
+        }
         if (nodes[p->to].up && mg_msg_next(&rest, &m) == MG_OK) {
             nodes[p->to].received_bytes += p->bytes.n;
+            nodes[p->to].received_changes += m.type == MG_MSG_NODE;
             mg_mesh_receive(nodes[p->to].mesh, nodes[p->from].ip, &m);
         }
         mg_buf_free(&p->bytes);
@@ -182,9 +200,29 @@
 }
 
 static void
-open_all(void)
+open_node(int i, uint64_t incarnation)
 {
     static const char *const domains[DOMAINS] = {"a", "b", "c", "d", "e"};
+    mg_voters hubs = node_range(0, HUBS);
+    nodes[i].mesh = mg_mesh_new(&(mg_mesh_options){
+        .net = &nodes[i].net,
+        .clock = &clk.clock,
+        .node = nodes[i].ip,
+        .front_addr = "10.0.0.1:1",
+        .domain = domains[i % DOMAINS],
+        .region = "r",
+        .incarnation = incarnation,
+        .on_instance = on_instance,
+        .on_report = on_report,
+        .each_instance = each_instance,
+    });
+    mg_mesh_set_contacts(nodes[i].mesh, &hubs, PORT);
+    mg_mesh_set_hubs(nodes[i].mesh, &hubs, PORT);
+}
+
+static void
+open_all(void)
+{
     mg_manual_clock_init(&clk);
     clk.mono = 100000;
     queue = mg_alloc(QUEUE_MAX * sizeof(*queue));
@@ -195,26 +233,25 @@
         nodes[i].up = true;
         snprintf(nodes[i].ip, MG_NAME_SIZE, "10.%d.0.%d", i / 256, i % 256);
     }
-    mg_voters hubs = node_range(0, HUBS);
+    late_hub = -1;
     for (int i = 0; i < NODES; i++) {
-        nodes[i].mesh = mg_mesh_new(&(mg_mesh_options){
-            .net = &nodes[i].net,
-            .clock = &clk.clock,
-            .node = nodes[i].ip,
-            .front_addr = "10.0.0.1:1",
-            .domain = domains[i % DOMAINS],
-            .region = "r",
-            .incarnation = 7,
-            .on_instance = on_instance,
-            .on_report = on_report,
-            .each_instance = each_instance,
-        });
-        mg_mesh_set_contacts(nodes[i].mesh, &hubs, PORT);
-        mg_mesh_set_hubs(nodes[i].mesh, &hubs, PORT);
+        open_node(i, 7);
         mg_mesh_set_ready(nodes[i].mesh, true);
     }
 }
 
+/* Stops a node and starts it again; its links come up on both ends. */
+static void
+restart_node(int i, uint64_t incarnation)
+{
+    memset(nodes[i].net.dialled, 0, sizeof(nodes[i].net.dialled));
+    open_node(i, incarnation);
+    for (int h = 0; h < HUBS; h++) {
+        mg_mesh_link_up(nodes[i].mesh, nodes[h].ip);
+    }
+    mg_mesh_set_ready(nodes[i].mesh, true);
+}
+
 /* the lowest number of ready nodes that any running node knows */
 static size_t
 min_known(void)
@@ -294,6 +331,51 @@
     CU_ASSERT_EQUAL(min_known(), NODES - 1);
 }
 
+/* Restarts many nodes while the messages of a hub to other hubs are late, so
+   that the state before a restart arrives after the state since then. */
+static void
+check_restarts(uint64_t before, uint64_t after)
+{
+    uint64_t most = 0;
+    open_all();
+    run_ms(CONVERGE_MS);
+    late_hub = 0;
+    for (int i = 0; i < RESTARTS; i++) {
+        restart_node(100 + i, before);
+    }
+    run_ms(LATE_MS / 2);
+    for (int i = 0; i < NODES; i++) {
+        nodes[i].received_changes = 0;
+    }
+    for (int i = 0; i < RESTARTS; i++) {
+        restart_node(100 + i, after);
+    }
+    run_ms(CONVERGE_MS);
+    for (int i = HUBS; i < NODES; i++) {
+        most = nodes[i].received_changes > most ? nodes[i].received_changes
+                                                : most;
+    }
+    printf("\n  %d restarts: at most %llu changes received by a node\n",
+           RESTARTS, (unsigned long long)most);
+    CU_ASSERT_TRUE(most <= RESTARTS * CHANGES_PER_RESTART_MAX);
+    CU_ASSERT_EQUAL(min_known(), NODES);
+}
+
+/* CONFIG, DRAIN: hubs sent two states of restarted hosts to each other
+   without end, which filled their links */
+static void
+test_restarts(void)
+{
+    check_restarts(8, 9);
+}
+
+/* a clock that was set back gives the next start a lower incarnation */
+static void
+test_restarts_with_clock_set_back(void)
+{
+    check_restarts(9, 8);
+}
+
 /* new contacts replace the links to former contacts, but not to hubs */
 static void
 test_contacts(void)
@@ -317,6 +399,8 @@
         {"300 nodes: traffic per node is bounded", test_rates},
         {"300 nodes: failure of nodes and hubs", test_failures},
         {"change of contacts", test_contacts},
+        {"restarted nodes: changes end", test_restarts},
+        {"clock set back: changes end", test_restarts_with_clock_set_back},
         CU_TEST_INFO_NULL,
     };
     return run_suite("mesh", tests);
