Mesh: order the states of a node by incarnation, so that late copies end

Cause: incarnations were random numbers. A hub took any message about a node whose incarnation differed from the known one as a change, and forwarded it to all nodes and hubs at once. After many nodes had restarted, copies of the states before and after met out of order, and five hubs sent both to each other without end; that filled their links (11.5 MB/s each for 30 s) and their memory, and all else waited behind it.

The incarnation now starts with the time of the start, and only a higher one, or a higher sequence number of the same one, is stored and forwarded: a late copy ends at the first hub.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -69,6 +69,8 @@
     X(362, WARN, NODE_DOWN, "entry is no longer live; reason")               \
     X(364, INFO, HUBS, "set of hubs changed")                                \
     X(365, INFO, DIRECTORY, "number of hosts advertised to clients")         \
+    X(366, WARN, INCARNATION,                                                \
+      "others know a higher incarnation of this host")                       \
     X(363, INFO, SETTINGS, "settings reloaded; new values")                  \
     X(400, WARN, BAD_INPUT, "malformed input refused")
 
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -47,6 +47,9 @@
     bool is_hub;
     bool missing;        /* some node has been silent for MISSING_MS */
     mg_mesh_node *nodes; /* without this node */
+    /* the highest incarnation of this node that another one knows, 0: none
+       above the current one */
+    uint64_t incarnation_to_exceed;
     int64_t announce_at;
     int64_t batch_at;
     uint64_t report_seq;
@@ -227,6 +230,26 @@
     return m;
 }
 
+static bool
+is_newer(const mg_node_msg *msg, const mg_mesh_node *known)
+{
+    return msg->incarnation != known->incarnation
+               ? msg->incarnation > known->incarnation
+               : msg->seq > known->seq;
+}
+
+/* Another node knows a higher incarnation of this one, for example because
+   the clock was set back before this start. This node takes an even higher
+   one at the next tick. */
+static void
+note_own_state(mg_mesh *m, const mg_node_msg *msg)
+{
+    if (msg->incarnation > m->self.incarnation &&
+        msg->incarnation > m->incarnation_to_exceed) {
+        m->incarnation_to_exceed = msg->incarnation;
+    }
+}
+
 /* Stores the state of another node. Returns false if the state is not newer
    than the stored one, or if the message describes this node itself. */
 static bool
@@ -234,7 +257,11 @@
 {
     char name[MG_NAME_SIZE];
     mg_str_copy(name, sizeof(name), msg->node);
-    if (name[0] == '\0' || strcmp(name, m->self.node) == 0) {
+    if (name[0] == '\0') {
+        return false;
+    }
+    if (strcmp(name, m->self.node) == 0) {
+        note_own_state(m, msg);
         return false;
     }
     mg_mesh_node *n = find_node(m, name);
@@ -243,7 +270,7 @@
         mg_str_copy(n->node, sizeof(n->node), msg->node);
         HASH_ADD_STR(m->nodes, node, n);
     }
-    else if (n->incarnation == msg->incarnation && msg->seq <= n->seq) {
+    else if (!is_newer(msg, n)) {
         return false;
     }
     bool was_ready = n->live && n->ready;
@@ -265,12 +292,19 @@
 }
 
 static void
-receive_node(mg_mesh *m, const mg_msg *msg)
+receive_node(mg_mesh *m, const char *peer, const mg_msg *msg)
 {
     const mg_mesh_node *n;
     char name[MG_NAME_SIZE];
     mg_str_copy(name, sizeof(name), msg->u.node.node);
     n = find_node(m, name);
+    if (n != NULL && strcmp(name, peer) == 0 &&
+        msg->u.node.incarnation < n->incarnation) {
+        /* the sender must exceed the known incarnation to be accepted */
+        mg_msg known = node_msg(n);
+        mg_net_send(m->opts.net, peer, &known);
+        return;
+    }
     bool same = n != NULL && n->live && n->ready == msg->u.node.ready &&
                 n->incarnation == msg->u.node.incarnation;
     if (!update_node(m, &msg->u.node) || !m->is_hub) {
@@ -491,7 +525,7 @@
     }
     switch (msg->type) {
     case MG_MSG_NODE:
-        receive_node(m, msg);
+        receive_node(m, peer, msg);
         return true;
     case MG_MSG_NODES:
         decode_each(m, msg->u.nodes.nodes, receive_forwarded);
@@ -569,10 +603,25 @@
     b->reports.n = 0;
 }
 
+static void
+exceed_incarnation(mg_mesh *m)
+{
+    if (m->incarnation_to_exceed < m->self.incarnation) {
+        return;
+    }
+    mg_log(MG_EV_INCARNATION, "own=%llu known=%llu",
+           (unsigned long long)m->self.incarnation,
+           (unsigned long long)m->incarnation_to_exceed);
+    m->self.incarnation = m->incarnation_to_exceed + 1;
+    m->self.seq = 0;
+    announce_self(m, true);
+}
+
 void
 mg_mesh_tick(mg_mesh *m)
 {
     int64_t now = mg_now(m->opts.clock);
+    exceed_incarnation(m);
     choose_primary(m, now);
     update_voters(m);
     expire_nodes(m, now);
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -10,6 +10,12 @@
  * recently lost contact with another one, it sends periodic messages to all
  * hubs.
  *
+ * The states of a node are ordered by its incarnation, then by a sequence
+ * number; only a newer state is stored and forwarded, so that copies that
+ * arrive late end at the first hub. The incarnation of a later start is higher
+ * unless the clock was set back; then a hub tells the node the incarnation
+ * that it must exceed.
+ *
  * The mesh does not interpret instances and reports. The callbacks store
  * them; the result of on_instance decides whether and how the mesh forwards.
  */
@@ -54,7 +60,7 @@
     const char *front_addr;
     const char *domain;
     const char *region;
-    uint64_t incarnation;
+    uint64_t incarnation; /* higher at each start of the node */
     bool has_disk;
     /* receives an announcement; returns whether it is a change */
     mg_announce_result (*on_instance)(void *user, const mg_announcement *a);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -24,6 +24,7 @@
 /* the process exits this long before the end of the grace period, ms */
 #define DRAIN_MARGIN_MS 700
 #define BODY_MAX (16u << 20)
+#define INCARNATION_RANDOM_BITS 16
 /* number of hosts that offer to keep the log in memory if no host has a
    disk */
 #define MEMORY_HOSTS 10
@@ -519,6 +520,15 @@
     };
 }
 
+/* Ordered by the time of the start; the low bits tell apart processes that
+   start in the same millisecond. */
+static uint64_t
+new_incarnation(mg_clock *clock)
+{
+    return (uint64_t)mg_wall(clock) << INCARNATION_RANDOM_BITS |
+           (mg_random_id() >> (64 - INCARNATION_RANDOM_BITS));
+}
+
 mg_rc
 mg_node_open(mg_node **out, const mg_node_options *opts, mg_error *err)
 {
@@ -527,7 +537,7 @@
     n->clock = mg_system_clock();
     n->settings = *opts->settings;
     n->codec = opts->codec;
-    n->incarnation = mg_random_id();
+    n->incarnation = new_incarnation(n->clock);
     n->opened_at = mg_now(n->clock);
     n->registry = mg_registry_new(n->clock);
     n->gateway = mg_gateway_new(&(mg_gateway_options){
@@ -536,7 +546,7 @@
         .registry = n->registry,
         .dialect = opts->dialect,
         .domain = n->settings.domain,
-        .seed = n->incarnation,
+        .seed = mg_random_id(),
         .limits = limits_of(&n->settings),
     });
     n->voters = voters_of_seeds(&n->settings);
