--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -441,11 +441,10 @@
 measure_unsent(mg_net *net, int64_t now)
 {
     const conn *largest = NULL;
-    size_t total = 0;
+    size_t total = mg_net_unsent_total(net);
     list_for_each(el, &net->conns)
     {
         const conn *c = list_entry(el, conn, link);
-        total += unsent_bytes(c);
         if (largest == NULL || unsent_bytes(c) > unsent_bytes(largest)) {
             largest = c;
         }
@@ -624,6 +623,24 @@
     return MG_OK;
 }
 
+size_t
+mg_net_unsent(mg_net *net, const char *peer)
+{
+    const conn *c = find_conn(net, peer);
+    return c != NULL ? unsent_bytes(c) : 0;
+}
+
+size_t
+mg_net_unsent_total(const mg_net *net)
+{
+    size_t total = 0;
+    list_for_each(el, &net->conns)
+    {
+        total += unsent_bytes(list_entry(el, conn, link));
+    }
+    return total;
+}
+
 void
 mg_net_send_all(mg_net *net, const mg_msg *m)
 {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -71,6 +71,12 @@
 /* MG_E_CLOSED: no connection to the peer is up, the message is lost. */
 mg_rc
 mg_net_send(mg_net *net, const char *peer, const mg_msg *m);
+/* Bytes queued for the peer that the kernel has not taken yet. */
+size_t
+mg_net_unsent(mg_net *net, const char *peer);
+/* The same over all peers. */
+size_t
+mg_net_unsent_total(const mg_net *net);
 /* Sends to the peer of every connection that completed the handshake. */
 void
 mg_net_send_all(mg_net *net, const mg_msg *m);
--- a/tests/unit/link_test.c
+++ b/tests/unit/link_test.c
@@ -2,11 +2,16 @@
  * Two event loops in threads of one process, as in a node with its control
  * group. Guards against a read buffer shared by the threads, which would mix
  * up their messages.
+ *
+ * Peers that keep their links alive but do not read: guards against unsent
+ * bytes that are bounded for each link but not for the process.
  */
 #include "suite.h"
 
 #include <pthread.h>
 
+#include "base/addr.h"
+#include "base/check.h"
 #include "wire/link.h"
 
 #define MESSAGES 400
@@ -122,11 +127,179 @@
     }
 }
 
+/* ------------------------------------------------- peers that do not read */
+
+#define SILENT_PEERS 4
+#define SILENT_PORT 24730
+#define SENT_TO_EACH (40u << 20)
+#define PING_MS 200
+
+struct silent_peer {
+    uv_tcp_t listener;
+    uv_tcp_t conn;
+    uv_timer_t timer;
+    char name[MG_NAME_SIZE];
+    mg_buf frame;
+    bool accepted;
+};
+
+struct flood {
+    uv_loop_t loop;
+    uv_timer_t timer;
+    mg_net *net;
+    struct silent_peer peers[SILENT_PEERS];
+    size_t sent[SILENT_PEERS];
+    size_t most_unsent;
+    int64_t deadline_ms;
+};
+
+static void
+on_frame_written(uv_write_t *req, int status)
+{
+    (void)status;
+    free(req);
+}
+
+static void
+write_message(struct silent_peer *p, const mg_msg *m)
+{
+    uv_write_t *req = mg_alloc(sizeof(*req));
+    p->frame.n = 0;
+    mg_frame_encode(m, &p->frame);
+    uv_buf_t b = uv_buf_init(p->frame.p, (unsigned)p->frame.n);
+    uv_write(req, (uv_stream_t *)&p->conn, &b, 1, on_frame_written);
+}
+
+static void
+on_ping_time(uv_timer_t *t)
+{
+    mg_msg m = {.type = MG_MSG_PING};
+    write_message(t->data, &m);
+}
+
+static void
+on_silent_accept(uv_stream_t *listener, int status)
+{
+    struct silent_peer *p = listener->data;
+    mg_msg m = {.type = MG_MSG_HELLO};
+    if (status < 0 || p->accepted) {
+        return;
+    }
+    p->accepted = true;
+    uv_tcp_init(listener->loop, &p->conn);
+    uv_accept(listener, (uv_stream_t *)&p->conn);
+    m.u.hello.node = mg_str_of(p->name);
+    m.u.hello.key = mg_str_of("k");
+    m.u.hello.protocol = MG_LINK_PROTOCOL;
+    write_message(p, &m);
+    uv_timer_start(&p->timer, on_ping_time, PING_MS, PING_MS);
+}
+
+static void
+open_silent_peer(struct flood *f, int i)
+{
+    struct silent_peer *p = &f->peers[i];
+    char addr[32];
+    struct sockaddr_in sin;
+    snprintf(p->name, sizeof(p->name), "silent-%d", i);
+    snprintf(addr, sizeof(addr), "127.0.0.1:%d", SILENT_PORT + 1 + i);
+    mg_addr_parse(addr, &sin);
+    uv_tcp_init(&f->loop, &p->listener);
+    uv_timer_init(&f->loop, &p->timer);
+    p->listener.data = p;
+    p->timer.data = p;
+    uv_tcp_bind(&p->listener, (struct sockaddr *)&sin, 0);
+    uv_listen((uv_stream_t *)&p->listener, 8, on_silent_accept);
+    mg_net_dial(f->net, p->name, addr);
+}
+
+static void
+close_handle(uv_handle_t *h, void *arg)
+{
+    (void)arg;
+    if (!uv_is_closing(h)) {
+        uv_close(h, NULL);
+    }
+}
+
+static void
+close_peers(struct flood *f)
+{
+    for (int i = 0; i < SILENT_PEERS; i++) {
+        struct silent_peer *p = &f->peers[i];
+        close_handle((uv_handle_t *)&p->listener, NULL);
+        close_handle((uv_handle_t *)&p->timer, NULL);
+        if (p->accepted) {
+            close_handle((uv_handle_t *)&p->conn, NULL);
+        }
+        mg_buf_free(&p->frame);
+    }
+}
+
+static void
+on_flood_tick(uv_timer_t *t)
+{
+    struct flood *f = t->data;
+    static char value[PAYLOAD_SIZE];
+    mg_msg m = {.type = MG_MSG_RECORD};
+    m.u.record.value = (mg_str){value, sizeof(value)};
+    bool done = true;
+    for (int i = 0; i < SILENT_PEERS; i++) {
+        for (int k = 0; k < 8 && f->sent[i] < SENT_TO_EACH; k++) {
+            if (mg_net_send(f->net, f->peers[i].name, &m) == MG_OK) {
+                f->sent[i] += PAYLOAD_SIZE;
+            }
+        }
+        done = done && f->sent[i] >= SENT_TO_EACH;
+    }
+    size_t unsent = mg_net_unsent_total(f->net);
+    f->most_unsent = unsent > f->most_unsent ? unsent : f->most_unsent;
+    if (done || mg_now(mg_system_clock()) > f->deadline_ms) {
+        close_handle((uv_handle_t *)t, NULL);
+        mg_net_close(f->net);
+        close_peers(f);
+    }
+}
+
+/* CONFIG, DRAIN: a hub's process exceeded its memory limit with bytes for many
+   links, each of which kept to its own limit */
+static void
+test_unsent_bytes_of_the_process(void)
+{
+    static struct flood f;
+    mg_error err;
+    uv_loop_init(&f.loop);
+    mg_net_open(&f.net,
+                &(mg_net_options){
+                    .loop = &f.loop,
+                    .clock = mg_system_clock(),
+                    .node = "from",
+                    .key = "k",
+                    .listen_addr = "127.0.0.1:24730",
+                    .on_message = on_message,
+                },
+                &err);
+    for (int i = 0; i < SILENT_PEERS; i++) {
+        open_silent_peer(&f, i);
+    }
+    f.deadline_ms = mg_now(mg_system_clock()) + TIMEOUT_MS / 2;
+    uv_timer_init(&f.loop, &f.timer);
+    f.timer.data = &f;
+    uv_timer_start(&f.timer, on_flood_tick, 1, 1);
+    uv_run(&f.loop, UV_RUN_DEFAULT);
+    uv_loop_close(&f.loop);
+    printf("\n  %d peers that do not read: at most %zu KB unsent\n",
+           SILENT_PEERS, f.most_unsent >> 10);
+    CU_ASSERT_TRUE(f.most_unsent > 0);
+    CU_ASSERT_TRUE(f.most_unsent <= MG_LINK_UNSENT_MAX + PAYLOAD_SIZE);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"event loops in two threads", test_event_loops_in_two_threads},
+        {"unsent bytes of the process", test_unsent_bytes_of_the_process},
         CU_TEST_INFO_NULL,
     };
     return run_suite("link", tests);
--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -28,10 +28,18 @@
    each hub, starting and ready, and once more for copies that cross */
 #define CHANGES_PER_RESTART_MAX (4 * HUBS)
 
+/* bytes per 50 ms that a hub can send when its link is slow: 3 MB/s, half of
+   what its reports to all nodes need */
+#define SLOW_HUB_BYTES 150000
+/* every node learns within this time that another one takes no new work */
+#define CHANGE_MS 2500
+
 /* the links of one node */
 struct mg_net {
     int node;
     bool dialled[NODES];
+    size_t unsent[NODES];
+    size_t unsent_total;
 };
 
 struct node {
@@ -56,6 +64,7 @@
 static size_t queued;
 static mg_manual_clock clk;
 static int late_hub = -1; /* its messages to other hubs are LATE_MS late */
+static bool slow_hubs;    /* hubs send SLOW_HUB_BYTES in each step */
 
 static int
 node_index(const char *ip)
@@ -109,10 +118,24 @@
         p->due_ms += LATE_MS;
     }
     mg_msg_encode(m, &p->bytes);
+    net->unsent[to] += p->bytes.n;
+    net->unsent_total += p->bytes.n;
     nodes[net->node].sent++;
     return MG_OK;
 }
 
+size_t
+mg_net_unsent(mg_net *net, const char *peer)
+{
+    return net->unsent[node_index(peer)];
+}
+
+size_t
+mg_net_unsent_total(const mg_net *net)
+{
+    return net->unsent_total;
+}
+
 static mg_announce_result
 on_instance(void *user, const mg_announcement *a)
 {
@@ -139,9 +162,25 @@
     (void)to;
 }
 
+/* Whether the packet leaves its sender in this step. */
+static bool
+is_sent(const struct packet *p, size_t sent_by_hub[HUBS])
+{
+    if (p->due_ms > clk.mono) {
+        return false;
+    }
+    if (!slow_hubs || p->from >= HUBS) {
+        return true;
+    }
+    /* what does not fit keeps its place in the queue */
+    sent_by_hub[p->from] += p->bytes.n;
+    return sent_by_hub[p->from] <= SLOW_HUB_BYTES;
+}
+
 static void
 deliver(void)
 {
+    size_t sent_by_hub[HUBS] = {0};
     size_t n = queued;
     struct packet *packets = queue;
     queue = mg_alloc(QUEUE_MAX * sizeof(*queue));
@@ -150,10 +189,12 @@
         struct packet *p = &packets[i];
         mg_str rest = mg_str_buf(&p->bytes);
         mg_msg m;
-        if (p->due_ms > clk.mono && queued < QUEUE_MAX) {
+        if (!is_sent(p, sent_by_hub) && queued < QUEUE_MAX) {
             queue[queued++] = *p;
             continue;
         }
+        nodes[p->from].net.unsent[p->to] -= p->bytes.n;
+        nodes[p->from].net.unsent_total -= p->bytes.n;
         if (nodes[p->to].up && mg_msg_next(&rest, &m) == MG_OK) {
             nodes[p->to].received_bytes += p->bytes.n;
             nodes[p->to].received_changes += m.type == MG_MSG_NODE;
@@ -234,6 +275,7 @@
         snprintf(nodes[i].ip, MG_NAME_SIZE, "10.%d.0.%d", i / 256, i % 256);
     }
     late_hub = -1;
+    slow_hubs = false;
     for (int i = 0; i < NODES; i++) {
         open_node(i, 7);
         mg_mesh_set_ready(nodes[i].mesh, true);
@@ -376,6 +418,30 @@
     check_restarts(9, 8);
 }
 
+/* CONFIG, DRAIN: a change waited on the hubs' links behind reports that were
+   out of date before they were sent */
+static void
+test_change_on_slow_links(void)
+{
+    size_t most = 0;
+    open_all();
+    run_ms(CONVERGE_MS);
+    slow_hubs = true;
+    for (int i = 0; i < 10; i++) {
+        run_ms(1000);
+        for (int h = 0; h < HUBS; h++) {
+            size_t unsent = nodes[h].net.unsent_total;
+            most = unsent > most ? unsent : most;
+        }
+    }
+    CU_ASSERT_EQUAL(max_known(), NODES);
+    mg_mesh_set_ready(nodes[150].mesh, false);
+    run_ms(CHANGE_MS);
+    printf("\n  slow links of hubs: at most %zu KB unsent\n", most >> 10);
+    CU_ASSERT_EQUAL(max_known(), NODES - 1);
+    CU_ASSERT_TRUE(most <= MG_LINK_UNSENT_MAX);
+}
+
 /* new contacts replace the links to former contacts, but not to hubs */
 static void
 test_contacts(void)
@@ -399,6 +465,7 @@
         {"300 nodes: traffic per node is bounded", test_rates},
         {"300 nodes: failure of nodes and hubs", test_failures},
         {"change of contacts", test_contacts},
+        {"a change on slow links", test_change_on_slow_links},
         {"restarted nodes: changes end", test_restarts},
         {"clock set back: changes end", test_restarts_with_clock_set_back},
         CU_TEST_INFO_NULL,
