Links: one limit of unsent bytes for all connections of a process

Cause: unsent bytes had a limit of 64 MB for each connection and none for the process, which has a connection to each of 90 hosts.

All connections of an mg_net now share mg_net_options.unsent_max, 8 MB by default. Beyond it the connection with most unsent bytes is closed, so that a peer that doesn't read loses its own link. A single message that is larger is sent nevertheless. LINK_UNSENT tells half of the limit.

link_test, four peers that don't read: 148,735 KB unsent before, 7,970 KB at most after.

--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -12,8 +12,6 @@
 
 #define TICK_INTERVAL_MS 100
 #define BACKLOG 128
-/* unsent bytes of all connections above which they are logged */
-#define UNSENT_LOG_BYTES (4u << 20)
 #define UNSENT_LOG_INTERVAL_MS 1000
 
 typedef struct conn conn;
@@ -39,6 +37,8 @@
     int64_t opened_ms;
     int64_t received_ms; /* last read */
     int64_t sent_ms;     /* last write */
+    size_t unsent;       /* bytes in out and in writes that have not ended */
+    size_t last_frame;   /* bytes of the message queued last */
     mg_buf in;
     mg_buf out;
 };
@@ -53,7 +53,8 @@
     struct list_head conns;
     struct list_head dials;
     int incoming_count;
-    size_t unsent; /* bytes of all connections at the last tick */
+    size_t unsent;         /* bytes of all connections */
+    size_t unsent_counted; /* as added to the gauge of the process */
     int64_t unsent_logged_ms;
     int open_handles;
     bool closing;
@@ -100,6 +101,8 @@
         return;
     }
     c->closing = true;
+    c->net->unsent -= c->unsent;
+    c->unsent = 0;
     if (c->handshake_done) {
         mg_log(MG_EV_LINK_DOWN, "peer=%s dir=%s why=%s", c->peer,
                c->dial ? "out" : "in", why);
@@ -154,19 +157,46 @@
     }
 }
 
+static size_t
+unsent_max(const mg_net *net)
+{
+    return net->opts.unsent_max ? net->opts.unsent_max : MG_LINK_UNSENT_MAX;
+}
+
+/* Closes the connection for which most bytes wait. A single message is
+   exempt, or one that is larger than the limit could never be sent. */
 static void
-queue_message(conn *c, const mg_msg *m)
+close_largest(mg_net *net)
 {
-    size_t before = c->out.n;
-    mg_frame_encode(m, &c->out);
-    mg_count(counter_of(m->type), c->out.n - before);
+    conn *largest = NULL;
+    list_for_each(el, &net->conns)
+    {
+        conn *c = list_entry(el, conn, link);
+        if (!c->closing && c->unsent > c->last_frame &&
+            (largest == NULL || c->unsent > largest->unsent)) {
+            largest = c;
+        }
+    }
+    if (largest != NULL) {
+        close_conn(largest, "unsent_bytes");
+    }
 }
 
-static size_t
-unsent_bytes(const conn *c)
+static void
+queue_message(conn *c, const mg_msg *m)
 {
-    return c->out.n +
-           uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+    if (c->closing) {
+        return;
+    }
+    size_t before = c->out.n;
+    mg_frame_encode(m, &c->out);
+    c->last_frame = c->out.n - before;
+    c->unsent += c->last_frame;
+    c->net->unsent += c->last_frame;
+    mg_count(counter_of(m->type), c->last_frame);
+    if (c->net->unsent > unsent_max(c->net)) {
+        close_largest(c->net);
+    }
 }
 
 static void
@@ -354,6 +384,10 @@
 on_written(uv_write_t *req, int status)
 {
     write_req *w = (write_req *)req;
+    if (!w->conn->closing) {
+        w->conn->unsent -= w->buf.n;
+        w->conn->net->unsent -= w->buf.n;
+    }
     if (status < 0) {
         close_conn(w->conn, uv_err_name(status));
     }
@@ -367,11 +401,6 @@
     if (!c->connected || c->closing || c->out.n == 0) {
         return;
     }
-    if (uv_stream_get_write_queue_size((uv_stream_t *)&c->tcp) >
-        MG_LINK_UNSENT_MAX) {
-        close_conn(c, "unsent_bytes");
-        return;
-    }
     write_req *w = mg_alloc(sizeof(*w));
     w->buf = c->out;
     w->conn = c;
@@ -428,29 +457,30 @@
 static void
 log_unsent(mg_net *net, const conn *largest, int64_t now)
 {
-    if (net->unsent < UNSENT_LOG_BYTES || largest == NULL ||
+    if (net->unsent < unsent_max(net) / 2 || largest == NULL ||
         now - net->unsent_logged_ms < UNSENT_LOG_INTERVAL_MS) {
         return;
     }
     net->unsent_logged_ms = now;
-    mg_log(MG_EV_LINK_UNSENT, "bytes=%zu largest_peer=%s largest_bytes=%zu",
-           net->unsent, largest->peer, unsent_bytes(largest));
+    mg_log(MG_EV_LINK_UNSENT,
+           "bytes=%zu limit=%zu largest_peer=%s largest_bytes=%zu",
+           net->unsent, unsent_max(net), largest->peer, largest->unsent);
 }
 
 static void
 measure_unsent(mg_net *net, int64_t now)
 {
     const conn *largest = NULL;
-    size_t total = mg_net_unsent_total(net);
     list_for_each(el, &net->conns)
     {
         const conn *c = list_entry(el, conn, link);
-        if (largest == NULL || unsent_bytes(c) > unsent_bytes(largest)) {
+        if (largest == NULL || c->unsent > largest->unsent) {
             largest = c;
         }
     }
-    mg_gauge_add(MG_G_LINK_UNSENT, (int64_t)total - (int64_t)net->unsent);
-    net->unsent = total;
+    mg_gauge_add(MG_G_LINK_UNSENT,
+                 (int64_t)net->unsent - (int64_t)net->unsent_counted);
+    net->unsent_counted = net->unsent;
     log_unsent(net, largest, now);
 }
 
@@ -627,18 +657,13 @@
 mg_net_unsent(mg_net *net, const char *peer)
 {
     const conn *c = find_conn(net, peer);
-    return c != NULL ? unsent_bytes(c) : 0;
+    return c != NULL ? c->unsent : 0;
 }
 
 size_t
 mg_net_unsent_total(const mg_net *net)
 {
-    size_t total = 0;
-    list_for_each(el, &net->conns)
-    {
-        total += unsent_bytes(list_entry(el, conn, link));
-    }
-    return total;
+    return net->unsent;
 }
 
 void
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -13,7 +13,13 @@
  * This replaces a dead connection before the peer's lease expires.
  *
  * All memory is bounded: frames by MG_FRAME_MAX (MG_LINK_HANDSHAKE_FRAME_MAX
- * before HELLO), unsent bytes by MG_LINK_UNSENT_MAX.
+ * before HELLO), unsent bytes by mg_net_options.unsent_max over all
+ * connections together. Beyond that the connection with most unsent bytes is
+ * closed, so that a peer that does not read loses its own link; a single
+ * message larger than the limit is sent nevertheless. The memory of a closed
+ * connection is freed in the next iteration of the event loop. A total of half
+ * the limit is logged. Senders of messages that a later one replaces ask
+ * mg_net_unsent() first and send none while earlier ones wait.
  */
 #ifndef MG_LINK_H
 #define MG_LINK_H
@@ -31,7 +37,7 @@
 #define MG_LINK_CONNECT_TIMEOUT_MS 250
 #define MG_LINK_HANDSHAKE_TIMEOUT_MS 1000
 #define MG_LINK_HANDSHAKE_FRAME_MAX 1024
-#define MG_LINK_UNSENT_MAX (64u << 20)
+#define MG_LINK_UNSENT_MAX (8u << 20)
 #define MG_LINK_REDIAL_DELAY_MS 100
 #define MG_LINK_MAX_INCOMING 1024
 
@@ -44,6 +50,7 @@
     const char *key;         /* shared by all processes, copied */
     const char *listen_addr; /* IP:PORT */
     uint64_t incarnation;
+    size_t unsent_max; /* bytes; 0: MG_LINK_UNSENT_MAX */
     /* strings of the message are valid until the callback returns */
     void (*on_message)(void *user, const char *peer, const mg_msg *m);
     /* the handshake with a peer is complete; may be NULL */
