Mesh: while a node is missing, batches come from two hubs, not from all

Cause: while some node is missing, each node reports to all hubs, and a direct report subscribes the node to the hub's batches for a second; with five hubs each node got all batches five times, just when the links are needed.

Now a node's primary and secondary hub get its report; the other hubs get it as one of a batch, which they forward without a subscription. Hubs send nothing besides their batches. Among hubs of the same rank a hash decides, so that nodes without a hub in their failure domain don't all take the first one.

--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -42,7 +42,8 @@
     hub hubs[MG_MESH_HUBS_MAX]; /* without this node */
     size_t hub_count;
     mg_voters contacts;
-    hub *primary; /* receives periodic messages; NULL: none yet */
+    hub *primary;   /* receives periodic messages; NULL: none yet */
+    hub *secondary; /* also sends batches while a node is missing */
     int64_t primary_since;
     bool is_hub;
     bool missing;        /* some node has been silent for MISSING_MS */
@@ -127,6 +128,7 @@
     m->is_hub = mg_voters_slot_of(voters, m->self.node) != 0;
     m->hub_count = 0;
     m->primary = NULL;
+    m->secondary = NULL;
     for (unsigned i = 0; i < voters->count; i++) {
         const char *ip = voters->ip[i];
         if (ip[0] == '\0' || strcmp(ip, m->self.node) == 0) {
@@ -170,49 +172,93 @@
     }
 }
 
-/* Ranks a hub, lower is better: link up, not avoided, local failure domain. */
-static int
+/* Ranks a hub, lower is better: link up, not avoided, local failure domain;
+   among equals a hash, which spreads the nodes over the hubs. */
+static uint64_t
 hub_rank(const mg_mesh *m, const hub *h, int64_t now)
 {
     const mg_mesh_node *n = find_node(m, h->node);
-    int rank = mg_net_is_up(m->opts.net, h->node) ? 0 : 4;
+    uint64_t rank = mg_net_is_up(m->opts.net, h->node) ? 0 : 4;
     rank += now < h->avoid_until ? 2 : 0;
-    return rank + (n == NULL || strcmp(n->domain, m->self.domain) != 0);
+    rank += n == NULL || strcmp(n->domain, m->self.domain) != 0;
+    uint64_t hash = mg_hash_pair(mg_str_of(m->self.node), mg_str_of(h->node));
+    return rank << 32 | hash >> 32;
+}
+
+/* Returns the hub with the lowest rank other than the one given, or NULL. */
+static hub *
+best_hub(mg_mesh *m, const hub *other, int64_t now)
+{
+    hub *best = NULL;
+    for (size_t i = 0; i < m->hub_count; i++) {
+        hub *h = &m->hubs[i];
+        if (h != other &&
+            (best == NULL || hub_rank(m, h, now) < hub_rank(m, best, now))) {
+            best = h;
+        }
+    }
+    return best;
 }
 
 static void
-choose_primary(mg_mesh *m, int64_t now)
+choose_hubs(mg_mesh *m, int64_t now)
 {
     hub *old = m->primary;
     if (old != NULL && now - m->primary_since > HUB_TIMEOUT_MS &&
         now - old->last_seen_ms > HUB_TIMEOUT_MS) {
         old->avoid_until = now + HUB_AVOID_MS;
     }
-    for (size_t i = 0; i < m->hub_count; i++) {
-        hub *h = &m->hubs[i];
-        if (m->primary == NULL ||
-            hub_rank(m, h, now) < hub_rank(m, m->primary, now)) {
-            m->primary = h;
-        }
-    }
+    m->primary = best_hub(m, NULL, now);
+    m->secondary = best_hub(m, m->primary, now);
     if (m->primary != old) {
         m->primary_since = now;
     }
 }
 
 /* Sends a periodic message to the primary hub, or to all hubs while a node is
-   missing. */
+   missing. A hub forwards its own with its batches. */
 static void
 send_periodic(mg_mesh *m, const mg_msg *msg)
 {
+    if (m->is_hub) {
+        return;
+    }
     if (m->missing) {
         send_to_hubs(m, msg);
     }
-    else if (m->primary != NULL && !m->is_hub) {
+    else if (m->primary != NULL) {
         mg_net_send(m->opts.net, m->primary->node, msg);
     }
 }
 
+/* Sends this node's report, which also subscribes to batches, to the primary
+   hub. While a node is missing, the secondary hub gets it as well, and the
+   other hubs get it in a form that does not subscribe: batches from all hubs
+   would multiply their traffic when it is least affordable. */
+static void
+send_report(mg_mesh *m, const mg_msg *report)
+{
+    if (m->is_hub || m->primary == NULL) {
+        return;
+    }
+    mg_net_send(m->opts.net, m->primary->node, report);
+    if (!m->missing) {
+        return;
+    }
+    mg_buf encoded = {0};
+    mg_msg_encode(report, &encoded);
+    mg_msg forwarded = {.type = MG_MSG_REPORTS};
+    forwarded.u.reports.reports = mg_str_buf(&encoded);
+    for (size_t i = 0; i < m->hub_count; i++) {
+        const hub *h = &m->hubs[i];
+        if (h != m->primary) {
+            mg_net_send(m->opts.net, h->node,
+                        h == m->secondary ? report : &forwarded);
+        }
+    }
+    mg_buf_free(&encoded);
+}
+
 /* --------------------------------------------------------------- nodes */
 
 static mg_msg
@@ -476,7 +522,7 @@
     msg.u.report.incarnation = m->self.incarnation;
     msg.u.report.seq = ++m->report_seq;
     msg.u.report.loads = loads;
-    send_periodic(m, &msg);
+    send_report(m, &msg);
     if (m->is_hub) {
         mg_msg_encode(&msg, &m->to_hubs.reports);
         mg_msg_encode(&msg, &m->to_subscribers.reports);
@@ -622,7 +668,7 @@
 {
     int64_t now = mg_now(m->opts.clock);
     exceed_incarnation(m);
-    choose_primary(m, now);
+    choose_hubs(m, now);
     update_voters(m);
     expire_nodes(m, now);
     if (now >= m->announce_at) {
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -8,7 +8,7 @@
  * sender's own failure domain. This hub forwards them in batches to the other
  * hubs, and each hub to the nodes that subscribe to it. While a node has
  * recently lost contact with another one, it sends periodic messages to all
- * hubs.
+ * hubs and subscribes to a second one.
  *
  * The states of a node are ordered by its incarnation, then by a sequence
  * number; only a newer state is stored and forwarded, so that copies that
--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -28,6 +28,9 @@
    each hub, starting and ready, and once more for copies that cross */
 #define CHANGES_PER_RESTART_MAX (4 * HUBS)
 
+/* limit of the traffic at a node while another one is missing, in tenths of
+   the usual: batches of two hubs, and heartbeats by all of them */
+#define MISSING_TRAFFIC_MAX_TENTHS 25
 /* bytes per 50 ms that a hub can send when its link is slow: 3 MB/s, half of
    what its reports to all nodes need */
 #define SLOW_HUB_BYTES 150000
@@ -352,6 +355,38 @@
     CU_ASSERT_EQUAL(min_known(), NODES);
 }
 
+/* the bytes that a node receives in a second, the most of any node */
+static uint64_t
+most_received(void)
+{
+    uint64_t most = 0;
+    for (int i = 0; i < NODES; i++) {
+        nodes[i].received_bytes = 0;
+    }
+    run_ms(1000);
+    for (int i = HUBS; i < NODES; i++) {
+        most = nodes[i].received_bytes > most ? nodes[i].received_bytes : most;
+    }
+    return most;
+}
+
+/* CONFIG, DRAIN: while a node was missing, every node got the batches of all
+   hubs, which filled the hubs' links when many nodes restarted */
+static void
+test_traffic_while_a_node_is_missing(void)
+{
+    open_all();
+    run_ms(CONVERGE_MS);
+    uint64_t before = most_received();
+    nodes[77].up = false;
+    run_ms(CONVERGE_MS);
+    uint64_t missing = most_received();
+    printf("\n  received per second: %.1f KB, while a node is missing "
+           "%.1f KB\n",
+           (double)before / 1000, (double)missing / 1000);
+    CU_ASSERT_TRUE(missing * 10 <= before * MISSING_TRAFFIC_MAX_TENTHS);
+}
+
 /* a node, then two hubs, fail; one hub and the node return */
 static void
 test_failures(void)
@@ -465,6 +500,8 @@
         {"300 nodes: traffic per node is bounded", test_rates},
         {"300 nodes: failure of nodes and hubs", test_failures},
         {"change of contacts", test_contacts},
+        {"traffic while a node is missing",
+         test_traffic_while_a_node_is_missing},
         {"a change on slow links", test_change_on_slow_links},
         {"restarted nodes: changes end", test_restarts},
         {"clock set back: changes end", test_restarts_with_clock_set_back},
