Mesh: hubs hold batches back while bytes wait, changes go first

Cause: each hub queued its batches of reports whether or not the last ones had left, so that a change (a node or target that leaves) waited behind up to 13 s of reports that were out of date before they were sent.

A hub now sends its batches to one subscriber after the other and stops while more than 1 MB waits for all (80 ms at 100 Mbit/s); the next batch starts when all have got this one, with the newest report of each node. A node for which 64 KB wait is passed over. Changes are sent at once, as before. Heartbeats held back beyond 256 KB are dropped; later ones follow.

--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -22,6 +22,13 @@
 #define MISSING_MAX_MS 10000
 /* a hub sends a node batches for this long after its last report, ms */
 #define SUBSCRIPTION_MS 1000
+/* while more bytes than this wait to be sent to all nodes, a hub sends no
+   further batch; a change then waits for 80 ms at 100 Mbit/s */
+#define BATCH_UNSENT_MAX (1u << 20)
+/* a node for which more bytes than this wait is passed over */
+#define PEER_UNSENT_MAX (64u << 10)
+/* heartbeats held back beyond this size are dropped; later ones follow */
+#define HELD_BACK_MAX (256u << 10)
 
 typedef struct hub {
     char node[MG_NAME_SIZE];
@@ -29,13 +36,22 @@
     int64_t avoid_until;
 } hub;
 
-/* encoded messages that a hub forwards with its next batch */
-typedef struct batch {
+/* heartbeats of nodes and instances that a hub has not yet forwarded, encoded;
+   reports are kept with their nodes */
+typedef struct heartbeats {
     mg_buf nodes;
     mg_buf instances;
+} heartbeats;
+
+/* encoded messages that a hub forwards together */
+typedef struct batch {
+    heartbeats heartbeats;
     mg_buf reports;
 } batch;
 
+/* to whom a node's newest report is still to be forwarded */
+enum { REPORT_TO_HUBS = 1, REPORT_TO_SUBSCRIBERS = 2 };
+
 struct mg_mesh {
     mg_mesh_options opts;
     mg_mesh_node self;
@@ -54,8 +70,12 @@
     int64_t announce_at;
     int64_t batch_at;
     uint64_t report_seq;
-    batch to_hubs;
-    batch to_subscribers;
+    heartbeats to_hubs;
+    heartbeats to_subscribers;
+    /* the batch that is being sent to subscribers, from next_subscriber on;
+       the next batch starts when all have got it */
+    batch current;
+    mg_mesh_node *next_subscriber;
 };
 
 mg_mesh *
@@ -161,17 +181,6 @@
     }
 }
 
-static void
-send_to_subscribers(mg_mesh *m, const mg_msg *msg)
-{
-    int64_t now = mg_now(m->opts.clock);
-    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
-        if (now < n->subscriber_until) {
-            mg_net_send(m->opts.net, n->node, msg);
-        }
-    }
-}
-
 /* Ranks a hub, lower is better: link up, not avoided, local failure domain;
    among equals a hash, which spreads the nodes over the hubs. */
 static uint64_t
@@ -480,6 +489,15 @@
 
 /* ------------------------------------------------------------- reports */
 
+/* Keeps a report for the next batches in place of the node's last one. */
+static void
+keep_report(mg_mesh_node *n, const mg_msg *msg, unsigned flags)
+{
+    n->report.n = 0;
+    mg_msg_encode(msg, &n->report);
+    n->report_flags |= flags;
+}
+
 static void
 receive_report(mg_mesh *m, const mg_msg *msg, bool from_hub)
 {
@@ -506,10 +524,9 @@
     if (!m->is_hub) {
         return;
     }
-    mg_msg_encode(msg, &m->to_subscribers.reports);
-    if (!from_hub) {
-        mg_msg_encode(msg, &m->to_hubs.reports);
-    }
+    keep_report(n, msg,
+                from_hub ? REPORT_TO_SUBSCRIBERS
+                         : REPORT_TO_SUBSCRIBERS | REPORT_TO_HUBS);
 }
 
 void
@@ -524,8 +541,7 @@
     msg.u.report.loads = loads;
     send_report(m, &msg);
     if (m->is_hub) {
-        mg_msg_encode(&msg, &m->to_hubs.reports);
-        mg_msg_encode(&msg, &m->to_subscribers.reports);
+        keep_report(&m->self, &msg, REPORT_TO_HUBS | REPORT_TO_SUBSCRIBERS);
     }
 }
 
@@ -627,26 +643,115 @@
 }
 
 static void
-send_batch(mg_mesh *m, batch *b, void (*send)(mg_mesh *m, const mg_msg *msg))
+take_report(mg_mesh_node *n, unsigned flag, mg_buf *out)
+{
+    if (n->report_flags & flag) {
+        mg_buf_put(out, n->report.p, n->report.n);
+        n->report_flags &= ~flag;
+    }
+}
+
+/* Moves what is to be forwarded into an empty batch. */
+static void
+fill_batch(mg_mesh *m, batch *b, heartbeats *from, unsigned report_flag)
+{
+    b->heartbeats = *from;
+    *from = (heartbeats){0};
+    take_report(&m->self, report_flag, &b->reports);
+    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
+        take_report(n, report_flag, &b->reports);
+    }
+}
+
+static void
+free_batch(batch *b)
+{
+    mg_buf_free(&b->heartbeats.nodes);
+    mg_buf_free(&b->heartbeats.instances);
+    mg_buf_free(&b->reports);
+}
+
+static void
+send_batch(mg_mesh *m, const batch *b, const char *peer)
 {
     mg_msg msg;
-    if (b->nodes.n > 0) {
+    if (b->heartbeats.nodes.n > 0) {
         msg.type = MG_MSG_NODES;
-        msg.u.nodes.nodes = mg_str_buf(&b->nodes);
-        send(m, &msg);
+        msg.u.nodes.nodes = mg_str_buf(&b->heartbeats.nodes);
+        mg_net_send(m->opts.net, peer, &msg);
     }
-    if (b->instances.n > 0) {
+    if (b->heartbeats.instances.n > 0) {
         msg.type = MG_MSG_INSTANCES;
-        msg.u.instances.instances = mg_str_buf(&b->instances);
-        send(m, &msg);
+        msg.u.instances.instances = mg_str_buf(&b->heartbeats.instances);
+        mg_net_send(m->opts.net, peer, &msg);
     }
     /* sent even if empty: it serves as the hub's heartbeat */
     msg.type = MG_MSG_REPORTS;
     msg.u.reports.reports = mg_str_buf(&b->reports);
-    send(m, &msg);
-    b->nodes.n = 0;
-    b->instances.n = 0;
-    b->reports.n = 0;
+    mg_net_send(m->opts.net, peer, &msg);
+}
+
+static bool
+is_congested(const mg_mesh *m)
+{
+    return mg_net_unsent_total(m->opts.net) > BATCH_UNSENT_MAX;
+}
+
+static void
+drop_if_large(mg_buf *held_back)
+{
+    if (held_back->n > HELD_BACK_MAX) {
+        held_back->n = 0;
+    }
+}
+
+static void
+send_to_other_hubs(mg_mesh *m)
+{
+    batch b = {0};
+    if (is_congested(m)) {
+        drop_if_large(&m->to_hubs.nodes);
+        drop_if_large(&m->to_hubs.instances);
+        return;
+    }
+    fill_batch(m, &b, &m->to_hubs, REPORT_TO_HUBS);
+    for (size_t i = 0; i < m->hub_count; i++) {
+        send_batch(m, &b, m->hubs[i].node);
+    }
+    free_batch(&b);
+}
+
+/* Sends the current batch to further subscribers, as long as few bytes
+   wait. */
+static void
+send_to_subscribers(mg_mesh *m, int64_t now)
+{
+    mg_mesh_node *n = m->next_subscriber;
+    for (; n != NULL && !is_congested(m); n = n->hh.next) {
+        if (now < n->subscriber_until &&
+            mg_net_unsent(m->opts.net, n->node) < PEER_UNSENT_MAX) {
+            send_batch(m, &m->current, n->node);
+        }
+    }
+    m->next_subscriber = n;
+    drop_if_large(&m->to_subscribers.nodes);
+    drop_if_large(&m->to_subscribers.instances);
+}
+
+static void
+forward_batches(mg_mesh *m, int64_t now)
+{
+    if (now >= m->batch_at) {
+        m->batch_at = now + BATCH_MS;
+        send_to_other_hubs(m);
+        if (m->next_subscriber == NULL) {
+            free_batch(&m->current);
+            fill_batch(m, &m->current, &m->to_subscribers,
+                       REPORT_TO_SUBSCRIBERS);
+            m->next_subscriber = m->nodes;
+        }
+    }
+    send_to_subscribers(m, now);
 }
 
 static void
@@ -674,10 +779,8 @@
     if (now >= m->announce_at) {
         announce_self(m, false);
     }
-    if (m->is_hub && now >= m->batch_at) {
-        m->batch_at = now + BATCH_MS;
-        send_batch(m, &m->to_hubs, send_to_hubs);
-        send_batch(m, &m->to_subscribers, send_to_subscribers);
+    if (m->is_hub) {
+        forward_batches(m, now);
     }
 }
 
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -10,6 +10,9 @@
  * recently lost contact with another one, it sends periodic messages to all
  * hubs and subscribes to a second one.
  *
+ * Changes go before periodic messages: a hub holds its batches back while many
+ * bytes wait to be sent, and then sends the newest report of each node only.
+ *
  * The states of a node are ordered by its incarnation, then by a sequence
  * number; only a newer state is stored and forwarded, so that copies that
  * arrive late end at the first hub. The incarnation of a later start is higher
@@ -47,7 +50,9 @@
     int64_t subscriber_until;
     uint64_t report_incarnation;
     uint64_t report_seq;
-    double request_rate; /* requests per second, as reported */
+    mg_buf report;         /* on a hub: the newest one, encoded */
+    unsigned report_flags; /* batches that it is still to be sent with */
+    double request_rate;   /* requests per second, as reported */
     bool is_voter;
 } mg_mesh_node;
 
