Raft: a window of unacknowledged bytes for each member

Cause: a member that had been silent for 0.3 s got all entries that it had not acknowledged again with each heartbeat, ten times a second, and any number of entries at once otherwise; all of it waited in memory until its link was closed.

The leader now sends a member heartbeats only while 1 MB is unacknowledged, and repeats nothing by itself: a member that missed entries tells in its answer to a heartbeat from where on.

--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -311,6 +311,22 @@
     r->callbacks->send(r->callbacks, to, &m);
 }
 
+/* Whether a member has not acknowledged so much that it gets no more until it
+   does. */
+static bool
+is_window_full(const mg_raft *r, const struct peer *p)
+{
+    uint64_t index = p->match_index > r->snap_index ? p->match_index + 1
+                                                    : r->snap_index + 1;
+    size_t bytes = 0;
+    for (; index < p->next_index && bytes < MG_RAFT_WINDOW_BYTES; index++) {
+        bytes += entry_at(r, index).data.n;
+    }
+    return bytes >= MG_RAFT_WINDOW_BYTES;
+}
+
+/* Sends the entries that a member lacks, or none if its window is full; the
+   message is a heartbeat then. */
 static void
 send_append(mg_raft *r, unsigned to)
 {
@@ -329,7 +345,9 @@
     m.u.append.commit = r->commit_index;
     m.u.append.round = r->round;
     mg_buf entries = {0};
-    while (p->next_index <= last_index(r) && entries.n < MG_RAFT_BATCH_BYTES) {
+    bool full = is_window_full(r, p);
+    while (!full && p->next_index <= last_index(r) &&
+           entries.n < MG_RAFT_BATCH_BYTES) {
         mg_raft_entry e = entry_at(r, p->next_index++);
         mg_msg em = {.type = MG_MSG_LOG_ENTRY};
         em.u.log_entry.term = e.term;
@@ -732,19 +750,6 @@
     return n >= majority(r);
 }
 
-/* a silent peer may have missed entries: sends them again */
-static void
-rewind_silent_peers(mg_raft *r, int64_t now)
-{
-    for (unsigned i = 1; i <= r->n; i++) {
-        struct peer *p = &r->peers[i];
-        if (i != r->id && p->match_index < last_index(r) &&
-            now - p->last_received_ms > 3 * MG_RAFT_HEARTBEAT_MS) {
-            p->next_index = p->match_index + 1;
-        }
-    }
-}
-
 static void
 tick_leader(mg_raft *r, int64_t now)
 {
@@ -754,7 +759,6 @@
         return;
     }
     if (now >= r->next_heartbeat_ms) {
-        rewind_silent_peers(r, now);
         r->round++;
         send_to_all(r);
     }
@@ -856,7 +860,9 @@
 send_new_entries(mg_raft *r)
 {
     for (unsigned i = 1; i <= r->n; i++) {
-        if (i != r->id && r->peers[i].next_index <= last_index(r)) {
+        const struct peer *p = &r->peers[i];
+        if (i != r->id && p->next_index <= last_index(r) &&
+            !is_window_full(r, p)) {
             send_append(r, i);
         }
     }
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -42,6 +42,9 @@
    snapshot in place of the command has not applied it */
 #define MG_RAFT_READMIT_RETRY_MS 1000
 #define MG_RAFT_BATCH_BYTES (1u << 20)
+/* a member with this much unacknowledged gets heartbeats only; if it missed
+   entries, its answer to one tells from where on */
+#define MG_RAFT_WINDOW_BYTES (1u << 20)
 
 typedef enum mg_raft_role {
     MG_RAFT_FOLLOWER,
--- a/tests/unit/raft_test.c
+++ b/tests/unit/raft_test.c
@@ -13,6 +13,7 @@
 #define STEPS 260
 #define IN_FLIGHT_MAX 64
 #define LOG_MAX 4096
+#define DOCUMENT_BYTES (100 << 10)
 
 struct disk {
     mg_raft_meta meta;
@@ -60,6 +61,8 @@
     uint64_t next_value;
     const char *failure;  /* invariant that was violated, or NULL */
     bool lost_disks_vote; /* injected fault: replaced disks vote at once */
+    unsigned silent;      /* receives nothing; 0: none */
+    size_t silent_bytes;  /* sent to it */
 } sim;
 
 static struct node *
@@ -71,6 +74,13 @@
 static void
 on_send(mg_raft_callbacks *cb, unsigned to, const mg_msg *m)
 {
+    if (to == sim.silent) {
+        mg_buf lost = {0};
+        mg_msg_encode(m, &lost);
+        sim.silent_bytes += lost.n;
+        mg_buf_free(&lost);
+        return;
+    }
     if (sim.in_flight_count == IN_FLIGHT_MAX) {
         return;
     }
@@ -590,6 +600,43 @@
     tear_down();
 }
 
+static void
+propose_document(struct node *n)
+{
+    static char value[DOCUMENT_BYTES];
+    uint64_t index;
+    uint64_t term;
+    mg_raft_propose(n->raft, (mg_str){value, sizeof(value)}, &index, &term);
+}
+
+/* a member that is cut off while documents change: what it has not taken is
+   neither sent again and again nor sent without limit */
+static void
+test_silent_member(void)
+{
+    reset(11);
+    run_for(2000);
+    unsigned leader = find_leader();
+    CU_ASSERT_FATAL(leader != 0);
+    sim.silent = leader % NODES + 1;
+    for (int i = 0; i < 40; i++) {
+        propose_document(&sim.nodes[leader]);
+        run_for(50);
+    }
+    printf("\n  40 documents of %d KB: %zu KB sent to a silent member\n",
+           DOCUMENT_BYTES >> 10, sim.silent_bytes >> 10);
+    CU_ASSERT_EQUAL(find_leader(), leader);
+    CU_ASSERT_TRUE(sim.silent_bytes <=
+                   MG_RAFT_BATCH_BYTES + 2 * DOCUMENT_BYTES);
+    sim.silent = 0;
+    run_for(1000);
+    for (unsigned i = 1; i <= NODES; i++) {
+        CU_ASSERT_EQUAL(sim.nodes[i].applied, sim.max_applied);
+    }
+    CU_ASSERT_PTR_NULL(sim.failure);
+    tear_down();
+}
+
 int
 main(void)
 {
@@ -598,6 +645,7 @@
         {"a lost disk must not vote", test_lost_disk_must_not_vote},
         {"a new leader within 1.5 s", test_new_leader_within_bound},
         {"a round is confirmed by a majority", test_round_needs_majority},
+        {"a silent member gets no repeats", test_silent_member},
         CU_TEST_INFO_NULL,
     };
     return run_suite("raft", tests);
