Group client: a reply to an earlier process confirms no command

A node counted its commands from 1 at each start, and replies name the node, not the process: a leader that stood still while a node restarted could answer a command of the earlier process and so confirm one of the new process that was never written.

The count starts at a random number. group_client_test, new test: a reply with one of the numbers 0 to 9,999 confirmed the command before, none does after.

--- a/src/group/group_client.c
+++ b/src/group/group_client.c
@@ -58,6 +58,8 @@
 {
     mg_group_client *c = mg_alloc(sizeof(*c));
     c->opts = *opts;
+    /* replies to an earlier process of this node must not match */
+    c->next_seq = mg_random_id() >> 1;
     init_list_head(&c->requests);
     return c;
 }
--- a/tests/unit/group_client_test.c
+++ b/tests/unit/group_client_test.c
@@ -228,12 +228,40 @@
     run_histories(run_history, HISTORIES);
 }
 
+static void
+count_done(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    (void)rc;
+    (void)rev;
+    (void)why;
+    ++*(int *)user;
+}
+
+/* a reply to an earlier process of the same node, which counted its commands
+   from the start too, confirms no command of this one */
+static void
+test_reply_to_earlier_process(void)
+{
+    int done = 0;
+    mg_msg command = {.type = MG_MSG_CMD_NOOP};
+    CU_ASSERT_PTR_NULL(run_history(1));
+    mg_group_client_propose(world.client, &command, 5000, count_done, &done);
+    for (uint64_t seq = 0; seq < 10000; seq++) {
+        mg_msg m = {.type = MG_MSG_PROPOSED};
+        m.u.proposed.seq = seq;
+        m.u.proposed.rc = MG_OK;
+        mg_group_client_receive(world.client, "group/10.0.0.1", &m);
+    }
+    CU_ASSERT_EQUAL(done, 0);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"a node receives updates while voters are partitioned",
          test_histories},
+        {"a reply to an earlier process", test_reply_to_earlier_process},
         CU_TEST_INFO_NULL,
     };
     return run_suite("group_client", tests);
