--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -1016,6 +1016,12 @@
     return r->log_count;
 }
 
+size_t
+mg_raft_log_bytes(const mg_raft *r)
+{
+    return r->log_bytes;
+}
+
 bool
 mg_raft_is_voter(const mg_raft *r)
 {
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -180,6 +180,9 @@
 /* Number of entries since the snapshot. */
 size_t
 mg_raft_log_length(const mg_raft *r);
+/* Size of the commands in these entries. */
+size_t
+mg_raft_log_bytes(const mg_raft *r);
 bool
 mg_raft_is_voter(const mg_raft *r);
 /* Whether this member leads and has applied an entry of its own term. */
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -15,6 +15,8 @@
 #define CLAIMS_MAX 1024
 /* a log of this length is compacted into a snapshot, entries */
 #define SNAPSHOT_THRESHOLD 64
+/* a log of this size is compacted as well, bytes */
+#define SNAPSHOT_THRESHOLD_BYTES (4u << 20)
 /* size of the records in one PULL_REP, exceeded by at most one record */
 #define PULL_REP_MAX_BYTES (256u << 10)
 
@@ -460,7 +462,8 @@
 static void
 compact_if_long(mg_group *g)
 {
-    if (mg_raft_log_length(g->disk.raft) < SNAPSHOT_THRESHOLD) {
+    if (mg_raft_log_length(g->disk.raft) < SNAPSHOT_THRESHOLD &&
+        mg_raft_log_bytes(g->disk.raft) < SNAPSHOT_THRESHOLD_BYTES) {
         return;
     }
     mg_buf data = {0};
