Group: a command that is sent again is neither queued nor logged twice

A command without a reply is sent again every 400 ms. A client now sends no copy while an earlier one may wait on the link, and the leader passes over a command that is in its log and not applied yet; its reply answers both.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -155,6 +155,18 @@
     mg_net_send(g->net, peer, &m);
 }
 
+/* Whether a command that a peer sent again is in the log already. */
+static bool
+is_proposed(const mg_group *g, const char *peer, uint64_t seq)
+{
+    for (const struct proposal *p = g->proposals; p != NULL; p = p->hh.next) {
+        if (p->seq == seq && strcmp(p->peer, peer) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 on_propose(mg_group *g, const char *peer, const mg_propose_msg *msg)
 {
@@ -166,6 +178,9 @@
         mg_count(MG_C_BAD_INPUT, 1);
         return;
     }
+    if (is_proposed(g, peer, msg->seq)) {
+        return;
+    }
     p = mg_alloc(sizeof(*p));
     p->seq = msg->seq;
     mg_str_copy(p->peer, sizeof(p->peer), mg_str_of(peer));
--- a/src/group/group_client.c
+++ b/src/group/group_client.c
@@ -22,6 +22,7 @@
     struct list_head link;
     uint64_t seq;
     bool is_read;
+    bool sent; /* at least once */
     /* only for a read: the leader has reported rev, but the records up to it
        are not received yet */
     bool confirmed;
@@ -216,6 +217,10 @@
     if (peer == NULL) {
         return;
     }
+    if (p->sent && mg_net_unsent(c->opts.net, peer) > p->command.n) {
+        return; /* an earlier copy may not have left yet */
+    }
+    p->sent = true;
     if (p->is_read) {
         m.type = MG_MSG_CONFIRM;
         m.u.confirm.seq = p->seq;
--- a/tests/unit/group_client_test.c
+++ b/tests/unit/group_client_test.c
@@ -73,6 +73,14 @@
     return find_voter(peer)->reachable;
 }
 
+size_t
+mg_net_unsent(mg_net *net, const char *peer)
+{
+    (void)net;
+    (void)peer;
+    return 0;
+}
+
 mg_rc
 mg_net_send(mg_net *net, const char *peer, const mg_msg *m)
 {
