Group: send records to a peer only when it has taken the last ones

Cause: a node that gets no records for 0.9 s asks again, here or at another voter; each request was answered with all records, however much waited on the link to it already.

A request of a peer replaces its earlier one, and records are sent while less than 4 KB wait for the peer and 2 MB for all. A peer that doesn't read costs one reply.

New test scripts/memory-test.sh (make check-memory): three real nodes, 120 peers that keep their links and don't read, a document of 194 KB in 40 versions, peak memory read from outside, limit 32 MB.

--- a/Makefile
+++ b/Makefile
@@ -18,12 +18,12 @@
 
 PROGRAMS = marigold-slopes marigold-entry marigold-control marigold-node \
            marigoldctl marigold-load \
-           fake-engine fake-relay fake-site
+           fake-engine fake-peer fake-relay fake-site
 BINS := $(PROGRAMS:%=$(BUILD)/%)
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
 UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
-.PHONY: all install check check-unit check-platform check-system demo capacity format lint events clean
+.PHONY: all install check check-unit check-platform check-memory check-system demo capacity format lint events clean
 
 all: $(BINS)
 
@@ -68,7 +68,7 @@
 demo: all
 	scripts/demo.sh $(BUILD)
 
-check: check-unit check-platform check-system
+check: check-unit check-platform check-memory check-system
 
 check-unit: $(UNITS)
 	scripts/unit-tests.sh $(UNITS)
@@ -77,6 +77,9 @@
 	scripts/platform-test.sh $(BUILD)
 	DISKS=none scripts/platform-test.sh $(BUILD)
 
+check-memory: all
+	scripts/memory-test.sh $(BUILD)
+
 check-system: all
 	scripts/system-tests.sh $(BUILD)
 
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -15,10 +15,14 @@
 #define CLAIMS_MAX 1024
 /* a log of this length is compacted into a snapshot, entries */
 #define SNAPSHOT_THRESHOLD 64
-/* a log of this size is compacted as well, bytes */
-#define SNAPSHOT_THRESHOLD_BYTES (4u << 20)
 /* size of the records in one PULL_REP, exceeded by at most one record */
 #define PULL_REP_MAX_BYTES (256u << 10)
+/* while more bytes than this wait to be sent to the peer, or to all peers
+   together, records wait */
+#define PULL_PEER_UNSENT_MAX (4u << 10)
+#define PULL_UNSENT_MAX (2u << 20)
+/* a log of this size is compacted as well, bytes */
+#define SNAPSHOT_THRESHOLD_BYTES (4u << 20)
 
 /* ------------------------------------------------------- raft callbacks */
 
@@ -146,6 +150,34 @@
     return w;
 }
 
+/* Returns the PULL of a peer that waits, to be replaced by its next one: the
+   peer no longer expects a reply to the earlier one. */
+static struct waiting_request *
+find_pull(mg_group *g, const char *peer)
+{
+    list_for_each(el, &g->pulls)
+    {
+        struct waiting_request *w =
+            list_entry(el, struct waiting_request, link);
+        if (strcmp(w->peer, peer) == 0) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_pull(mg_group *g, const char *peer, const mg_pull_msg *msg)
+{
+    struct waiting_request *w = find_pull(g, peer);
+    if (w == NULL) {
+        w = add_waiting(&g->pulls, peer, msg->seq);
+    }
+    w->seq = msg->seq;
+    w->rev = msg->rev;
+    w->deadline_ms = mg_now(g->clock) + (int64_t)msg->wait_ms;
+}
+
 static void
 reply_not_leader(mg_group *g, const char *peer, uint64_t seq)
 {
@@ -245,6 +277,15 @@
     mg_buf_free(&records);
 }
 
+/* Whether records may be sent to a peer: it has taken the last ones, and few
+   bytes wait for all peers together. */
+static bool
+may_send_records(mg_group *g, const char *peer)
+{
+    return mg_net_unsent(g->net, peer) < PULL_PEER_UNSENT_MAX &&
+           mg_net_unsent_total(g->net) < PULL_UNSENT_MAX;
+}
+
 static void
 reply_pulls(mg_group *g)
 {
@@ -254,7 +295,8 @@
     {
         struct waiting_request *w =
             list_entry(el, struct waiting_request, link);
-        if (w->rev < rev || now >= w->deadline_ms) {
+        if (w->rev < rev ? may_send_records(g, w->peer)
+                         : now >= w->deadline_ms) {
             reply_pull(g, w);
             list_del(&w->link);
             free(w);
@@ -266,7 +308,6 @@
 on_message(void *user, const char *peer, const mg_msg *m)
 {
     mg_group *g = user;
-    struct waiting_request *w;
     if (m->type == MG_MSG_SEATS) {
         mg_group_on_voters(g, &m->u.seats);
         return;
@@ -287,9 +328,7 @@
         mg_raft_receive(g->disk.raft, mg_group_slot_of_peer(g, peer), m);
         break;
     case MG_MSG_PULL:
-        w = add_waiting(&g->pulls, peer, m->u.pull.seq);
-        w->rev = m->u.pull.rev;
-        w->deadline_ms = mg_now(g->clock) + (int64_t)m->u.pull.wait_ms;
+        on_pull(g, peer, &m->u.pull);
         break;
     case MG_MSG_PROPOSE:
         on_propose(g, peer, &m->u.propose);
