Channel: any number of interim responses in one read

A target that sends interim responses (100) without end made the node hold all of its bytes: one interim response was skipped in each read, and the rest kept. For the same reason a final response in the same segment as an interim one was not read before the target sent more, so that the request waited for its deadline.

All interim responses of a read are skipped; after 16 to one request the connection is closed as malformed.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 PROGRAMS = marigold-slopes marigold-entry marigold-control marigold-node \
            marigoldctl marigold-load \
-           fake-engine fake-peer fake-relay fake-site
+           fake-engine fake-flood fake-peer fake-relay fake-site
 BINS := $(PROGRAMS:%=$(BUILD)/%)
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
--- /dev/null
+++ b/scripts/flood-test.sh
@@ -0,0 +1,127 @@
+#!/usr/bin/env bash
+# flood-test.sh BUILD - memory of a node whose target sends without end
+#
+# A node and a target that never stops sending, in the head, in the body or in
+# a stream of events; 40 requests at a time for each way, also from clients
+# that read slowly. The node must stay below MEMORY_MAX_KB, the smallest
+# memory of a host, and must still answer.
+set -euo pipefail
+build=$1
+requests=40
+client_s=6
+MEMORY_MAX_KB=$((88 * 1024))
+work=$(mktemp -d)
+declare -a pids=()
+
+cleanup()
+{
+    for pid in "${pids[@]}"; do
+        kill -KILL "$pid" 2> /dev/null || true
+        wait "$pid" 2> /dev/null || true
+    done
+    rm -rf "$work"
+}
+trap cleanup EXIT
+
+cat > "$work/node.toml" << END
+node = "node-1"
+ip = "127.0.0.1"
+domain = "z1"
+region = "r"
+data_dir = "$work/data"
+new_group = true
+faults = 0
+link_port = 24900
+callers_addr = "127.0.0.1:24910"
+ready_addr = "127.0.0.1:24911"
+control_addr = "127.0.0.1:24912"
+directory_addr = "127.0.0.1:24913"
+[[seed]]
+addr = "127.0.0.1:24912"
+END
+MARIGOLDGW_NODE_FILE="$work/node.toml" "$build/marigold-node" \
+    > "$work/node.log" 2>&1 &
+node=$!
+pids+=("$node")
+"$build/fake-flood" 127.0.0.1:24920 &
+pids+=($!)
+
+route() # route PREFIX TYPE
+{
+    printf '{"name":"%s","hostname":"h","pathPrefix":"/%s/",' "$1" "$1"
+    printf '"routeType":"%s","timeoutMs":20000,"goalMs":500,' "$2"
+    printf '"priority":1,"service":"app","maxAttempts":1,"public":true,'
+    printf '"sticky":false,"resumable":false,"gapGoalMs":400}'
+}
+
+{
+    printf '{"version":2,"services":[{"name":"app","healthPath":"/h",'
+    printf '"maxConns":500,"protocol":"h1","tls":false}],"tenants":[],'
+    printf '"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,'
+    printf '"headerTimeoutMs":3000,"idleTimeoutMs":15000},"routes":['
+    for r in head interim body close; do route $r non_idempotent; echo ,; done
+    for r in event; do route $r streaming; echo ,; done
+    route events streaming
+    printf ']}'
+} > "$work/document"
+
+control=http://127.0.0.1:24912/marigoldgw
+for ((try = 0; try < 50; try++)); do
+    curl -s -o /dev/null -f --data-binary "@$work/document" \
+        "$control/config/replace" && break
+    sleep 0.2
+done
+heartbeats()
+{
+    local seq=0
+    while sleep 0.5; do
+        seq=$((seq + 1))
+        curl -s -o /dev/null -d "{\"service\":\"app\",\
+\"address\":\"127.0.0.1:24920\",\"zone\":\"z1\",\"version\":\"v1\",\
+\"slots\":400,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":$seq,\
+\"born\":1000}" "$control/instances/i-1/heartbeat" || true
+    done
+}
+heartbeats &
+pids+=($!)
+sleep 1
+
+request() # request PATH CURL-OPTION...
+{
+    local path=$1
+    shift
+    curl -s -o /dev/null -m $client_s -H 'Host: h' -d x "$@" \
+        -H "Marigoldgw-Attempt-Id: $path$RANDOM$RANDOM" \
+        -H 'Marigoldgw-Deadline: 15000' "http://127.0.0.1:24910/$path/x" ||
+        true
+}
+
+status=0
+for path in head interim body close event events; do
+    declare -a clients=()
+    slow=()
+    [ $path != events ] || slow=(--limit-rate 1k)
+    for ((i = 0; i < requests; i++)); do
+        request $path "${slow[@]}" &
+        clients+=($!)
+    done
+    wait "${clients[@]}"
+    kb=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/$node/status") ||
+        kb=
+    echo "$path: peak memory ${kb:-unknown} KB"
+    if [ "${kb:-0}" = 0 ] || [ "$kb" -gt $MEMORY_MAX_KB ]; then
+        echo "$path: peak memory above $MEMORY_MAX_KB KB, or it has ended"
+        status=1
+        break
+    fi
+done
+code=$(curl -s -o /dev/null -m 2 -w '%{http_code}' \
+    http://127.0.0.1:24911/marigoldgw/ready) || true
+[ "$code" = 200 ] || { echo "not ready afterwards: $code"; status=1; }
+if [ "$status" = 0 ]; then
+    echo "1 passed, 0 failed"
+else
+    tail -n 20 "$work/node.log"
+    echo "0 passed, 1 failed"
+fi
+exit "$status"
--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -9,6 +9,8 @@
 #include "wire/scratch.h"
 
 #define HEADER_BYTES_MAX 32768
+/* interim responses (1xx) to one request before the final one */
+#define INTERIM_RESPONSES_MAX 16
 /* the kernel closes a connection after about this time without an ACK, ms */
 #define PEER_TIMEOUT_MS 2500
 
@@ -30,6 +32,7 @@
     mg_channel_callbacks *callbacks;
     mg_buf in;
     size_t header_bytes_seen;
+    unsigned interim_count; /* interim responses to the current request */
     mg_h1_body body;
     bool is_head;
     bool skipping; /* the response being received is discarded */
@@ -142,6 +145,21 @@
     }
 }
 
+/* Skips an interim response; false if the channel is closed for their number
+   or more bytes are needed. */
+static bool
+skip_interim(mg_channel *c, size_t size)
+{
+    if (++c->interim_count > INTERIM_RESPONSES_MAX) {
+        close_with_result(c, MG_CHANNEL_MALFORMED);
+        return false;
+    }
+    mg_buf_skip(&c->in, size);
+    c->header_bytes_seen = 0;
+    return c->in.n > 0;
+}
+
+/* Whether process_input() can go on: a header section is complete. */
 static bool
 parse_headers(mg_channel *c)
 {
@@ -157,9 +175,7 @@
         return false;
     }
     if (headers.status < 200) {
-        mg_buf_skip(&c->in, headers.size);
-        c->header_bytes_seen = 0;
-        return c->in.n > 0;
+        return skip_interim(c, headers.size);
     }
     int keep_s = mg_h1_keep_alive_s(&headers);
     c->keep_alive = !headers.close;
@@ -180,7 +196,7 @@
 process_input(mg_channel *c)
 {
     for (;;) {
-        if (c->state == CHANNEL_HEADERS && c->in.n > 0) {
+        while (c->state == CHANNEL_HEADERS && c->in.n > 0) {
             if (!parse_headers(c)) {
                 return;
             }
@@ -320,6 +336,7 @@
     MG_INVARIANT(c->state == CHANNEL_OPEN);
     c->state = CHANNEL_HEADERS;
     c->header_bytes_seen = 0;
+    c->interim_count = 0;
     c->is_head = is_head;
     uv_buf_t b[2] = {
         uv_buf_init((char *)headers.p, (unsigned)headers.n),
--- /dev/null
+++ b/tests/fakes/flood.c
@@ -0,0 +1,158 @@
+/*
+ * fake-flood - a target that sends bytes until the caller closes
+ *
+ *     fake-flood ADDR
+ *
+ * What it sends depends on the first part of the request's path:
+ *   /head/    header lines without end
+ *   /interim/ interim responses (100) without end
+ *   /body/    a chunked body without end
+ *   /close/   a body that only the end of the connection would end
+ *   /event/   a stream with one event without end
+ *   /events/  a stream of events without end
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uv.h>
+
+#include "base/addr.h"
+#include "base/outcome.h"
+
+#define BACKLOG 256
+#define READ_BYTES 4096
+#define BLOCK_BYTES 65536
+
+struct flood {
+    const char *path;
+    const char *start; /* sent once */
+    const char *block; /* repeated */
+};
+
+static const struct flood floods[] = {
+    {"/head/", "HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789abcdef\r\n"},
+    {"/interim/", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"/body/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "10\r\n0123456789abcdef\r\n"},
+    {"/close/", "HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
+    {"/event/",
+     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n",
+     "10\r\ndata: 012345678\n\r\n"},
+    {"/events/",
+     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n",
+     "10\r\ndata: 01234567\n\n\r\n"},
+};
+
+struct conn {
+    uv_tcp_t tcp;
+    uv_write_t write;
+    const struct flood *flood; /* NULL: no request yet */
+    char in[READ_BYTES];
+    char out[BLOCK_BYTES];
+    size_t out_size;
+};
+
+static void
+on_closed(uv_handle_t *h)
+{
+    free(h->data);
+}
+
+static void
+close_conn(struct conn *c)
+{
+    if (!uv_is_closing((uv_handle_t *)&c->tcp)) {
+        uv_close((uv_handle_t *)&c->tcp, on_closed);
+    }
+}
+
+static void
+on_written(uv_write_t *req, int status)
+{
+    struct conn *c = req->data;
+    uv_buf_t b = uv_buf_init(c->out, (unsigned)c->out_size);
+    if (status < 0 ||
+        uv_write(req, (uv_stream_t *)&c->tcp, &b, 1, on_written) != 0) {
+        close_conn(c);
+    }
+}
+
+/* Fills the block with whole repetitions, and starts to send. */
+static void
+start_flood(struct conn *c, const struct flood *f)
+{
+    size_t n = strlen(f->block);
+    c->flood = f;
+    for (c->out_size = 0; c->out_size + n <= BLOCK_BYTES; c->out_size += n) {
+        memcpy(c->out + c->out_size, f->block, n);
+    }
+    c->write.data = c;
+    uv_buf_t b = uv_buf_init((char *)f->start, (unsigned)strlen(f->start));
+    if (uv_write(&c->write, (uv_stream_t *)&c->tcp, &b, 1, on_written) != 0) {
+        close_conn(c);
+    }
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *b)
+{
+    struct conn *c = h->data;
+    (void)suggested;
+    *b = uv_buf_init(c->in, sizeof(c->in) - 1);
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+    struct conn *c = s->data;
+    (void)b;
+    if (n < 0) {
+        close_conn(c);
+        return;
+    }
+    c->in[n] = '\0';
+    for (size_t i = 0; i < sizeof(floods) / sizeof(floods[0]); i++) {
+        if (c->flood == NULL && strstr(c->in, floods[i].path) != NULL) {
+            start_flood(c, &floods[i]);
+        }
+    }
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+    if (status < 0) {
+        return;
+    }
+    struct conn *c = mg_alloc(sizeof(*c));
+    c->tcp.data = c;
+    uv_tcp_init(listener->loop, &c->tcp);
+    if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
+        close_conn(c);
+        return;
+    }
+    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+int
+main(int argc, char **argv)
+{
+    static uv_tcp_t listener;
+    struct sockaddr_in addr;
+    if (argc != 2 || mg_addr_parse(argv[1], &addr) != MG_OK) {
+        fprintf(stderr, "usage: fake-flood ADDR\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    uv_tcp_init(uv_default_loop(), &listener);
+    uv_tcp_bind(&listener, (struct sockaddr *)&addr, 0);
+    if (uv_listen((uv_stream_t *)&listener, BACKLOG, on_accept) != 0) {
+        fprintf(stderr, "fake-flood: can't listen on %s\n", argv[1]);
+        return 1;
+    }
+    return uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+}
