Gateway: one limit for the responses that are held in memory

A target may send bytes without end, to many requests at once. A buffered response was limited to 8 MB, but all together were not; an incomplete event of a stream and what a client had not read yet had no limit.

All responses of a gateway together now hold 16 MB at most, each 8 MB, an incomplete event 1 MB; small ones (64 KB) are never affected. What exceeds this ends as answer_too_large or event_too_large, and the connection is closed.

--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,7 @@
 
 check-memory: all
 	scripts/memory-test.sh $(BUILD)
+	scripts/flood-test.sh $(BUILD)
 
 check-system: all
 	scripts/system-tests.sh $(BUILD)
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -8,8 +8,6 @@
 #include "gateway/pick.h"
 #include "gateway/suspects.h"
 
-/* largest response that is buffered (not streamed), bytes */
-#define BODY_MAX (8u << 20)
 /* failed connections after which a request fails */
 #define CONNECT_ATTEMPTS_MAX 4
 /* "not run" responses after which a request fails */
@@ -121,6 +119,15 @@
     }
 }
 
+/* drops what is held of the response */
+static void
+drop_held(mg_flow *f)
+{
+    f->body.n = 0;
+    mg_sse_parser_reset(&f->sse_parser);
+    mg_response_memory_release(&f->gw->response_memory, &f->held);
+}
+
 /* the response is complete or aborted, or the client has disconnected */
 static void
 finish(mg_flow *f)
@@ -134,6 +141,7 @@
     f->state = MG_FLOW_DONE;
     close_channel(f);
     release_target(f);
+    drop_held(f);
     f->gw->open_requests--;
     uv_close((uv_handle_t *)&f->timer, on_timer_closed);
 }
@@ -270,8 +278,7 @@
     f->last_received_ms = 0;
     f->event_count = 0;
     f->headers.n = 0;
-    f->body.n = 0;
-    mg_sse_parser_reset(&f->sse_parser);
+    drop_held(f);
     mg_tierq_add(f->pool->waiting, &f->ticket);
     mg_gw_pool_schedule(f->gw, f->pool);
     set_timer(f,
@@ -426,19 +433,41 @@
     return f->has_last_id && ev->has_id && ev->id > f->last_id + 1;
 }
 
+/* ends a request because of what its target has sent */
+static void
+reject_response(mg_flow *f, const char *why)
+{
+    close_channel(f);
+    release_target(f);
+    fail_request(f, why);
+}
+
+/* Counts what is held of the response; ends the request if it is too much. */
+static void
+hold_response(mg_flow *f)
+{
+    size_t event = f->sse_parser.pending.n - f->sse_parser.consumed;
+    size_t bytes = f->body.n + event;
+    if (event > MG_SSE_EVENT_BYTES_MAX) {
+        reject_response(f, "event_too_large");
+        return;
+    }
+    if (f->streaming && f->response_started) {
+        bytes += mg_http_unsent(f->request.http);
+    }
+    if (!mg_response_memory_hold(&f->gw->response_memory, &f->held, bytes)) {
+        reject_response(f, "answer_too_large");
+    }
+}
+
 static void
 on_data(mg_channel_callbacks *cb, mg_str data)
 {
     mg_flow *f = (mg_flow *)cb;
     mg_sse_event ev;
     if (!f->streaming) {
-        if (f->body.n + data.n > BODY_MAX) {
-            close_channel(f);
-            release_target(f);
-            fail_request(f, "answer_too_large");
-            return;
-        }
         mg_buf_put(&f->body, data.p, data.n);
+        hold_response(f);
         return;
     }
     mg_sse_parser_feed(&f->sse_parser, data);
@@ -448,13 +477,12 @@
     }
     while (mg_sse_parser_next(&f->sse_parser, &ev)) {
         if (has_event_gap(f, &ev)) {
-            close_channel(f);
-            release_target(f);
-            fail_request(f, "event_missing");
+            reject_response(f, "event_missing");
             return;
         }
         forward_event(f, &ev);
     }
+    hold_response(f);
 }
 
 static bool
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway.h"
 #include "gateway/queue_wait.h"
 #include "gateway/quota.h"
+#include "gateway/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/sse.h"
 #include "gateway/versions.h"
@@ -93,6 +94,7 @@
     mg_buf crashes; /* LOAD_CRASH messages, not reported yet */
     mg_gw_peer *peers;
     size_t open_requests;
+    mg_response_memory response_memory;
     int64_t started_ms;
     int64_t report_age_ms;
     size_t entry_count; /* number of entries that share the slots */
@@ -152,6 +154,7 @@
     mg_buf headers;        /* header lines for the client */
     mg_buf body;
     mg_sse_parser sse_parser;
+    size_t held; /* bytes in gw->response_memory */
     bool has_last_id;
     uint64_t last_id; /* of the last event that the client has */
     uv_timer_t timer;
--- a/src/gateway/sse.h
+++ b/src/gateway/sse.h
@@ -10,7 +10,7 @@
 
 #include "base/bytes.h"
 
-/* largest event of a valid stream, bytes; the parser does not enforce it */
+/* largest event of a valid stream, bytes; enforced by the parser's users */
 #define MG_SSE_EVENT_BYTES_MAX (1u << 20)
 
 typedef struct mg_sse_parser {
--- /dev/null
+++ b/tests/unit/channel_test.c
@@ -0,0 +1,205 @@
+/*
+ * A channel to a server that writes given bytes for each request. Guards
+ * against a response that is not read because it came together with an interim
+ * one, and against interim responses without end.
+ */
+#include "suite.h"
+
+#include <signal.h>
+
+#include "base/addr.h"
+#include "wire/channel.h"
+
+#define ADDR "127.0.0.1:24740"
+#define TIMEOUT_MS 2000
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
+#define FINAL "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+static struct {
+    mg_channel_callbacks callbacks;
+    uv_loop_t loop;
+    uv_tcp_t listener;
+    uv_tcp_t peer;
+    uv_timer_t timer;
+    uv_write_t write;
+    mg_channel *channel;
+    mg_buf response;
+    mg_buf body;
+    bool accepted;
+    bool ended;
+    mg_channel_result result;
+    char in[4096];
+} world;
+
+static void
+on_connected(mg_channel_callbacks *cb)
+{
+    (void)cb;
+    mg_str headers = mg_str_of("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    mg_channel_send(world.channel, headers, (mg_str){"", 0}, false);
+}
+
+static mg_channel_action
+on_headers(mg_channel_callbacks *cb, const mg_h1_headers *headers)
+{
+    (void)cb;
+    CU_ASSERT_EQUAL(headers->status, 200);
+    return MG_CHANNEL_ACCEPT;
+}
+
+static void
+on_data(mg_channel_callbacks *cb, mg_str data)
+{
+    (void)cb;
+    mg_buf_put(&world.body, data.p, data.n);
+}
+
+static void
+close_handle(uv_handle_t *h, void *arg)
+{
+    (void)arg;
+    if (!uv_is_closing(h)) {
+        uv_close(h, NULL);
+    }
+}
+
+static void
+end(void)
+{
+    close_handle((uv_handle_t *)&world.listener, NULL);
+    close_handle((uv_handle_t *)&world.timer, NULL);
+    if (world.accepted) {
+        close_handle((uv_handle_t *)&world.peer, NULL);
+    }
+}
+
+static void
+on_end(mg_channel_callbacks *cb, mg_channel_result result)
+{
+    (void)cb;
+    world.ended = true;
+    world.result = result;
+    end();
+}
+
+static void
+on_timeout(uv_timer_t *t)
+{
+    (void)t;
+    mg_channel_close(world.channel);
+    end();
+}
+
+static void
+on_channel_event(void *owner, mg_channel *c)
+{
+    (void)owner;
+    (void)c;
+}
+
+static void
+on_idle(void *owner, mg_channel *c)
+{
+    (void)owner;
+    mg_channel_close(c);
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *b)
+{
+    (void)h;
+    (void)suggested;
+    *b = uv_buf_init(world.in, sizeof(world.in));
+}
+
+static void
+on_request(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+    (void)b;
+    if (n > 0) {
+        uv_buf_t out =
+            uv_buf_init(world.response.p, (unsigned)world.response.n);
+        uv_write(&world.write, s, &out, 1, NULL);
+    }
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+    (void)status;
+    uv_tcp_init(listener->loop, &world.peer);
+    world.accepted = uv_accept(listener, (uv_stream_t *)&world.peer) == 0;
+    uv_read_start((uv_stream_t *)&world.peer, on_alloc, on_request);
+}
+
+/* sends one request to a server that answers it with the response set before
+ */
+static void
+run_request(void)
+{
+    struct sockaddr_in addr;
+    signal(SIGPIPE, SIG_IGN);
+    mg_addr_parse(ADDR, &addr);
+    uv_loop_init(&world.loop);
+    uv_tcp_init(&world.loop, &world.listener);
+    uv_tcp_bind(&world.listener, (struct sockaddr *)&addr, 0);
+    uv_listen((uv_stream_t *)&world.listener, 1, on_accept);
+    uv_timer_init(&world.loop, &world.timer);
+    uv_timer_start(&world.timer, on_timeout, TIMEOUT_MS, 0);
+    world.callbacks =
+        (mg_channel_callbacks){on_connected, on_headers, on_data, on_end};
+    world.channel = mg_channel_new(
+        &(mg_channel_options){
+            .loop = &world.loop,
+            .addr = addr,
+            .on_closed = on_channel_event,
+            .on_idle = on_idle,
+        },
+        &world.callbacks);
+    uv_run(&world.loop, UV_RUN_DEFAULT);
+    uv_loop_close(&world.loop);
+}
+
+static void
+reset(void)
+{
+    mg_buf_free(&world.response);
+    mg_buf_free(&world.body);
+    memset(&world, 0, sizeof(world));
+}
+
+static void
+test_final_response_after_interim(void)
+{
+    reset();
+    mg_buf_printf(&world.response, "%s%s%s", INTERIM, INTERIM, FINAL);
+    run_request();
+    CU_ASSERT_TRUE(world.ended);
+    CU_ASSERT_EQUAL(world.result, MG_CHANNEL_COMPLETE);
+    CU_ASSERT_EQUAL(world.body.n, 2);
+}
+
+static void
+test_interim_responses_without_end(void)
+{
+    reset();
+    for (int i = 0; i < 1000; i++) {
+        mg_buf_printf(&world.response, "%s", INTERIM);
+    }
+    run_request();
+    CU_ASSERT_TRUE(world.ended);
+    CU_ASSERT_EQUAL(world.result, MG_CHANNEL_MALFORMED);
+    reset();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"a final response together with an interim one",
+         test_final_response_after_interim},
+        {"interim responses without end", test_interim_responses_without_end},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("channel", tests);
+}
--- a/tests/unit/gateway_test.c
+++ b/tests/unit/gateway_test.c
@@ -3,6 +3,7 @@
 
 #include "gateway/pick.h"
 #include "gateway/queue_wait.h"
+#include "gateway/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/slots.h"
 #include "gateway/sse.h"
@@ -59,6 +60,55 @@
     run_histories(sse_history, HISTORIES);
 }
 
+/* -------------------------------------------------------- response memory */
+
+#define RESPONSES 600
+#define RESPONSE_STEPS 400
+
+/* responses grow by random steps, some end; the total is compared with the sum
+   over all, and the limits hold whichever responses grow */
+static const char *
+response_memory_history(uint64_t seed)
+{
+    static size_t held[RESPONSES];
+    mg_response_memory m = {0};
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    memset(held, 0, sizeof(held));
+    uint32_t growth = 1u << mg_rng_below(&r, 22);
+    for (int i = 0; i < RESPONSE_STEPS; i++) {
+        size_t k = mg_rng_below(&r, RESPONSES);
+        size_t bytes = held[k] + mg_rng_below(&r, growth + 1);
+        if (!mg_response_memory_hold(&m, &held[k], bytes)) {
+            if (bytes <= MG_RESPONSE_BYTES_SMALL) {
+                return "a small response must end";
+            }
+            mg_response_memory_release(&m, &held[k]);
+        }
+        else if (bytes > MG_RESPONSE_BYTES_MAX) {
+            return "a response is too large";
+        }
+        size_t sum = 0;
+        for (size_t j = 0; j < RESPONSES; j++) {
+            sum += held[j];
+        }
+        if (sum != m.held) {
+            return "the total is not the sum";
+        }
+        if (sum > MG_RESPONSES_BYTES_MAX +
+                      (size_t)RESPONSES * MG_RESPONSE_BYTES_SMALL) {
+            return "all responses together are too large";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_response_memory(void)
+{
+    run_histories(response_memory_history, HISTORIES / 10);
+}
+
 /* ------------------------------------------------------------------ pick */
 
 /* reference implementation of mg_pick_has_room() */
@@ -707,6 +757,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"streams split into events", test_sse_parser},
+        {"memory of responses", test_response_memory},
         {"picks against a reference version", test_pick},
         {"long prompts on different targets", test_pick_long_prompts_apart},
         {"short prompts on slow targets",
