--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -1,8 +1,9 @@
 /*
  * gateway_int - declarations shared by the source files of the gateway
  *
- * gateway.c: tables, load reports and pools; flow.c: one request from its
- * admission to its end; targets.c: channels to targets, and their load.
+ * gateway.c: tables, load reports and pools; admit.c: checks before a request
+ * waits; flow.c: one request from then to its end; targets.c: channels to
+ * targets, and their load.
  */
 #ifndef MG_GATEWAY_INT_H
 #define MG_GATEWAY_INT_H
@@ -178,7 +179,28 @@
 mg_gw_usage *
 mg_gw_usage_of(mg_gateway *gw, const char *workspace);
 
+/* retry-after of a refusal that does not depend on the load, ms */
+#define MG_FLOW_RETRY_AFTER_MS 250
+
+/* admit.c */
+/* Checks a decoded request and adds it to its pool's queue, or refuses it. */
+void
+mg_flow_admit(mg_flow *f);
+
 /* flow.c */
+/* Responds without a target; retry_ms < 0: no retry-after header. */
+void
+mg_flow_refuse(mg_flow *f, int status, int64_t retry_ms, const char *why);
+/* Refuses for lack of free targets; the client may return when the queue ahead
+   has gone. */
+void
+mg_flow_refuse_busy(mg_flow *f, const char *why);
+/* Adds the request to its pool's queue, first or for a retry. */
+void
+mg_flow_wait_for_target(mg_flow *f);
+/* Number of waiting requests that would be dequeued before this one. */
+uint64_t
+mg_flow_queued_ahead(const mg_flow *f);
 /* Decodes and admits a request, or refuses it. */
 void
 mg_flow_start(mg_gateway *gw, mg_http_req *r);
