--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -1,62 +1,8 @@
-#include "control/raft.h"
+#include "control/raft_int.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/counter.h"
-
-struct log_entry {
-    uint64_t term;
-    char *data;
-    size_t size;
-};
-
-struct peer {
-    uint64_t next_index;  /* of the next entry to send */
-    uint64_t match_index; /* highest index known to be synced there */
-    uint64_t acked_round; /* last round that it acknowledged */
-    uint64_t uid;         /* of the disk that match_index refers to */
-    bool voter;
-    bool vacant; /* no node holds this voter slot */
-    bool vote_granted;
-    int64_t last_received_ms;
-    int64_t last_sent_ms;
-    int64_t next_readmit_ms; /* earliest time of the next READMIT */
-};
-
-struct mg_raft {
-    unsigned id;
-    unsigned n;
-    mg_raft_callbacks *callbacks;
-    mg_clock *clock;
-    mg_rng rng;
-    mg_raft_meta meta;
-    mg_raft_role role;
-    unsigned leader;
-    int64_t election_deadline_ms; /* start of the next election or pre-vote */
-    int64_t leader_contact_ms;    /* last message from the leader */
-    int64_t next_heartbeat_ms;    /* leader only */
-    uint64_t round;
-    uint64_t commit_index;
-    uint64_t applied_index;
-    uint64_t synced_index;       /* last entry known to be on the local disk */
-    uint64_t leader_first_index; /* leader only: first entry of its term */
-    bool unsynced;      /* entries appended or truncated since the sync */
-    bool reply_pending; /* follower: an acknowledgement is to be sent */
-    uint64_t reply_round;
-    uint64_t reply_match; /* highest index known to match the leader's log */
-    bool stopped;         /* storage has failed */
-    /* log[i] has index snap_index + 1 + i */
-    struct log_entry *log;
-    size_t log_count;
-    size_t log_cap;
-    size_t log_bytes; /* of the entries' data */
-    uint64_t snap_index;
-    uint64_t snap_term;
-    mg_buf snap;
-    struct peer peers[MG_RAFT_MAX_MEMBERS + 1];
-};
-
 static void
 become_leader(mg_raft *r);
 static void
@@ -68,38 +14,11 @@
     return r->n / 2 + 1;
 }
 
-static uint64_t
-last_index(const mg_raft *r)
-{
-    return r->snap_index + r->log_count;
-}
-
-static uint64_t
-term_at(const mg_raft *r, uint64_t index)
-{
-    if (index == r->snap_index) {
-        return r->snap_term;
-    }
-    if (index < r->snap_index || index > last_index(r)) {
-        return 0;
-    }
-    return r->log[index - r->snap_index - 1].term;
-}
-
-static bool
-check_storage(mg_raft *r, mg_rc rc)
-{
-    if (rc != MG_OK && !r->stopped) {
-        r->stopped = true;
-        r->callbacks->failed(r->callbacks, rc);
-    }
-    return rc == MG_OK;
-}
-
 static bool
 save_meta(mg_raft *r)
 {
-    return check_storage(r, r->callbacks->save_meta(r->callbacks, &r->meta));
+    return mg_raft_check_storage(
+        r, r->callbacks->save_meta(r->callbacks, &r->meta));
 }
 
 static void
@@ -150,77 +69,6 @@
     set_role(r, MG_RAFT_FOLLOWER);
 }
 
-/* counts the bytes of the entries in memory */
-static void
-add_log_bytes(mg_raft *r, int64_t n)
-{
-    r->log_bytes += (size_t)n;
-    mg_gauge_add(MG_G_LOG_MEMORY, n);
-}
-
-static void
-drop_last_entry(mg_raft *r)
-{
-    struct log_entry *s = &r->log[--r->log_count];
-    add_log_bytes(r, -(int64_t)s->size);
-    free(s->data);
-}
-
-static void
-push_entry(mg_raft *r, uint64_t term, mg_str data)
-{
-    if (r->log_count == r->log_cap) {
-        r->log_cap = r->log_cap ? r->log_cap * 2 : 256;
-        r->log = mg_realloc(r->log, r->log_cap * sizeof(*r->log));
-    }
-    struct log_entry *s = &r->log[r->log_count++];
-    s->term = term;
-    s->size = data.n;
-    s->data = mg_alloc(data.n);
-    add_log_bytes(r, (int64_t)data.n);
-    if (data.n > 0) {
-        memcpy(s->data, data.p, data.n);
-    }
-}
-
-static mg_raft_entry
-entry_at(const mg_raft *r, uint64_t index)
-{
-    const struct log_entry *s = &r->log[index - r->snap_index - 1];
-    return (mg_raft_entry){s->term, index, {s->data, s->size}};
-}
-
-static bool
-append_entry(mg_raft *r, uint64_t term, mg_str data)
-{
-    push_entry(r, term, data);
-    mg_raft_entry e = entry_at(r, last_index(r));
-    r->unsynced = true;
-    return check_storage(r, r->callbacks->append(r->callbacks, &e));
-}
-
-static bool
-truncate_log(mg_raft *r, uint64_t index)
-{
-    MG_INVARIANT(index > r->commit_index);
-    while (last_index(r) >= index) {
-        drop_last_entry(r);
-    }
-    if (r->synced_index >= index) {
-        r->synced_index = index - 1;
-    }
-    r->unsynced = true;
-    return check_storage(r, r->callbacks->truncate(r->callbacks, index));
-}
-
-static void
-clear_log(mg_raft *r)
-{
-    while (r->log_count > 0) {
-        drop_last_entry(r);
-    }
-}
-
 /* makes this member a voter if READMIT carries its id and its disk's uid */
 static void
 apply_readmit(mg_raft *r, const mg_msg *m)
@@ -236,7 +84,7 @@
 apply_committed(mg_raft *r)
 {
     while (r->applied_index < r->commit_index && !r->stopped) {
-        mg_raft_entry e = entry_at(r, r->applied_index + 1);
+        mg_raft_entry e = mg_raft_log_entry_at(r, r->applied_index + 1);
         mg_msg m;
         if (mg_msg_decode(e.data, &m) == MG_OK &&
             m.type == MG_MSG_CMD_READMIT) {
@@ -250,7 +98,7 @@
 /* the highest value reached by a majority; local is this member's value */
 static uint64_t
 majority_value(const mg_raft *r, uint64_t local,
-               uint64_t (*value)(const struct peer *p))
+               uint64_t (*value)(const struct mg_raft_peer *p))
 {
     uint64_t sorted[MG_RAFT_MAX_MEMBERS] = {0};
     unsigned k = 0;
@@ -269,13 +117,13 @@
 }
 
 static uint64_t
-peer_match_index(const struct peer *p)
+peer_match_index(const struct mg_raft_peer *p)
 {
     return p->match_index;
 }
 
 static uint64_t
-peer_acked_round(const struct peer *p)
+peer_acked_round(const struct mg_raft_peer *p)
 {
     return p->acked_round;
 }
@@ -289,7 +137,8 @@
     uint64_t index = majority_value(r, r->synced_index, peer_match_index);
     /* a majority does not commit an entry of an earlier term by itself; it is
        committed when a later entry of the current term is */
-    if (index > r->commit_index && term_at(r, index) == r->meta.term) {
+    if (index > r->commit_index &&
+        mg_raft_log_term_at(r, index) == r->meta.term) {
         r->commit_index = index;
         apply_committed(r);
     }
@@ -314,13 +163,13 @@
 /* Whether a member has not acknowledged so much that it gets no more until it
    does. */
 static bool
-is_window_full(const mg_raft *r, const struct peer *p)
+is_window_full(const mg_raft *r, const struct mg_raft_peer *p)
 {
     uint64_t index = p->match_index > r->snap_index ? p->match_index + 1
                                                     : r->snap_index + 1;
     size_t bytes = 0;
     for (; index < p->next_index && bytes < MG_RAFT_WINDOW_BYTES; index++) {
-        bytes += entry_at(r, index).data.n;
+        bytes += mg_raft_log_entry_at(r, index).data.n;
     }
     return bytes >= MG_RAFT_WINDOW_BYTES;
 }
@@ -330,7 +179,7 @@
 static void
 send_append(mg_raft *r, unsigned to)
 {
-    struct peer *p = &r->peers[to];
+    struct mg_raft_peer *p = &r->peers[to];
     if (p->vacant) {
         return;
     }
@@ -341,14 +190,14 @@
     mg_msg m = {.type = MG_MSG_APPEND};
     m.u.append.term = r->meta.term;
     m.u.append.prev_index = p->next_index - 1;
-    m.u.append.prev_term = term_at(r, p->next_index - 1);
+    m.u.append.prev_term = mg_raft_log_term_at(r, p->next_index - 1);
     m.u.append.commit = r->commit_index;
     m.u.append.round = r->round;
     mg_buf entries = {0};
     bool full = is_window_full(r, p);
-    while (!full && p->next_index <= last_index(r) &&
+    while (!full && p->next_index <= mg_raft_last_index(r) &&
            entries.n < MG_RAFT_BATCH_BYTES) {
-        mg_raft_entry e = entry_at(r, p->next_index++);
+        mg_raft_entry e = mg_raft_log_entry_at(r, p->next_index++);
         mg_msg em = {.type = MG_MSG_LOG_ENTRY};
         em.u.log_entry.term = e.term;
         em.u.log_entry.index = e.index;
@@ -391,8 +240,8 @@
 static bool
 log_is_up_to_date(const mg_raft *r, uint64_t index, uint64_t term)
 {
-    uint64_t last = term_at(r, last_index(r));
-    return term > last || (term == last && index >= last_index(r));
+    uint64_t last = mg_raft_log_term_at(r, mg_raft_last_index(r));
+    return term > last || (term == last && index >= mg_raft_last_index(r));
 }
 
 static unsigned
@@ -442,8 +291,8 @@
     }
     mg_msg m = {.type = MG_MSG_VOTE_REQ};
     m.u.vote_req.term = r->meta.term + pre;
-    m.u.vote_req.last_index = last_index(r);
-    m.u.vote_req.last_term = term_at(r, last_index(r));
+    m.u.vote_req.last_index = mg_raft_last_index(r);
+    m.u.vote_req.last_term = mg_raft_log_term_at(r, mg_raft_last_index(r));
     m.u.vote_req.pre = pre;
     for (unsigned i = 1; i <= r->n; i++) {
         if (i != r->id) {
@@ -459,19 +308,19 @@
     int64_t now = mg_now(r->clock);
     r->leader = r->id;
     for (unsigned i = 1; i <= r->n; i++) {
-        struct peer *p = &r->peers[i];
-        *p = (struct peer){.vacant = p->vacant};
-        p->next_index = last_index(r) + 1;
+        struct mg_raft_peer *p = &r->peers[i];
+        *p = (struct mg_raft_peer){.vacant = p->vacant};
+        p->next_index = mg_raft_last_index(r) + 1;
         p->last_received_ms = now;
     }
-    r->leader_first_index = last_index(r) + 1;
+    r->leader_first_index = mg_raft_last_index(r) + 1;
     set_role(r, MG_RAFT_LEADER);
     /* an entry of the current term lets those of earlier terms be committed */
     mg_msg m = {.type = MG_MSG_CMD_NOOP};
     m.u.cmd_noop.term = r->meta.term;
     mg_buf data = {0};
     mg_msg_encode(&m, &data);
-    append_entry(r, r->meta.term, mg_str_buf(&data));
+    mg_raft_log_append(r, r->meta.term, mg_str_buf(&data));
     mg_buf_free(&data);
     send_to_all(r);
 }
@@ -549,15 +398,15 @@
         if (e->index <= r->commit_index) {
             continue;
         }
-        if (e->index <= last_index(r)) {
-            if (term_at(r, e->index) == e->term) {
+        if (e->index <= mg_raft_last_index(r)) {
+            if (mg_raft_log_term_at(r, e->index) == e->term) {
                 continue;
             }
-            if (!truncate_log(r, e->index)) {
+            if (!mg_raft_log_truncate(r, e->index)) {
                 return false;
             }
         }
-        if (!append_entry(r, e->term, e->data)) {
+        if (!mg_raft_log_append(r, e->term, e->data)) {
             return false;
         }
     }
@@ -585,12 +434,12 @@
     }
     uint64_t match = a->prev_index;
     bool agrees = a->prev_index <= r->commit_index ||
-                  (a->prev_index <= last_index(r) &&
-                   term_at(r, a->prev_index) == a->prev_term);
+                  (a->prev_index <= mg_raft_last_index(r) &&
+                   mg_raft_log_term_at(r, a->prev_index) == a->prev_term);
     if (!agrees) {
         uint64_t hint = a->prev_index - 1;
-        if (hint > last_index(r)) {
-            hint = last_index(r);
+        if (hint > mg_raft_last_index(r)) {
+            hint = mg_raft_last_index(r);
         }
         if (hint < r->commit_index) {
             hint = r->commit_index;
@@ -613,41 +462,23 @@
     apply_committed(r);
 }
 
-/* replaces the snapshot and removes the log entries up to index */
-static void
-set_snapshot(mg_raft *r, uint64_t index, uint64_t term, mg_str data)
-{
-    size_t drop = (size_t)(index - r->snap_index);
-    drop = drop < r->log_count ? drop : r->log_count;
-    for (size_t i = 0; i < drop; i++) {
-        add_log_bytes(r, -(int64_t)r->log[i].size);
-        free(r->log[i].data);
-    }
-    memmove(r->log, r->log + drop, (r->log_count - drop) * sizeof(*r->log));
-    r->log_count -= drop;
-    r->snap_index = index;
-    r->snap_term = term;
-    r->snap.n = 0;
-    mg_buf_put(&r->snap, data.p, data.n);
-}
-
 static bool
 install_snapshot(mg_raft *r, const mg_snapshot_msg *s)
 {
     /* if the log agrees with the snapshot, the entries after it are kept: they
        may have been acknowledged */
-    bool agrees = s->last_index <= last_index(r) &&
-                  term_at(r, s->last_index) == s->last_term;
-    if (!agrees && last_index(r) > r->commit_index &&
-        !truncate_log(r, r->commit_index + 1)) {
+    bool agrees = s->last_index <= mg_raft_last_index(r) &&
+                  mg_raft_log_term_at(r, s->last_index) == s->last_term;
+    if (!agrees && mg_raft_last_index(r) > r->commit_index &&
+        !mg_raft_log_truncate(r, r->commit_index + 1)) {
         return false;
     }
-    if (!check_storage(r,
-                       r->callbacks->save_snapshot(r->callbacks, s->last_index,
-                                                   s->last_term, s->data))) {
+    if (!mg_raft_check_storage(
+            r, r->callbacks->save_snapshot(r->callbacks, s->last_index,
+                                           s->last_term, s->data))) {
         return false;
     }
-    set_snapshot(r, s->last_index, s->last_term, s->data);
+    mg_raft_log_set_snapshot(r, s->last_index, s->last_term, s->data);
     r->commit_index = s->last_index;
     r->applied_index = s->last_index;
     r->synced_index = agrees ? r->synced_index : s->last_index;
@@ -687,7 +518,7 @@
     m.u.cmd_readmit.uid = uid;
     mg_buf data = {0};
     mg_msg_encode(&m, &data);
-    append_entry(r, r->meta.term, mg_str_buf(&data));
+    mg_raft_log_append(r, r->meta.term, mg_str_buf(&data));
     mg_buf_free(&data);
     r->peers[node].next_readmit_ms =
         mg_now(r->clock) + MG_RAFT_READMIT_RETRY_MS;
@@ -703,7 +534,7 @@
     if (r->role != MG_RAFT_LEADER || p->term < r->meta.term) {
         return;
     }
-    struct peer *peer = &r->peers[from];
+    struct mg_raft_peer *peer = &r->peers[from];
     peer->last_received_ms = mg_now(r->clock);
     if (peer->uid != p->uid) {
         /* another disk: what was synced to the former one does not count */
@@ -720,13 +551,13 @@
         uint64_t next = p->match + 1;
         peer->next_index =
             next > peer->match_index ? next : peer->match_index + 1;
-        if (peer->next_index > last_index(r) + 1) {
-            peer->next_index = last_index(r) + 1;
+        if (peer->next_index > mg_raft_last_index(r) + 1) {
+            peer->next_index = mg_raft_last_index(r) + 1;
         }
         send_append(r, from);
         return;
     }
-    if (p->match > peer->match_index && p->match <= last_index(r)) {
+    if (p->match > peer->match_index && p->match <= mg_raft_last_index(r)) {
         peer->match_index = p->match;
     }
     if (peer->next_index <= peer->match_index) {
@@ -771,8 +602,8 @@
     if (slot > r->n) {
         r->n = slot;
     }
-    r->peers[slot] = (struct peer){
-        .next_index = last_index(r) + 1,
+    r->peers[slot] = (struct mg_raft_peer){
+        .next_index = mg_raft_last_index(r) + 1,
         .vacant = !taken,
         .last_received_ms = mg_now(r->clock),
     };
@@ -848,10 +679,10 @@
     if (r->role != MG_RAFT_LEADER || r->stopped) {
         return MG_E_NO_LEADER;
     }
-    if (!append_entry(r, r->meta.term, data)) {
+    if (!mg_raft_log_append(r, r->meta.term, data)) {
         return MG_E_IO;
     }
-    *index = last_index(r);
+    *index = mg_raft_last_index(r);
     *term = r->meta.term;
     return MG_OK;
 }
@@ -860,8 +691,8 @@
 send_new_entries(mg_raft *r)
 {
     for (unsigned i = 1; i <= r->n; i++) {
-        const struct peer *p = &r->peers[i];
-        if (i != r->id && p->next_index <= last_index(r) &&
+        const struct mg_raft_peer *p = &r->peers[i];
+        if (i != r->id && p->next_index <= mg_raft_last_index(r) &&
             !is_window_full(r, p)) {
             send_append(r, i);
         }
@@ -879,11 +710,11 @@
         send_new_entries(r);
     }
     if (r->unsynced) {
-        if (!check_storage(r, r->callbacks->sync(r->callbacks))) {
+        if (!mg_raft_check_storage(r, r->callbacks->sync(r->callbacks))) {
             return;
         }
         r->unsynced = false;
-        r->synced_index = last_index(r);
+        r->synced_index = mg_raft_last_index(r);
         advance_commit(r);
     }
     if (r->reply_pending && r->leader != 0 && r->role == MG_RAFT_FOLLOWER) {
@@ -896,15 +727,15 @@
 mg_raft_compact(mg_raft *r, mg_str state)
 {
     uint64_t index = r->applied_index;
-    uint64_t term = term_at(r, index);
+    uint64_t term = mg_raft_log_term_at(r, index);
     if (index <= r->snap_index || r->stopped) {
         return;
     }
-    if (!check_storage(r, r->callbacks->save_snapshot(r->callbacks, index,
-                                                      term, state))) {
+    if (!mg_raft_check_storage(r, r->callbacks->save_snapshot(
+                                      r->callbacks, index, term, state))) {
         return;
     }
-    set_snapshot(r, index, term, state);
+    mg_raft_log_set_snapshot(r, index, term, state);
 }
 
 uint64_t
@@ -944,19 +775,19 @@
     r->commit_index = r->snap_index;
     r->applied_index = r->snap_index;
     for (size_t i = 0; i < opts->entry_count; i++) {
-        MG_INVARIANT(opts->entries[i].index == last_index(r) + 1);
-        push_entry(r, opts->entries[i].term, opts->entries[i].data);
+        MG_INVARIANT(opts->entries[i].index == mg_raft_last_index(r) + 1);
+        mg_raft_log_push(r, opts->entries[i].term, opts->entries[i].data);
     }
-    r->synced_index = last_index(r);
+    r->synced_index = mg_raft_last_index(r);
     r->leader_contact_ms = mg_now(r->clock) - MG_RAFT_ELECTION_MIN_MS;
     set_prevote_timer(r);
     if (r->snap_index > 0) {
         r->callbacks->restore(r->callbacks, mg_str_buf(&r->snap));
     }
     if (opts->commit_index > r->commit_index) {
-        r->commit_index = opts->commit_index < last_index(r)
+        r->commit_index = opts->commit_index < mg_raft_last_index(r)
                               ? opts->commit_index
-                              : last_index(r);
+                              : mg_raft_last_index(r);
         apply_committed(r);
     }
     return r;
@@ -968,7 +799,7 @@
     if (r == NULL) {
         return;
     }
-    clear_log(r);
+    mg_raft_log_clear(r);
     free(r->log);
     mg_buf_free(&r->snap);
     free(r);
@@ -1004,12 +835,6 @@
     return r->commit_index;
 }
 
-uint64_t
-mg_raft_last_index(const mg_raft *r)
-{
-    return last_index(r);
-}
-
 size_t
 mg_raft_log_length(const mg_raft *r)
 {
--- /dev/null
+++ b/src/control/raft_int.h
@@ -0,0 +1,88 @@
+/*
+ * raft_int - state of a member of the replicated log, and its log in memory
+ *
+ * raft.c: roles, elections, replication; raft_log.c: entries and snapshot.
+ */
+#ifndef MG_RAFT_INT_H
+#define MG_RAFT_INT_H
+
+#include "control/raft.h"
+
+struct mg_raft_stored_entry {
+    uint64_t term;
+    char *data;
+    size_t size;
+};
+
+struct mg_raft_peer {
+    uint64_t next_index;  /* of the next entry to send */
+    uint64_t match_index; /* highest index known to be synced there */
+    uint64_t acked_round; /* last round that it acknowledged */
+    uint64_t uid;         /* of the disk that match_index refers to */
+    bool voter;
+    bool vacant; /* no node holds this voter slot */
+    bool vote_granted;
+    int64_t last_received_ms;
+    int64_t last_sent_ms;
+    int64_t next_readmit_ms; /* earliest time of the next READMIT */
+};
+
+struct mg_raft {
+    unsigned id;
+    unsigned n;
+    mg_raft_callbacks *callbacks;
+    mg_clock *clock;
+    mg_rng rng;
+    mg_raft_meta meta;
+    mg_raft_role role;
+    unsigned leader;
+    int64_t election_deadline_ms; /* start of the next election or pre-vote */
+    int64_t leader_contact_ms;    /* last message from the leader */
+    int64_t next_heartbeat_ms;    /* leader only */
+    uint64_t round;
+    uint64_t commit_index;
+    uint64_t applied_index;
+    uint64_t synced_index;       /* last entry known to be on the local disk */
+    uint64_t leader_first_index; /* leader only: first entry of its term */
+    bool unsynced;      /* entries appended or truncated since the sync */
+    bool reply_pending; /* follower: an acknowledgement is to be sent */
+    uint64_t reply_round;
+    uint64_t reply_match; /* highest index known to match the leader's log */
+    bool stopped;         /* storage has failed */
+    /* log[i] has index snap_index + 1 + i */
+    struct mg_raft_stored_entry *log;
+    size_t log_count;
+    size_t log_cap;
+    size_t log_bytes; /* of the entries' data */
+    uint64_t snap_index;
+    uint64_t snap_term;
+    mg_buf snap;
+    struct mg_raft_peer peers[MG_RAFT_MAX_MEMBERS + 1];
+};
+
+/* Term of an entry or of the snapshot; 0 if the log has no such index. */
+uint64_t
+mg_raft_log_term_at(const mg_raft *r, uint64_t index);
+/* The index must be in the log. */
+mg_raft_entry
+mg_raft_log_entry_at(const mg_raft *r, uint64_t index);
+/* Appends an entry in memory only. */
+void
+mg_raft_log_push(mg_raft *r, uint64_t term, mg_str data);
+/* Appends an entry, which is durable after the next sync. */
+bool
+mg_raft_log_append(mg_raft *r, uint64_t term, mg_str data);
+/* Removes the entries from index on, none of them committed. */
+bool
+mg_raft_log_truncate(mg_raft *r, uint64_t index);
+void
+mg_raft_log_clear(mg_raft *r);
+/* Replaces the snapshot and removes the entries up to index. */
+void
+mg_raft_log_set_snapshot(mg_raft *r, uint64_t index, uint64_t term,
+                         mg_str data);
+/* Stops the member if rc is an error; returns whether it is MG_OK. */
+bool
+mg_raft_check_storage(mg_raft *r, mg_rc rc);
+
+#endif
