Node: the limit of unsent bytes is a setting, unsent_max_mb (16)

The mesh's links and those of the replicated log get half each. 2 to 4096 MB; another value is refused at the start with the other settings.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -579,6 +579,7 @@
                                .key = g->key,
                                .listen_addr = g->link_addr,
                                .incarnation = mg_random_id(),
+                               .unsent_max = g->unsent_max,
                                .on_message = on_message,
                                .on_up = on_up,
                                .before_flush = before_flush,
@@ -613,6 +614,7 @@
                 mg_str_of(opts->link_addr));
     mg_str_copy(g->data_dir, sizeof(g->data_dir), mg_str_of(opts->data_dir));
     g->link_port = opts->link_port;
+    g->unsent_max = opts->unsent_max;
     g->new_group = opts->new_group;
     g->initial_voters = opts->initial_voters;
     g->initial_voters.rev = 0;
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -32,6 +32,7 @@
     mg_voters initial_voters; /* voters of a new group: the configured seeds */
     unsigned wanted_voters;   /* number of voter slots to reach */
     uint16_t link_port;       /* link port of every voter */
+    size_t unsent_max; /* bytes that wait for all peers; 0: the default */
     bool new_group; /* first start of the group; data directories are empty */
 } mg_group_options;
 
--- a/src/group/group_int.h
+++ b/src/group/group_int.h
@@ -55,6 +55,7 @@
     unsigned wanted_voters;
     unsigned slot; /* voter slot of this host, from 1; 0: none */
     uint16_t link_port;
+    size_t unsent_max;
     bool new_group;
     bool local_slot_changed; /* gained or lost; the log must be reopened */
     mg_voter_candidate candidates[MG_GROUP_CANDIDATES_MAX];
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -345,6 +345,7 @@
                               .initial_voters = n->voters,
                               .wanted_voters = mg_node_settings_voter_count(s),
                               .link_port = (uint16_t)s->link_port,
+                              .unsent_max = mg_node_settings_unsent_max(s),
                               .new_group = new_group,
                           },
                           err);
@@ -416,6 +417,7 @@
                                .key = s->link_key,
                                .listen_addr = addr,
                                .incarnation = n->incarnation,
+                               .unsent_max = mg_node_settings_unsent_max(s),
                                .on_message = on_message,
                                .on_up = on_link_up,
                                .user = n,
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -46,6 +46,7 @@
     {"fault_domains", MG_KEY_INT, false, AT(fault_domains), 0, 3, NULL},
     {"fault_regions", MG_KEY_INT, false, AT(fault_regions), 0, 3, NULL},
     {"link_port", MG_KEY_INT, true, AT(link_port), 1, 65530, NULL},
+    {"unsent_max_mb", MG_KEY_INT, false, AT(unsent_max_mb), 2, 4096, NULL},
     {"callers_addr", MG_KEY_TEXT, false, AT(clients_addr), 0, 0, NULL},
     {"ready_addr", MG_KEY_TEXT, false, AT(ready_addr), 0, 0, NULL},
     {"control_addr", MG_KEY_TEXT, false, AT(control_addr), 0, 0, NULL},
@@ -74,6 +75,7 @@
         .log_level = "info",
         .link_key = "marigold",
         .faults = 1,
+        .unsent_max_mb = 16,
         .retry_ratio = 0.2,
         .retry_slack = 50,
         .retry_window_s = 10,
@@ -99,6 +101,12 @@
     return (unsigned)(voters < MG_VOTERS_MAX ? voters : MG_VOTERS_MAX);
 }
 
+size_t
+mg_node_settings_unsent_max(const mg_node_settings *s)
+{
+    return (size_t)s->unsent_max_mb * (1u << 20) / 2;
+}
+
 mg_rc
 mg_node_settings_load(const char *file, mg_node_settings *s, mg_buf *errors)
 {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -26,6 +26,9 @@
     int64_t fault_domains;
     int64_t fault_regions;
     int64_t link_port; /* of the replicated log; the mesh uses the next */
+    /* limit of what waits to be sent to other hosts, MB; the mesh and the
+       replicated log get half each */
+    int64_t unsent_max_mb;
     /* listen addresses; empty: disabled */
     char clients_addr[MG_TEXT_SIZE];
     char ready_addr[MG_TEXT_SIZE];
@@ -48,6 +51,9 @@
 /* Number of voters that the replicated log should have. */
 unsigned
 mg_node_settings_voter_count(const mg_node_settings *s);
+/* Limit of unsent bytes of the mesh's links and of the log's links, each. */
+size_t
+mg_node_settings_unsent_max(const mg_node_settings *s);
 /* Loads file into s. MG_E_INPUT: invalid settings; errors are appended to
    errors, one per line. */
 mg_rc
--- a/tests/unit/node_settings_test.c
+++ b/tests/unit/node_settings_test.c
@@ -50,6 +50,19 @@
     CU_ASSERT_EQUAL(voter_count("faults = 3\n"), MG_VOTERS_MAX);
 }
 
+static void
+test_unsent_max(void)
+{
+    mg_node_settings s;
+    mg_buf errors = {0};
+    CU_ASSERT_EQUAL(load("", &s, &errors), MG_OK);
+    CU_ASSERT_EQUAL(mg_node_settings_unsent_max(&s), 8u << 20);
+    CU_ASSERT_EQUAL(load("unsent_max_mb = 4\n", &s, &errors), MG_OK);
+    CU_ASSERT_EQUAL(mg_node_settings_unsent_max(&s), 2u << 20);
+    CU_ASSERT_EQUAL(load("unsent_max_mb = 1\n", &s, &errors), MG_E_INPUT);
+    mg_buf_free(&errors);
+}
+
 static void
 test_errors(void)
 {
@@ -67,6 +80,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"voters", test_voter_count},
+        {"limit of unsent bytes", test_unsent_max},
         {"errors", test_errors},
         CU_TEST_INFO_NULL,
     };
