Rollouts: times of a new version are lowered by the clock's resolution

A sample tells by how much its times may exceed the true ones, 1 ms over what they are divided by; for the new version this is subtracted before they are tested. Versions that are slower by several ms are not affected.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -8,6 +8,8 @@
 #include "gateway/pick.h"
 #include "gateway/suspects.h"
 
+/* a time measured with mg_now() exceeds the true one by less than this */
+#define CLOCK_RESOLUTION_MS 1.0
 /* failed connections after which a request fails */
 #define CONNECT_ATTEMPTS_MAX 4
 /* "not run" responses after which a request fails */
@@ -65,6 +67,8 @@
             events > 0
                 ? (double)(f->last_received_ms - f->first_event_ms) / events
                 : 0,
+        .first_error = CLOCK_RESOLUTION_MS / f->nominal_ms,
+        .gap_error = events > 0 ? CLOCK_RESOLUTION_MS / events : 0,
     };
     mg_versions_add_sample(f->gw->versions, f->pool->service,
                            f->target->instance->info.version, &s);
--- a/src/gateway/versions.c
+++ b/src/gateway/versions.c
@@ -226,6 +226,15 @@
     s->sent_old += !is_new;
 }
 
+static void
+subtract_errors(mg_version_sample *s)
+{
+    double first = s->first_per_token - s->first_error;
+    double gap = s->gap_ms - s->gap_error;
+    s->first_per_token = first > 0 ? first : 0;
+    s->gap_ms = gap > 0 ? gap : 0;
+}
+
 void
 mg_versions_add_sample(mg_versions *v, const char *service,
                        const char *version, mg_version_sample *sample)
@@ -235,6 +244,9 @@
         return;
     }
     sample->is_new = strcmp(version, s->version) == 0;
+    if (sample->is_new) {
+        subtract_errors(sample);
+    }
     mg_rollout_add_sample(s->rollout, sample);
     mg_msg m = {.type = MG_MSG_ROLLOUT_SAMPLE};
     m.u.rollout_sample.route = mg_str_of(sample->route);
--- a/src/gateway/versions.h
+++ b/src/gateway/versions.h
@@ -51,7 +51,9 @@
 void
 mg_versions_count_sent(mg_versions *v, const char *service,
                        const char *version);
-/* Adds the measurements of a request; sets sample->is_new. */
+/* Adds the measurements of a request; sets sample->is_new. Times of the new
+   version are lowered by their errors: where responses take less than the
+   clock's resolution, a version must not count as slow for it. */
 void
 mg_versions_add_sample(mg_versions *v, const char *service,
                        const char *version, mg_version_sample *sample);
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -83,6 +83,10 @@
        scheduler) or ratio to the predicted time (gateway) */
     double first_per_token;
     double gap_ms; /* mean time between tokens; 0: fewer than two tokens */
+    /* by how much first_per_token and gap_ms may exceed the true times, since
+       clocks have a resolution; read by the gateway only */
+    double first_error;
+    double gap_error;
 } mg_version_sample;
 
 /* a change that the caller writes to the control log */
--- a/tests/unit/rollout_manager_test.c
+++ b/tests/unit/rollout_manager_test.c
@@ -463,6 +463,49 @@
     close_simulation();
 }
 
+/* Adds samples of a quick service: the old version takes 0 ms (44 times) and
+   1 ms (28 times), the new one 0 ms (23 times) and new_ms (26 times). Returns
+   how the new version may be used then. */
+static mg_version_use
+use_after_quick_samples(double new_ms)
+{
+    static const double nominal_ms = 20;
+    mg_manual_clock clk;
+    mg_rec_rollout_msg rec = {
+        .service = mg_str_of("s"),
+        .version = mg_str_of("v2"),
+        .state = MG_ROLLOUT_RAMP,
+        .share_permille = 500,
+        .window_ms = 10000,
+    };
+    mg_manual_clock_init(&clk);
+    mg_versions *v = mg_versions_new(&clk.clock);
+    mg_versions_set_rollout(v, &rec);
+    for (int i = 0; i < 72 + 49; i++) {
+        bool is_new = i >= 72;
+        bool quick = is_new ? i % 49 < 23 : i % 18 < 11;
+        double ms = quick ? 0 : is_new ? new_ms : 1;
+        mg_version_sample sample = {
+            .route = "r",
+            .first_per_token = ms / nominal_ms,
+            .first_error = 1 / nominal_ms,
+        };
+        mg_versions_add_sample(v, "s", is_new ? "v2" : "v1", &sample);
+    }
+    mg_version_use use = mg_versions_use(v, "s", "v2");
+    mg_versions_free(v);
+    return use;
+}
+
+/* a good version of a service that answers within a millisecond was rolled
+   back as slow, since times are whole milliseconds */
+static void
+test_times_in_whole_ms(void)
+{
+    CU_ASSERT_EQUAL(use_after_quick_samples(1), MG_VERSION_PREFERRED);
+    CU_ASSERT_EQUAL(use_after_quick_samples(3), MG_VERSION_EXCLUDED);
+}
+
 int
 main(void)
 {
@@ -476,6 +519,7 @@
         {"no traffic", test_no_traffic},
         {"start commands: repeated, conflicting", test_start_commands},
         {"a version without a rollout", test_unknown_version},
+        {"times in whole milliseconds", test_times_in_whole_ms},
         CU_TEST_INFO_NULL,
     };
     return run_suite("rollout_manager", tests);
