Mesh: acknowledge a target's change only if it can be propagated soon

A hub for which 64 KB wait no longer counts; the target gets 503 and asks another host. mesh_test, new test: acknowledged before, not now.

--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -25,7 +25,8 @@
 /* while more bytes than this wait to be sent to all nodes, a hub sends no
    further batch; a change then waits for 80 ms at 100 Mbit/s */
 #define BATCH_UNSENT_MAX (1u << 20)
-/* a node for which more bytes than this wait is passed over */
+/* a node for which more bytes than this wait is passed over, and a hub counts
+   as not reached */
 #define PEER_UNSENT_MAX (64u << 10)
 /* heartbeats held back beyond this size are dropped; later ones follow */
 #define HELD_BACK_MAX (256u << 10)
@@ -872,7 +873,9 @@
 {
     size_t up = m->is_hub;
     for (size_t i = 0; i < m->hub_count; i++) {
-        up += mg_net_is_up(m->opts.net, m->hubs[i].node);
+        const char *node = m->hubs[i].node;
+        up += mg_net_is_up(m->opts.net, node) &&
+              mg_net_unsent(m->opts.net, node) < PEER_UNSENT_MAX;
     }
     return 2 * up > m->hub_count + m->is_hub;
 }
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -130,8 +130,8 @@
 /* Number of live nodes, this one included. */
 size_t
 mg_mesh_live_count(const mg_mesh *m);
-/* Whether this node can propagate changes: it has links to a majority of the
-   hubs, itself counted. */
+/* Whether this node can propagate changes soon: it has links to a majority of
+   the hubs, itself counted, on which few bytes wait. */
 bool
 mg_mesh_connected(const mg_mesh *m);
 
--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -477,6 +477,21 @@
     CU_ASSERT_TRUE(most <= MG_LINK_UNSENT_MAX);
 }
 
+/* DRAIN: a target's announcement was acknowledged while it waited behind
+   megabytes on the links to the hubs */
+static void
+test_connected(void)
+{
+    open_all();
+    run_ms(CONVERGE_MS);
+    CU_ASSERT_TRUE(mg_mesh_connected(nodes[200].mesh));
+    nodes[200].net.unsent[0] = 1 << 20;
+    nodes[200].net.unsent[1] = 1 << 20;
+    CU_ASSERT_TRUE(mg_mesh_connected(nodes[200].mesh));
+    nodes[200].net.unsent[2] = 1 << 20;
+    CU_ASSERT_FALSE(mg_mesh_connected(nodes[200].mesh));
+}
+
 /* new contacts replace the links to former contacts, but not to hubs */
 static void
 test_contacts(void)
@@ -499,6 +514,7 @@
     static const CU_TestInfo tests[] = {
         {"300 nodes: traffic per node is bounded", test_rates},
         {"300 nodes: failure of nodes and hubs", test_failures},
+        {"acknowledged only if it can be propagated", test_connected},
         {"change of contacts", test_contacts},
         {"traffic while a node is missing",
          test_traffic_while_a_node_is_missing},
