Links: heartbeats behind a message larger than the limit don't close the link

The exemption for a single large message held only until the next heartbeat was queued behind it: then the connection counted as holding more than one message and was closed, so that a document above the limit never reached a slow peer. One message and 64 KB besides are exempt now. Found when reading the change. link_test, new test: the link was closed before, the message waits now.

--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -13,6 +13,8 @@
 #define TICK_INTERVAL_MS 100
 #define BACKLOG 128
 #define UNSENT_LOG_INTERVAL_MS 1000
+/* what may wait behind a large message without its connection being closed */
+#define SMALL_MESSAGES_BYTES (64u << 10)
 
 typedef struct conn conn;
 
@@ -38,7 +40,7 @@
     int64_t received_ms; /* last read */
     int64_t sent_ms;     /* last write */
     size_t unsent;       /* bytes in out and in writes that have not ended */
-    size_t last_frame;   /* bytes of the message queued last */
+    size_t largest;      /* bytes of the largest message among them */
     mg_buf in;
     mg_buf out;
 };
@@ -163,8 +165,8 @@
     return net->opts.unsent_max ? net->opts.unsent_max : MG_LINK_UNSENT_MAX;
 }
 
-/* Closes the connection for which most bytes wait. A single message is
-   exempt, or one that is larger than the limit could never be sent. */
+/* Closes the connection for which most bytes wait. One message and a few small
+   ones are exempt, or a message larger than the limit could never be sent. */
 static void
 close_largest(mg_net *net)
 {
@@ -172,7 +174,7 @@
     list_for_each(el, &net->conns)
     {
         conn *c = list_entry(el, conn, link);
-        if (!c->closing && c->unsent > c->last_frame &&
+        if (!c->closing && c->unsent > c->largest + SMALL_MESSAGES_BYTES &&
             (largest == NULL || c->unsent > largest->unsent)) {
             largest = c;
         }
@@ -190,10 +192,11 @@
     }
     size_t before = c->out.n;
     mg_frame_encode(m, &c->out);
-    c->last_frame = c->out.n - before;
-    c->unsent += c->last_frame;
-    c->net->unsent += c->last_frame;
-    mg_count(counter_of(m->type), c->last_frame);
+    size_t size = c->out.n - before;
+    c->largest = c->unsent > 0 && c->largest > size ? c->largest : size;
+    c->unsent += size;
+    c->net->unsent += size;
+    mg_count(counter_of(m->type), size);
     if (c->net->unsent > unsent_max(c->net)) {
         close_largest(c->net);
     }
--- a/tests/unit/link_test.c
+++ b/tests/unit/link_test.c
@@ -149,6 +149,7 @@
     uv_timer_t timer;
     mg_net *net;
     struct silent_peer peers[SILENT_PEERS];
+    int peer_count;
     size_t sent[SILENT_PEERS];
     size_t most_unsent;
     int64_t deadline_ms;
@@ -226,7 +227,7 @@
 static void
 close_peers(struct flood *f)
 {
-    for (int i = 0; i < SILENT_PEERS; i++) {
+    for (int i = 0; i < f->peer_count; i++) {
         struct silent_peer *p = &f->peers[i];
         close_handle((uv_handle_t *)&p->listener, NULL);
         close_handle((uv_handle_t *)&p->timer, NULL);
@@ -263,18 +264,16 @@
     }
 }
 
-/* CONFIG, DRAIN: a hub's process exceeded its memory limit with bytes for many
-   links, each of which kept to its own limit */
+/* Runs a sender with peers that do not read until on_tick ends it. */
 static void
-test_unsent_bytes_of_the_process(void)
+run_flood(struct flood *f, int peers, uv_timer_cb on_tick)
 {
-    static struct flood f;
     mg_error err;
     signal(SIGPIPE, SIG_IGN); /* a link of a silent peer may be closed */
-    uv_loop_init(&f.loop);
-    mg_net_open(&f.net,
+    uv_loop_init(&f->loop);
+    mg_net_open(&f->net,
                 &(mg_net_options){
-                    .loop = &f.loop,
+                    .loop = &f->loop,
                     .clock = mg_system_clock(),
                     .node = "from",
                     .key = "k",
@@ -282,26 +281,77 @@
                     .on_message = on_message,
                 },
                 &err);
-    for (int i = 0; i < SILENT_PEERS; i++) {
-        open_silent_peer(&f, i);
+    f->peer_count = peers;
+    for (int i = 0; i < peers; i++) {
+        open_silent_peer(f, i);
     }
-    f.deadline_ms = mg_now(mg_system_clock()) + TIMEOUT_MS / 2;
-    uv_timer_init(&f.loop, &f.timer);
-    f.timer.data = &f;
-    uv_timer_start(&f.timer, on_flood_tick, 1, 1);
-    uv_run(&f.loop, UV_RUN_DEFAULT);
-    uv_loop_close(&f.loop);
+    f->deadline_ms = mg_now(mg_system_clock()) + TIMEOUT_MS / 2;
+    uv_timer_init(&f->loop, &f->timer);
+    f->timer.data = f;
+    uv_timer_start(&f->timer, on_tick, 1, 1);
+    uv_run(&f->loop, UV_RUN_DEFAULT);
+    uv_loop_close(&f->loop);
+}
+
+/* CONFIG, DRAIN: a hub's process exceeded its memory limit with bytes for many
+   links, each of which kept to its own limit */
+static void
+test_unsent_bytes_of_the_process(void)
+{
+    static struct flood f;
+    run_flood(&f, SILENT_PEERS, on_flood_tick);
     printf("\n  %d peers that do not read: at most %zu KB unsent\n",
            SILENT_PEERS, f.most_unsent >> 10);
     CU_ASSERT_TRUE(f.most_unsent > 0);
     CU_ASSERT_TRUE(f.most_unsent <= MG_LINK_UNSENT_MAX + PAYLOAD_SIZE);
 }
 
+#define LARGE_BYTES (MG_LINK_UNSENT_MAX + (1u << 20))
+#define LARGE_TEST_MS 1500
+
+static void
+on_large_tick(uv_timer_t *t)
+{
+    struct flood *f = t->data;
+    mg_msg small = {.type = MG_MSG_PING};
+    const char *peer = f->peers[0].name;
+    if (!mg_net_is_up(f->net, peer) && f->sent[0] == 0) {
+        return;
+    }
+    if (f->sent[0] == 0) {
+        char *value = mg_alloc(LARGE_BYTES);
+        mg_msg m = {.type = MG_MSG_RECORD};
+        m.u.record.value = (mg_str){value, LARGE_BYTES};
+        f->sent[0] += mg_net_send(f->net, peer, &m) == MG_OK;
+        f->deadline_ms = mg_now(mg_system_clock()) + LARGE_TEST_MS;
+        free(value);
+    }
+    mg_net_send(f->net, peer, &small);
+    f->most_unsent = mg_net_unsent(f->net, peer);
+    if (mg_now(mg_system_clock()) > f->deadline_ms) {
+        close_handle((uv_handle_t *)t, NULL);
+        mg_net_close(f->net);
+        close_peers(f);
+    }
+}
+
+/* a document larger than the limit is sent though heartbeats wait behind it */
+static void
+test_message_larger_than_the_limit(void)
+{
+    static struct flood f;
+    run_flood(&f, 1, on_large_tick);
+    CU_ASSERT_EQUAL(f.sent[0], 1);
+    CU_ASSERT_TRUE(f.most_unsent > MG_LINK_UNSENT_MAX / 2);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"event loops in two threads", test_event_loops_in_two_threads},
+        {"a message larger than the limit",
+         test_message_larger_than_the_limit},
         {"unsent bytes of the process", test_unsent_bytes_of_the_process},
         CU_TEST_INFO_NULL,
     };
