--- a/scripts/flood-test.sh
+++ b/scripts/flood-test.sh
@@ -10,18 +10,7 @@
 requests=40
 client_s=6
 MEMORY_MAX_KB=$((88 * 1024))
-work=$(mktemp -d)
-declare -a pids=()
-
-cleanup()
-{
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2> /dev/null || true
-        wait "$pid" 2> /dev/null || true
-    done
-    rm -rf "$work"
-}
-trap cleanup EXIT
+. "$(dirname "$0")/processes.sh"
 
 cat > "$work/node.toml" << END
 node = "node-1"
@@ -106,10 +95,14 @@
         clients+=($!)
     done
     wait "${clients[@]}"
-    kb=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/$node/status") ||
-        kb=
-    echo "$path: peak memory ${kb:-unknown} KB"
-    if [ "${kb:-0}" = 0 ] || [ "$kb" -gt $MEMORY_MAX_KB ]; then
+    sent=$(grep -c "REQ_DISPATCHED id=$path" "$work/node.log") || true
+    if [ "$sent" -lt $requests ]; then
+        echo "$path: $sent of $requests requests reached the target"
+        status=1
+    fi
+    kb=$(peak_memory_kb "$node")
+    echo "$path: peak memory $kb KB"
+    if [ "$kb" = 0 ] || [ "$kb" -gt $MEMORY_MAX_KB ]; then
         echo "$path: peak memory above $MEMORY_MAX_KB KB, or it has ended"
         status=1
         break
--- a/scripts/memory-test.sh
+++ b/scripts/memory-test.sh
@@ -10,18 +10,7 @@
 changes=40
 peers=40
 MEMORY_MAX_KB=32768
-work=$(mktemp -d)
-declare -a pids=()
-
-cleanup()
-{
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2> /dev/null || true
-        wait "$pid" 2> /dev/null || true
-    done
-    rm -rf "$work"
-}
-trap cleanup EXIT
+. "$(dirname "$0")/processes.sh"
 
 settings() # settings N
 {
@@ -103,10 +92,9 @@
 echo "document: $(wc -c < "$work/document") bytes, $changes versions," \
     "$((3 * peers)) peers"
 for n in 1 2 3; do
-    kb=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' \
-        "/proc/${pids[n - 1]}/status" || echo 0)
+    kb=$(peak_memory_kb "${pids[n - 1]}")
     echo "node $n: peak memory $kb KB"
-    if [ "${kb:-0}" = 0 ] || [ "$kb" -gt "$MEMORY_MAX_KB" ]; then
+    if [ "$kb" = 0 ] || [ "$kb" -gt "$MEMORY_MAX_KB" ]; then
         echo "node $n: peak memory above $MEMORY_MAX_KB KB, or it has ended"
         status=1
     fi
--- a/scripts/platform-test.sh
+++ b/scripts/platform-test.sh
@@ -12,18 +12,7 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 build=$1
 seconds=${2:-14}
-work=$(mktemp -d)
-declare -a pids=()
-
-cleanup()
-{
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2> /dev/null || true
-        wait "$pid" 2> /dev/null || true
-    done
-    rm -rf "$work"
-}
-trap cleanup EXIT
+. "$(dirname "$0")/processes.sh"
 
 settings() # settings N NEW_GROUP
 {
