Raft: entries are synced on another thread

Tests that fail without it: system test disks_stall (an entry wasn't serving), raft_test 'disks that do not end a sync', 'entries replaced during a sync' (by mutation: an acknowledgement of what isn't synced, a truncation that the sync in progress doesn't know), histories with syncs that end later, store_test 'syncs on another thread'. Ruled out: acknowledging entries with the heartbeat (not durable), a thread for the whole member (the group has one, and still missed heartbeats).

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 PROGRAMS = marigold-slopes marigold-entry marigold-control marigold-node \
            marigoldctl marigold-load \
            fake-engine fake-flood fake-peer fake-relay fake-site
-BINS := $(PROGRAMS:%=$(BUILD)/%)
+BINS := $(PROGRAMS:%=$(BUILD)/%) $(BUILD)/stall.so
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
 UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
@@ -59,6 +59,10 @@
 $(BUILD)/marigold-slopes: $(BUILD)/bench/slopes.o $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
+$(BUILD)/stall.so: tests/fakes/stall.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared $< -ldl -o $@
+
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/%.o $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -95,8 +95,15 @@
 EOF
 }
 
+# While the file $WORK/stall exists, controls that were started with STALLS=1
+# wait in each file sync.
+STALLS=${STALLS:-0}
+
 start_control() {
-    "$BUILD/marigold-control" --settings "$WORK/control-$1.toml" \
+    local preload=""
+    [ "$STALLS" = 0 ] || preload=$(realpath "$BUILD/stall.so")
+    LD_PRELOAD=$preload STALL_FILE=$WORK/stall \
+        "$BUILD/marigold-control" --settings "$WORK/control-$1.toml" \
         >> "$WORK/control-$1.log" 2>&1 &
     PID[control-$1]=$!
 }
--- a/scripts/system-cases.sh
+++ b/scripts/system-cases.sh
@@ -178,8 +178,19 @@
 
 executions() { cat "$WORK"/journal-* | grep -c " $1\$" || true; }
 
+# STALL_AT: second at which all disks of controls stall, for STALL_S
+STALL_S=3.7
+stall_disks_at() { # stall_disks_at SECOND
+    sleep "$1"
+    touch "$WORK/stall"
+    sleep $STALL_S
+    rm "$WORK/stall"
+}
+
 test_control_lost_and_repaired() {
+    [ -z "${STALL_AT:-}" ] || STALLS=1
     start_all
+    [ -z "${STALL_AT:-}" ] || stall_disks_at "$STALL_AT" &
     local first rev
     first=$(send_order 1 order-before)
     rev=$(document_rev)
@@ -208,6 +219,35 @@
     [ "$(executions order-before)" = 1 ]
 }
 
+role_changes() { cat "$WORK"/control-*.log | grep -c RAFT_ROLE; }
+
+# while no control can sync a file, the leader stays, leases are renewed and
+# requests answered; a change ordered meanwhile is acknowledged afterwards
+test_disks_stall() {
+    STALLS=1
+    start_all
+    local job order rev roles
+    load 12 23 --keyed 0 &
+    job=$!
+    sleep 2
+    roles=$(role_changes)
+    touch "$WORK/stall"
+    bump_version "$WORK/v2.toml" 2
+    ctl platform --timeout 9 apply "$WORK/v2.toml" > "$WORK/applied" &
+    order=$!
+    sleep 5
+    [ ! -s "$WORK/applied" ] # it is not durable yet
+    entries_serving 3
+    rm "$WORK/stall"
+    wait $order
+    rev=$(sed -n 's/^rev=//p' "$WORK/applied")
+    wait_until $IN_FORCE_MAX_S is_in_force "$rev"
+    wait $job
+    [ "$(role_changes)" = "$roles" ]
+    check_journals
+    check_completed 100
+}
+
 test_leader_cut_off() {
     RELAYS=1
     start_all
--- a/src/control/control.c
+++ b/src/control/control.c
@@ -421,7 +421,7 @@
     if (!image.meta.voter) {
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
-    mg_raft_disk_init(&c->disk);
+    mg_raft_disk_init(&c->disk, c->loop);
     c->disk.callbacks.send = raft_send;
     c->disk.callbacks.apply = raft_apply;
     c->disk.callbacks.restore = raft_restore;
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -699,6 +699,33 @@
     }
 }
 
+static void
+start_sync(mg_raft *r)
+{
+    r->unsynced = false;
+    r->syncing = true;
+    r->syncing_index = mg_raft_last_index(r);
+    mg_rc rc = r->callbacks->sync(r->callbacks);
+    if (rc != MG_E_IN_PROGRESS) {
+        mg_raft_synced(r, rc);
+    }
+}
+
+/* Acknowledges the entries that are synced. While the others are not, a new
+   round is acknowledged without them. */
+static void
+acknowledge(mg_raft *r)
+{
+    bool synced = r->reply_match <= r->synced_index;
+    if (!synced && r->reply_round == r->replied_round) {
+        return;
+    }
+    r->reply_pending = !synced;
+    r->replied_round = r->reply_round;
+    send_append_rep(r, r->leader, true,
+                    synced ? r->reply_match : r->synced_index, r->reply_round);
+}
+
 void
 mg_raft_flush(mg_raft *r)
 {
@@ -709,20 +736,28 @@
         /* sent before the local sync, so that followers write in parallel */
         send_new_entries(r);
     }
-    if (r->unsynced) {
-        if (!mg_raft_check_storage(r, r->callbacks->sync(r->callbacks))) {
-            return;
-        }
-        r->unsynced = false;
-        r->synced_index = mg_raft_last_index(r);
-        advance_commit(r);
+    if (r->unsynced && !r->syncing) {
+        start_sync(r);
     }
-    if (r->reply_pending && r->leader != 0 && r->role == MG_RAFT_FOLLOWER) {
-        r->reply_pending = false;
-        send_append_rep(r, r->leader, true, r->reply_match, r->reply_round);
+    if (!r->stopped && r->reply_pending && r->leader != 0 &&
+        r->role == MG_RAFT_FOLLOWER) {
+        acknowledge(r);
     }
 }
 
+void
+mg_raft_synced(mg_raft *r, mg_rc rc)
+{
+    r->syncing = false;
+    if (r->stopped || !mg_raft_check_storage(r, rc)) {
+        return;
+    }
+    if (r->syncing_index > r->synced_index) {
+        r->synced_index = r->syncing_index;
+    }
+    advance_commit(r);
+}
+
 void
 mg_raft_compact(mg_raft *r, mg_str state)
 {
@@ -736,6 +771,9 @@
         return;
     }
     mg_raft_log_set_snapshot(r, index, term, state);
+    if (r->synced_index < index) {
+        r->synced_index = index;
+    }
 }
 
 uint64_t
--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -22,7 +22,9 @@
  *
  * Disk writes are batched: entries are passed to append() as they arrive and
  * synced together in mg_raft_flush(), to be called once per event loop
- * iteration. Acknowledgements are sent after the sync.
+ * iteration. Acknowledgements are sent after the sync. While a sync takes
+ * long, heartbeats are answered, so that a slow disk does not end the leader's
+ * term.
  */
 #ifndef MG_RAFT_H
 #define MG_RAFT_H
@@ -78,6 +80,8 @@
     mg_rc (*append)(mg_raft_callbacks *cb, const mg_raft_entry *e);
     /* removes all entries from index on; durable after the next sync */
     mg_rc (*truncate)(mg_raft_callbacks *cb, uint64_t index);
+    /* makes the appended entries durable; on MG_E_IN_PROGRESS, the user calls
+       mg_raft_synced() once they are, and no other sync starts before */
     mg_rc (*sync)(mg_raft_callbacks *cb);
     /* durable when it returns MG_OK; drops the log entries up to index */
     mg_rc (*save_snapshot)(mg_raft_callbacks *cb, uint64_t index,
@@ -143,9 +147,13 @@
  */
 mg_rc
 mg_raft_propose(mg_raft *r, mg_str data, uint64_t *index, uint64_t *term);
-/* Syncs appended entries, then sends the acknowledgements for them. */
+/* Starts to sync appended entries; sends the acknowledgements for those that
+   are synced. */
 void
 mg_raft_flush(mg_raft *r);
+/* Records the outcome of a sync that was in progress. */
+void
+mg_raft_synced(mg_raft *r, mg_rc rc);
 /*
  * Saves state as the snapshot at the last applied index and drops the log
  * up to that index.
--- a/src/control/raft_disk.c
+++ b/src/control/raft_disk.c
@@ -1,12 +1,19 @@
 #include "control/raft_disk.h"
 
 #include <inttypes.h>
-
-#include <uv.h>
+#include <stdlib.h>
 
 #include "base/counter.h"
 #include "base/event.h"
 
+struct mg_raft_sync {
+    uv_work_t work;     /* first member: callbacks cast it back */
+    mg_raft_disk *disk; /* NULL: it was closed */
+    mg_store *store;
+    uint64_t started_ns;
+    mg_rc rc;
+};
+
 static mg_raft_disk *
 disk_of(mg_raft_callbacks *cb)
 {
@@ -33,14 +40,45 @@
     return mg_store_truncate(disk_of(cb)->store, index);
 }
 
+static void
+run_sync(uv_work_t *work)
+{
+    struct mg_raft_sync *s = (struct mg_raft_sync *)work;
+    s->rc = mg_store_run_sync(s->store);
+}
+
+static void
+sync_ended(uv_work_t *work, int status)
+{
+    struct mg_raft_sync *s = (struct mg_raft_sync *)work;
+    (void)status; /* it is never cancelled */
+    mg_observe(MG_H_SYNC_TIME,
+               (int64_t)((uv_hrtime() - s->started_ns) / 1000));
+    mg_count(MG_C_RAFT_SYNCS, 1);
+    if (s->disk != NULL) {
+        s->disk->sync = NULL;
+        mg_raft_synced(s->disk->raft, s->rc);
+    }
+    free(s);
+}
+
 static mg_rc
 sync_log(mg_raft_callbacks *cb)
 {
-    uint64_t start = uv_hrtime();
-    mg_rc rc = mg_store_sync(disk_of(cb)->store);
-    mg_observe(MG_H_SYNC_TIME, (int64_t)((uv_hrtime() - start) / 1000));
-    mg_count(MG_C_RAFT_SYNCS, 1);
-    return rc;
+    mg_raft_disk *d = disk_of(cb);
+    if (!mg_store_begin_sync(d->store)) {
+        return MG_OK;
+    }
+    struct mg_raft_sync *s = mg_alloc(sizeof(*s));
+    s->disk = d;
+    s->store = d->store;
+    s->started_ns = uv_hrtime();
+    if (uv_queue_work(d->loop, &s->work, run_sync, sync_ended) != 0) {
+        free(s);
+        return mg_store_run_sync(d->store);
+    }
+    d->sync = s;
+    return MG_E_IN_PROGRESS;
 }
 
 static mg_rc
@@ -53,11 +91,25 @@
 }
 
 void
-mg_raft_disk_init(mg_raft_disk *d)
+mg_raft_disk_init(mg_raft_disk *d, uv_loop_t *loop)
 {
+    d->loop = loop;
     d->callbacks.save_meta = save_meta;
     d->callbacks.append = append;
     d->callbacks.truncate = truncate_log;
     d->callbacks.sync = sync_log;
     d->callbacks.save_snapshot = save_snapshot;
 }
+
+void
+mg_raft_disk_close(mg_raft_disk *d)
+{
+    if (d->sync != NULL) {
+        d->sync->disk = NULL;
+        d->sync = NULL;
+    }
+    mg_raft_free(d->raft);
+    mg_store_close(d->store);
+    d->raft = NULL;
+    d->store = NULL;
+}
--- a/src/control/raft_int.h
+++ b/src/control/raft_int.h
@@ -44,11 +44,14 @@
     uint64_t applied_index;
     uint64_t synced_index;       /* last entry known to be on the local disk */
     uint64_t leader_first_index; /* leader only: first entry of its term */
-    bool unsynced;      /* entries appended or truncated since the sync */
-    bool reply_pending; /* follower: an acknowledgement is to be sent */
+    bool unsynced; /* entries appended or truncated since the sync's start */
+    bool syncing;
+    uint64_t syncing_index; /* last entry that the sync in progress covers */
+    bool reply_pending;     /* follower: an acknowledgement is to be sent */
     uint64_t reply_round;
-    uint64_t reply_match; /* highest index known to match the leader's log */
-    bool stopped;         /* storage has failed */
+    uint64_t replied_round; /* the last one that was acknowledged */
+    uint64_t reply_match;   /* highest index known to match the leader's log */
+    bool stopped;           /* storage has failed */
     /* log[i] has index snap_index + 1 + i */
     struct mg_raft_stored_entry *log;
     size_t log_count;
--- a/src/control/raft_log.c
+++ b/src/control/raft_log.c
@@ -91,6 +91,9 @@
     if (r->synced_index >= index) {
         r->synced_index = index - 1;
     }
+    if (r->syncing_index >= index) {
+        r->syncing_index = index - 1;
+    }
     r->unsynced = true;
     return mg_raft_check_storage(r,
                                  r->callbacks->truncate(r->callbacks, index));
--- a/src/control/store.c
+++ b/src/control/store.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <limits.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -48,6 +49,12 @@
     size_t count;
     size_t cap;
     mg_buf pending; /* appended, not written yet */
+    /* a sync in progress, which another thread may run */
+    pthread_mutex_t mutex; /* protects syncing and sync_rc */
+    pthread_cond_t sync_ended;
+    bool syncing;
+    mg_rc sync_rc;
+    mg_buf writing; /* records that the sync writes */
 };
 
 static mg_rc
@@ -365,6 +372,8 @@
 {
     mg_store *s = mg_alloc(sizeof(*s));
     memset(image, 0, sizeof(*image));
+    pthread_mutex_init(&s->mutex, NULL);
+    pthread_cond_init(&s->sync_ended, NULL);
     s->log_fd = -1;
     s->lock_fd = -1;
     s->dir_fd = -1;
@@ -419,12 +428,26 @@
     image->entries = NULL;
 }
 
+/* Waits until no sync is in progress; returns the outcome of the last one. */
+static mg_rc
+wait_for_sync(mg_store *s)
+{
+    pthread_mutex_lock(&s->mutex);
+    while (s->syncing) {
+        pthread_cond_wait(&s->sync_ended, &s->mutex);
+    }
+    mg_rc rc = s->sync_rc;
+    pthread_mutex_unlock(&s->mutex);
+    return rc;
+}
+
 void
 mg_store_close(mg_store *s)
 {
     if (s == NULL) {
         return;
     }
+    (void)wait_for_sync(s); /* whose outcome its thread reports */
     int fds[] = {s->log_fd, s->lock_fd, s->dir_fd};
     for (size_t i = 0; i < 3; i++) {
         if (fds[i] >= 0) {
@@ -433,6 +456,9 @@
     }
     free(s->offsets);
     mg_buf_free(&s->pending);
+    mg_buf_free(&s->writing);
+    pthread_cond_destroy(&s->sync_ended);
+    pthread_mutex_destroy(&s->mutex);
     free(s);
 }
 
@@ -454,7 +480,10 @@
 static mg_rc
 write_pending(mg_store *s)
 {
-    mg_rc rc = write_all(s->log_fd, s->pending.p, s->pending.n);
+    mg_rc rc = wait_for_sync(s);
+    if (rc == MG_OK) {
+        rc = write_all(s->log_fd, s->pending.p, s->pending.n);
+    }
     s->log_end += (off_t)s->pending.n;
     s->pending.n = 0;
     return rc;
@@ -479,19 +508,43 @@
     return rc;
 }
 
-mg_rc
-mg_store_sync(mg_store *s)
+bool
+mg_store_begin_sync(mg_store *s)
 {
     if (s->in_memory) {
-        return MG_OK;
+        return false;
     }
-    mg_rc rc = write_pending(s);
+    mg_buf written = s->writing;
+    MG_INVARIANT(!s->syncing);
+    written.n = 0;
+    s->syncing = true;
+    s->writing = s->pending;
+    s->pending = written;
+    s->log_end += (off_t)s->writing.n;
+    return true;
+}
+
+mg_rc
+mg_store_run_sync(mg_store *s)
+{
+    mg_rc rc = write_all(s->log_fd, s->writing.p, s->writing.n);
     if (rc == MG_OK && fdatasync(s->log_fd) != 0) {
         rc = MG_E_IO;
     }
+    pthread_mutex_lock(&s->mutex);
+    s->syncing = false;
+    s->sync_rc = rc;
+    pthread_cond_signal(&s->sync_ended);
+    pthread_mutex_unlock(&s->mutex);
     return rc;
 }
 
+mg_rc
+mg_store_sync(mg_store *s)
+{
+    return mg_store_begin_sync(s) ? mg_store_run_sync(s) : MG_OK;
+}
+
 /* replaces the log file by one with the records after index */
 static mg_rc
 rewrite_log(mg_store *s, uint64_t index)
--- a/src/control/store.h
+++ b/src/control/store.h
@@ -72,6 +72,16 @@
 mg_store_truncate(mg_store *s, uint64_t index);
 mg_rc
 mg_store_sync(mg_store *s);
+/*
+ * mg_store_sync() in two steps, the second of which may run on another thread
+ * while entries are appended. Until it has ended, there is no other sync, and
+ * calls that truncate or replace the log, or close the store, wait for it.
+ * mg_store_begin_sync() returns false if nothing is stored.
+ */
+bool
+mg_store_begin_sync(mg_store *s);
+mg_rc
+mg_store_run_sync(mg_store *s);
 mg_rc
 mg_store_save_snapshot(mg_store *s, uint64_t index, uint64_t term,
                        mg_str data);
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -358,13 +358,10 @@
 {
     drop_leader_requests(g);
     drop_waiting(&g->pulls);
-    mg_raft_free(g->disk.raft);
-    mg_store_close(g->disk.store);
+    mg_raft_disk_close(&g->disk);
     if (g->state != NULL) {
         mg_state_free(g->state);
     }
-    g->disk.raft = NULL;
-    g->disk.store = NULL;
     g->state = NULL;
     g->slot = 0;
     g->pending_change_index = 0;
@@ -600,7 +597,7 @@
 {
     mg_group *g = mg_alloc(sizeof(*g));
     mg_rc rc;
-    mg_raft_disk_init(&g->disk);
+    mg_raft_disk_init(&g->disk, &g->loop);
     g->disk.callbacks.send = send_message;
     g->disk.callbacks.apply = apply_entry;
     g->disk.callbacks.restore = restore_snapshot;
--- a/tests/unit/raft_test.c
+++ b/tests/unit/raft_test.c
@@ -1,6 +1,7 @@
 /*
  * Random histories of a group of three members: messages are lost, duplicated
- * and reordered, crashes lose unsynced entries, disks are lost and replaced.
+ * and reordered, crashes lose unsynced entries, disks are lost and replaced,
+ * syncs end at once or later.
  * After every step, all members have applied the same entries in the same
  * order. Once the faults have ended, every acknowledged entry is on every
  * member.
@@ -20,6 +21,7 @@
     mg_raft_entry entries[LOG_MAX]; /* data is owned */
     size_t count;
     size_t synced;
+    size_t syncing; /* entries that the sync in progress covers */
     uint64_t snap_index;
     uint64_t snap_term;
     mg_buf snap;
@@ -32,6 +34,8 @@
     struct disk disk;
     uint64_t applied;
     uint64_t digest; /* of all applied entries, in order */
+    bool in_sync;    /* a sync is in progress */
+    bool stalled;    /* its syncs do not end */
 };
 
 struct packet {
@@ -61,6 +65,8 @@
     uint64_t next_value;
     const char *failure;  /* invariant that was violated, or NULL */
     bool lost_disks_vote; /* injected fault: replaced disks vote at once */
+    uint64_t round;       /* of the last message of receive_entries() */
+    bool syncs_later;     /* syncs end in a later step */
     unsigned silent;      /* receives nothing; 0: none */
     size_t silent_bytes;  /* sent to it */
 } sim;
@@ -121,6 +127,9 @@
     if (d->synced > d->count) {
         d->synced = d->count;
     }
+    if (d->syncing > d->count) {
+        d->syncing = d->count;
+    }
 }
 
 static mg_rc
@@ -136,11 +145,30 @@
 static mg_rc
 on_sync(mg_raft_callbacks *cb)
 {
-    struct disk *d = &node_of(cb)->disk;
-    d->synced = d->count;
+    struct node *n = node_of(cb);
+    if (sim.syncs_later) {
+        MG_INVARIANT(!n->in_sync);
+        n->in_sync = true;
+        n->disk.syncing = n->disk.count;
+        return MG_E_IN_PROGRESS;
+    }
+    n->disk.synced = n->disk.count;
     return MG_OK;
 }
 
+static void
+end_sync(struct node *n)
+{
+    if (!n->in_sync || n->stalled) {
+        return;
+    }
+    n->in_sync = false;
+    if (n->disk.syncing > n->disk.synced) {
+        n->disk.synced = n->disk.syncing;
+    }
+    mg_raft_synced(n->raft, MG_OK);
+}
+
 static mg_rc
 on_save_snapshot(mg_raft_callbacks *cb, uint64_t index, uint64_t term,
                  mg_str data)
@@ -155,6 +183,7 @@
             (d->count - drop) * sizeof(d->entries[0]));
     d->count -= drop;
     d->synced = d->count;
+    d->syncing = d->count;
     d->snap_index = index;
     d->snap_term = term;
     mg_buf copy = {0};
@@ -273,6 +302,7 @@
     struct disk *d = &n->disk;
     mg_raft_free(n->raft);
     n->raft = NULL;
+    n->in_sync = false;
     size_t unsynced = d->count - d->synced;
     size_t keep =
         unsynced ? mg_rng_below(&sim.rng, (uint32_t)unsynced + 1) : 0;
@@ -388,6 +418,9 @@
     else if (permille < 350) {
         compact(n);
     }
+    else if (permille < 420 && n->in_sync) {
+        end_sync(n);
+    }
     else if (permille < 600) {
         mg_raft_flush(n->raft);
     }
@@ -408,6 +441,7 @@
     for (int step = 0; step < 3000 && sim.failure == NULL; step++) {
         sim.clock.mono += 20;
         for (unsigned i = 1; i <= NODES; i++) {
+            end_sync(&sim.nodes[i]);
             mg_raft_tick(sim.nodes[i].raft);
             mg_raft_flush(sim.nodes[i].raft);
         }
@@ -489,6 +523,7 @@
 history(uint64_t seed)
 {
     reset(seed);
+    sim.syncs_later = seed % 2 == 0;
     for (int i = 0; i < STEPS && sim.failure == NULL; i++) {
         random_step();
     }
@@ -534,6 +569,7 @@
         sim.clock.mono += 10;
         for (unsigned i = 1; i <= NODES; i++) {
             if (sim.nodes[i].raft != NULL) {
+                end_sync(&sim.nodes[i]);
                 mg_raft_tick(sim.nodes[i].raft);
                 mg_raft_flush(sim.nodes[i].raft);
             }
@@ -637,6 +673,106 @@
     tear_down();
 }
 
+static void
+propose_and_run(unsigned node)
+{
+    uint64_t round = mg_raft_start_round(sim.nodes[node].raft);
+    propose(&sim.nodes[node]);
+    run_for(3000);
+    CU_ASSERT_EQUAL(find_leader(), node);
+    CU_ASSERT_TRUE(mg_raft_confirmed_round(sim.nodes[node].raft) >= round);
+}
+
+/* while disks do not end a sync, the leader stays and rounds are confirmed;
+   an entry is committed once a majority has synced it */
+static void
+test_stalled_disks(void)
+{
+    reset(13);
+    sim.syncs_later = true;
+    run_for(2000);
+    unsigned leader = find_leader();
+    CU_ASSERT_FATAL(leader != 0);
+    uint64_t applied = sim.max_applied;
+    sim.nodes[leader].stalled = true;
+    propose_and_run(leader);
+    CU_ASSERT_EQUAL(sim.max_applied, applied + 1);
+    for (unsigned i = 1; i <= NODES; i++) {
+        sim.nodes[i].stalled = true;
+    }
+    propose_and_run(leader);
+    CU_ASSERT_EQUAL(sim.max_applied, applied + 1);
+    for (unsigned i = 1; i <= NODES; i++) {
+        sim.nodes[i].stalled = false;
+    }
+    run_for(500);
+    for (unsigned i = 1; i <= NODES; i++) {
+        CU_ASSERT_EQUAL(sim.nodes[i].applied, applied + 2);
+    }
+    CU_ASSERT_PTR_NULL(sim.failure);
+    tear_down();
+}
+
+/* member 2 gets entries from, from + 1, ... to of a term from its leader */
+static void
+receive_entries(unsigned leader, uint64_t term, uint64_t prev_term,
+                uint64_t from, uint64_t to)
+{
+    mg_buf entries = {0};
+    mg_msg m = {.type = MG_MSG_LOG_ENTRY};
+    for (uint64_t i = from; i <= to; i++) {
+        m.u.log_entry.index = i;
+        m.u.log_entry.term = term;
+        m.u.log_entry.data = mg_str_of("x");
+        mg_msg_encode(&m, &entries);
+    }
+    mg_msg a = {.type = MG_MSG_APPEND};
+    a.u.append.term = term;
+    a.u.append.prev_index = from - 1;
+    a.u.append.prev_term = prev_term;
+    a.u.append.round = ++sim.round;
+    a.u.append.entries = mg_str_buf(&entries);
+    mg_raft_receive(sim.nodes[2].raft, leader, &a);
+    mg_buf_free(&entries);
+    mg_raft_flush(sim.nodes[2].raft);
+}
+
+/* the index that the last message sent acknowledges */
+static uint64_t
+last_match(void)
+{
+    mg_msg m;
+    CU_ASSERT_FATAL(sim.in_flight_count > 0);
+    const struct packet *p = &sim.in_flight[sim.in_flight_count - 1];
+    CU_ASSERT_EQUAL_FATAL(mg_msg_decode(mg_str_buf(&p->bytes), &m), MG_OK);
+    CU_ASSERT_EQUAL_FATAL(m.type, MG_MSG_APPEND_REP);
+    CU_ASSERT_TRUE(m.u.append_rep.ok);
+    return m.u.append_rep.match;
+}
+
+/* entries that replace others while these are synced are not acknowledged
+   before their own sync */
+static void
+test_replaced_during_sync(void)
+{
+    reset(15);
+    sim.syncs_later = true;
+    receive_entries(1, 1, 0, 1, 1);
+    end_sync(&sim.nodes[2]);
+    mg_raft_flush(sim.nodes[2].raft);
+    CU_ASSERT_EQUAL(last_match(), 1);
+    receive_entries(1, 1, 1, 2, 4);
+    receive_entries(3, 2, 1, 2, 4);
+    CU_ASSERT_EQUAL(last_match(), 1);
+    end_sync(&sim.nodes[2]);
+    receive_entries(3, 2, 2, 5, 5);
+    CU_ASSERT_EQUAL(last_match(), 1);
+    end_sync(&sim.nodes[2]);
+    mg_raft_flush(sim.nodes[2].raft);
+    CU_ASSERT_EQUAL(last_match(), 5);
+    tear_down();
+}
+
 int
 main(void)
 {
@@ -646,6 +782,8 @@
         {"a new leader within 1.5 s", test_new_leader_within_bound},
         {"a round is confirmed by a majority", test_round_needs_majority},
         {"a silent member gets no repeats", test_silent_member},
+        {"disks that do not end a sync", test_stalled_disks},
+        {"entries replaced during a sync", test_replaced_during_sync},
         CU_TEST_INFO_NULL,
     };
     return run_suite("raft", tests);
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -6,7 +6,9 @@
 
 #include <dirent.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "control/store.h"
@@ -244,6 +246,65 @@
     mg_store_close(s);
 }
 
+static void *
+run_sync(void *store)
+{
+    struct timespec wait = {0, (long)(random() % 300) * 1000};
+    nanosleep(&wait, NULL);
+    return (void *)(intptr_t)mg_store_run_sync(store);
+}
+
+/* appends, truncations and snapshots during syncs on another thread: the
+   directory then holds what it would after syncs in between */
+static void
+test_sync_on_thread(void)
+{
+    mg_store_image image;
+    new_dir();
+    mg_store *s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    mg_store_image_free(&image);
+    uint64_t last = 0;
+    uint64_t first = 0;
+    for (uint64_t term = 1; term <= 300; term++) {
+        pthread_t thread;
+        void *rc;
+        append(s, ++last, term);
+        CU_ASSERT_TRUE(mg_store_begin_sync(s));
+        pthread_create(&thread, NULL, run_sync, s);
+        append(s, ++last, term);
+        append(s, ++last, term);
+        if (term % 3 == 0) {
+            CU_ASSERT_EQUAL(mg_store_truncate(s, last - 1), MG_OK);
+            last -= 2;
+        }
+        if (term % 50 == 0) {
+            first = last - 1;
+            CU_ASSERT_EQUAL(
+                mg_store_save_snapshot(s, first, term, mg_str_of("state")),
+                MG_OK);
+        }
+        pthread_join(thread, &rc);
+        CU_ASSERT_EQUAL((mg_rc)(intptr_t)rc, MG_OK);
+    }
+    CU_ASSERT_EQUAL(mg_store_sync(s), MG_OK);
+    mg_store_close(s);
+    s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    CU_ASSERT_FALSE(image.torn_tail);
+    CU_ASSERT_EQUAL(image.snapshot_index, first);
+    CU_ASSERT_EQUAL(image.entry_count, last - first);
+    for (size_t i = 0; i < image.entry_count; i++) {
+        char data[64];
+        snprintf(data, sizeof(data), "entry %d", (int)(first + 1 + i));
+        CU_ASSERT_EQUAL(image.entries[i].index, first + 1 + i);
+        CU_ASSERT_TRUE(mg_str_is(image.entries[i].data, data));
+    }
+    mg_store_image_free(&image);
+    mg_store_close(s);
+    remove_dir();
+}
+
 int
 main(void)
 {
@@ -251,6 +312,7 @@
         {"torn tail at every byte", test_torn_tail_at_every_byte},
         {"damage in the middle", test_damage_in_the_middle},
         {"truncate and snapshot", test_truncate_and_snapshot},
+        {"syncs on another thread", test_sync_on_thread},
         {"identity", test_identity},
         {"in memory", test_in_memory},
         CU_TEST_INFO_NULL,
