--- a/scripts/system-cases.sh
+++ b/scripts/system-cases.sh
@@ -240,6 +240,7 @@
     entries_serving 3
     rm "$WORK/stall"
     wait $order
+    grep -q "STORE_SLOW file=log" "$WORK"/control-*.log
     rev=$(sed -n 's/^rev=//p' "$WORK/applied")
     wait_until $IN_FORCE_MAX_S is_in_force "$rev"
     wait $job
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -32,6 +32,7 @@
     X(205, ERROR, STORE_FAILED, "data directory not readable or writable")   \
     X(206, INFO, GROUP_LEADER, "node follows another leader of the group")   \
     X(207, INFO, SEATS, "voter slots of the group; their holders")           \
+    X(208, WARN, STORE_SLOW, "a disk has taken long; 250 ms or more")        \
     X(210, INFO, DOC_ACCEPTED, "document change accepted")                   \
     X(211, WARN, DOC_REFUSED, "document change refused; reason")             \
     X(212, INFO, DOC_IN_FORCE, "revision applied by every leased entry")     \
--- a/src/control/raft_disk.c
+++ b/src/control/raft_disk.c
@@ -6,6 +6,10 @@
 #include "base/counter.h"
 #include "base/event.h"
 
+/* time of a disk operation from which it is logged, ms */
+#define SLOW_MS 250
+#define NS_PER_MS 1000000
+
 struct mg_raft_sync {
     uv_work_t work;     /* first member: callbacks cast it back */
     mg_raft_disk *disk; /* NULL: it was closed */
@@ -20,10 +24,24 @@
     return (mg_raft_disk *)cb;
 }
 
+/* Logs an operation on a file of the store if it took long. */
+static void
+log_if_slow(const char *file, uint64_t started_ns, mg_rc rc)
+{
+    uint64_t ms = (uv_hrtime() - started_ns) / NS_PER_MS;
+    if (ms >= SLOW_MS) {
+        mg_log(MG_EV_STORE_SLOW, "file=%s ms=%" PRIu64 " rc=%s", file, ms,
+               mg_rc_name(rc));
+    }
+}
+
 static mg_rc
 save_meta(mg_raft_callbacks *cb, const mg_raft_meta *meta)
 {
-    return mg_store_save_meta(disk_of(cb)->store, meta);
+    uint64_t start = uv_hrtime();
+    mg_rc rc = mg_store_save_meta(disk_of(cb)->store, meta);
+    log_if_slow("meta", start, rc);
+    return rc;
 }
 
 static mg_rc
@@ -55,6 +73,7 @@
     mg_observe(MG_H_SYNC_TIME,
                (int64_t)((uv_hrtime() - s->started_ns) / 1000));
     mg_count(MG_C_RAFT_SYNCS, 1);
+    log_if_slow("log", s->started_ns, s->rc);
     if (s->disk != NULL) {
         s->disk->sync = NULL;
         mg_raft_synced(s->disk->raft, s->rc);
@@ -87,7 +106,10 @@
 {
     mg_log(MG_EV_RAFT_SNAPSHOT, "index=%" PRIu64 " term=%" PRIu64 " bytes=%zu",
            index, term, data.n);
-    return mg_store_save_snapshot(disk_of(cb)->store, index, term, data);
+    uint64_t start = uv_hrtime();
+    mg_rc rc = mg_store_save_snapshot(disk_of(cb)->store, index, term, data);
+    log_if_slow("snapshot", start, rc);
+    return rc;
 }
 
 void
