HTTP server: limits for the bodies of all requests and for all unread responses

Now 16 MB each for a server: a body of more than 64 KB that doesn't fit is refused with 503 and Retry-After (it wasn't dispatched), the connection whose ended response has waited longest for its client is closed (event 114 CLIENT_UNSENT).

Ruled out: to stop reading (half-received bodies would wait for each other).

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -24,6 +24,7 @@
     X(111, WARN, LINK_DOWN, "link to a peer closed; reason")                 \
     X(112, WARN, LINK_REFUSED, "peer rejected: key, version or frame")       \
     X(113, WARN, LINK_UNSENT, "many bytes wait to be sent; largest peer")    \
+    X(114, WARN, CLIENT_UNSENT, "client that reads too slowly disconnected") \
     X(200, INFO, RAFT_ROLE, "role in the control group changed")             \
     X(201, WARN, RAFT_REJOIN, "member that lost its data rejoins, no vote")  \
     X(202, INFO, RAFT_READMIT, "member admitted as voter again")             \
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -27,11 +27,21 @@
 #define MG_HTTP_HEADER_BYTES_MAX 65536
 #define MG_HTTP_HEADER_TIMEOUT_MS 10000
 #define MG_HTTP_IDLE_TIMEOUT_MS 60000
+#define MG_HTTP_BODIES_BYTES_MAX (16u << 20)
+#define MG_HTTP_UNSENT_BYTES_MAX (16u << 20)
+/* a connection with less than this is never affected by the limits for all */
+#define MG_HTTP_BYTES_SMALL (64u << 10)
 
 /* limits for clients; 0 selects the default */
 typedef struct mg_http_limits {
     size_t header_bytes_max;
     size_t body_max; /* bytes; has no default, 0 keeps the former value */
+    /* bytes of the bodies of all requests; a request whose body would exceed
+       this is refused with 503 */
+    size_t bodies_max;
+    /* bytes of all ended responses that their clients have not taken; above
+       this, the connection whose response ended first is closed */
+    size_t unsent_max;
     int64_t header_timeout_ms; /* for receiving a header section */
     int64_t idle_timeout_ms;   /* between requests or reads of a body */
 } mg_http_limits;
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -65,6 +65,7 @@
     struct list_head conns;
     struct list_head pending_flush;
     size_t open_requests;
+    size_t body_bytes; /* of all requests */
     size_t conn_count;
     bool draining;
 };
@@ -102,6 +103,7 @@
     }
     c->req = NULL;
     c->server->open_requests--;
+    c->server->body_bytes -= r->body.n;
     free(r->header_bytes);
     mg_buf_free(&r->body);
     free(r);
@@ -200,6 +202,37 @@
     }
 }
 
+/* whether much of a response that has ended is not taken by its client */
+static bool
+is_read_slowly(const http_conn *c)
+{
+    return c->state != CONN_BUSY && c->unsent_bytes > MG_HTTP_BYTES_SMALL;
+}
+
+static void
+limit_unsent(mg_http_server *s)
+{
+    size_t unsent = 0;
+    http_conn *oldest = NULL;
+    list_for_each(el, &s->conns)
+    {
+        http_conn *c = list_entry(el, http_conn, link);
+        if (is_read_slowly(c)) {
+            unsent += c->unsent_bytes;
+            oldest = oldest == NULL ||
+                             c->timeout_start_ms < oldest->timeout_start_ms
+                         ? c
+                         : oldest;
+        }
+    }
+    if (unsent > s->opts.limits.unsent_max) {
+        mg_log(MG_EV_CLIENT_UNSENT, "listen=%s unsent=%zu closed=%zu ms=%lld",
+               s->opts.listen_addr, unsent, oldest->unsent_bytes,
+               (long long)(now_ms(oldest) - oldest->timeout_start_ms));
+        close_conn(oldest);
+    }
+}
+
 static void
 flush_conn(http_conn *c)
 {
@@ -207,6 +240,9 @@
     if (c->out.n > 0) {
         write_out(c);
     }
+    if (is_read_slowly(c)) {
+        limit_unsent(c->server);
+    }
     if (c->state == CONN_HEADERS && c->close_after_response) {
         linger(c);
     }
@@ -253,8 +289,9 @@
            c->server->opts.listen_addr, status, why);
     mg_buf_printf(&c->out,
                   "HTTP/1.1 %d %s\r\ncontent-length: 0\r\n"
-                  "connection: close\r\n\r\n",
-                  status, mg_h1_reason(status));
+                  "connection: close\r\n%s\r\n",
+                  status, mg_h1_reason(status),
+                  status == 503 ? "retry-after: 1\r\n" : "");
     free_request(c);
     c->close_after_response = true;
     set_state(c, CONN_HEADERS);
@@ -270,6 +307,19 @@
     c->server->opts.on_request(c->server->opts.user, c->req);
 }
 
+/* Counts bytes that are to be added to a body; returns whether there is room
+   for them. */
+static bool
+hold_body(mg_http_server *s, const mg_http_req *r, size_t bytes)
+{
+    if (r->body.n + bytes > MG_HTTP_BYTES_SMALL &&
+        s->body_bytes + bytes > s->opts.limits.bodies_max) {
+        return false;
+    }
+    s->body_bytes += bytes;
+    return true;
+}
+
 static void
 decode_body(http_conn *c, char *p, size_t n)
 {
@@ -284,6 +334,10 @@
         reject_request(c, 413, "body");
         return;
     }
+    if (!hold_body(c->server, c->req, data.n)) {
+        reject_request(c, 503, "bodies");
+        return;
+    }
     mg_buf_put(&c->req->body, data.p, data.n);
     if (rc != MG_OK) {
         c->timeout_start_ms = now_ms(c);
@@ -508,6 +562,10 @@
     }
     s->opts.limits.header_bytes_max = (size_t)or_default(
         (int64_t)l->header_bytes_max, MG_HTTP_HEADER_BYTES_MAX);
+    s->opts.limits.bodies_max =
+        (size_t)or_default((int64_t)l->bodies_max, MG_HTTP_BODIES_BYTES_MAX);
+    s->opts.limits.unsent_max =
+        (size_t)or_default((int64_t)l->unsent_max, MG_HTTP_UNSENT_BYTES_MAX);
     s->opts.limits.header_timeout_ms =
         or_default(l->header_timeout_ms, MG_HTTP_HEADER_TIMEOUT_MS);
     s->opts.limits.idle_timeout_ms =
--- /dev/null
+++ b/tests/unit/http_server_test.c
@@ -0,0 +1,232 @@
+/*
+ * Limits of an HTTP server over all connections: bodies that arrive slowly,
+ * and responses that clients don't read. Guards against a process that
+ * outgrows its memory because each connection alone stays within its limits.
+ */
+#include "suite.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/addr.h"
+#include "wire/http.h"
+
+#define ADDR "127.0.0.1:24741"
+#define CLIENTS 12
+#define BODY_BYTES (600u << 10)
+#define BODIES_MAX (2u << 20)
+#define RESPONSE_BYTES (8u << 20)
+#define UNSENT_MAX (24u << 20)
+#define RECEIVE_BUFFER_BYTES 4096
+
+static struct {
+    uv_loop_t loop;
+    mg_http_server *server;
+    int clients[CLIENTS];
+    mg_buf response;
+    size_t served;
+} world;
+
+static void
+on_request(void *user, mg_http_req *r)
+{
+    (void)user;
+    world.served++;
+    mg_http_reply(r, 200, "text/plain", NULL, mg_str_buf(&world.response));
+}
+
+static void
+run_loop_ms(int ms)
+{
+    uint64_t end = uv_hrtime() + (uint64_t)ms * 1000000;
+    while (uv_hrtime() < end) {
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+        usleep(500);
+    }
+}
+
+static void
+open_world(void)
+{
+    mg_error err;
+    memset(&world, 0, sizeof(world));
+    uv_loop_init(&world.loop);
+    CU_ASSERT_EQUAL_FATAL(
+        mg_http_open(&world.server,
+                     &(mg_http_options){
+                         .loop = &world.loop,
+                         .listen_addr = ADDR,
+                         .limits = {.body_max = 1u << 20,
+                                    .bodies_max = BODIES_MAX,
+                                    .unsent_max = UNSENT_MAX},
+                         .on_request = on_request,
+                     },
+                     &err),
+        MG_OK);
+    for (int i = 0; i < CLIENTS; i++) {
+        world.clients[i] = -1;
+    }
+}
+
+static void
+close_client(int i)
+{
+    if (world.clients[i] >= 0) {
+        close(world.clients[i]);
+        world.clients[i] = -1;
+    }
+}
+
+static void
+close_world(void)
+{
+    for (int i = 0; i < CLIENTS; i++) {
+        close_client(i);
+    }
+    mg_http_stop_listening(world.server);
+    run_loop_ms(50);
+    CU_ASSERT_EQUAL(mg_http_open_requests(world.server), 0);
+    mg_buf_free(&world.response);
+}
+
+static void
+connect_client(int i)
+{
+    struct sockaddr_in sin;
+    int size = RECEIVE_BUFFER_BYTES;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    CU_ASSERT_EQUAL_FATAL(mg_addr_parse(ADDR, &sin), MG_OK);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)),
+                          0);
+    world.clients[i] = fd;
+}
+
+/* Sends bytes, with the server running whenever it must take some. */
+static void
+send_all(int i, const char *p, size_t n)
+{
+    while (n > 0) {
+        ssize_t sent = send(world.clients[i], p, n, MSG_DONTWAIT);
+        if (sent < 0 && errno != EAGAIN) {
+            return; /* refused by the server */
+        }
+        p += sent > 0 ? sent : 0;
+        n -= sent > 0 ? (size_t)sent : 0;
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+    }
+}
+
+static void
+send_body(int i, size_t length, size_t sent)
+{
+    char head[128];
+    char *body = mg_alloc(sent);
+    int n = snprintf(head, sizeof(head),
+                     "POST / HTTP/1.1\r\nHost: h\r\n"
+                     "Content-Length: %zu\r\n\r\n",
+                     length);
+    connect_client(i);
+    send_all(i, head, (size_t)n);
+    send_all(i, body, sent);
+    run_loop_ms(20);
+    free(body);
+}
+
+/* Receives until nothing arrives; returns the number of bytes. first gets the
+   start of them. */
+static size_t
+receive(int i, char *first, size_t size)
+{
+    char chunk[65536];
+    size_t total = 0;
+    memset(first, 0, size);
+    for (int idle = 0; idle < 20;) {
+        ssize_t n = recv(world.clients[i], chunk, sizeof(chunk), MSG_DONTWAIT);
+        if (n > 0 && total == 0) {
+            memcpy(first, chunk, (size_t)n < size ? (size_t)n : size - 1);
+        }
+        total += n > 0 ? (size_t)n : 0;
+        idle = n > 0 ? 0 : idle + 1;
+        run_loop_ms(n > 0 ? 0 : 2);
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+    }
+    return total;
+}
+
+static bool
+is_refused(int i)
+{
+    char first[256];
+    receive(i, first, sizeof(first));
+    return strncmp(first, "HTTP/1.1 503", 12) == 0 &&
+           strstr(first, "retry-after") != NULL;
+}
+
+/* bodies of which a part has arrived: as many as fit are waited for, small
+   ones are always taken, and room is reused */
+static void
+test_bodies(void)
+{
+    char first[256];
+    open_world();
+    for (int i = 0; i < 6; i++) {
+        send_body(i, 1u << 20, BODY_BYTES);
+    }
+    CU_ASSERT_EQUAL(mg_http_open_requests(world.server), 3);
+    for (int i = 0; i < 6; i++) {
+        CU_ASSERT_EQUAL(is_refused(i), i >= 3);
+    }
+    send_body(6, 1000, 1000);
+    receive(6, first, sizeof(first));
+    CU_ASSERT_EQUAL(strncmp(first, "HTTP/1.1 200", 12), 0);
+    CU_ASSERT_EQUAL(world.served, 1);
+    close_client(0);
+    run_loop_ms(20);
+    send_body(7, BODY_BYTES, BODY_BYTES);
+    receive(7, first, sizeof(first));
+    CU_ASSERT_EQUAL(strncmp(first, "HTTP/1.1 200", 12), 0);
+    CU_ASSERT_EQUAL(world.served, 2);
+    close_world();
+}
+
+static void
+test_slow_readers(void)
+{
+    static const char get[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    char first[256];
+    size_t complete = 0;
+    open_world();
+    char *bytes = mg_alloc(RESPONSE_BYTES);
+    mg_buf_put(&world.response, bytes, RESPONSE_BYTES);
+    free(bytes);
+    for (int i = 0; i < CLIENTS; i++) {
+        connect_client(i);
+        send_all(i, get, sizeof(get) - 1);
+        run_loop_ms(20);
+    }
+    CU_ASSERT_EQUAL(world.served, CLIENTS);
+    for (int i = CLIENTS - 1; i >= 0; i--) {
+        complete += receive(i, first, sizeof(first)) > RESPONSE_BYTES;
+    }
+    printf("\n  %zu of %d responses complete\n", complete, CLIENTS);
+    /* the kernel holds a part of each */
+    CU_ASSERT_TRUE(complete >= UNSENT_MAX / RESPONSE_BYTES);
+    CU_ASSERT_TRUE(complete < CLIENTS);
+    close_world();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"bodies that arrive slowly", test_bodies},
+        {"responses that are not read", test_slow_readers},
+        CU_TEST_INFO_NULL,
+    };
+    signal(SIGPIPE, SIG_IGN);
+    return run_suite("http_server", tests);
+}
