--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -28,16 +28,21 @@
 rollout|src/policy/rollout.c|the token gap is tested|s/route->slow_gap.llr > REJECT_LLR/false/
 lease|src/topology/lease.c|a new grantor waits until old leases expire|s/l->unknown_until_ms = .*/l->unknown_until_ms = 0;/
 lease|src/topology/lease.h|the grantor adds a margin to a lease|s/define MG_LEASE_MARGIN_MS 150/define MG_LEASE_MARGIN_MS (-200)/
-raft|src/control/raft.c|local log entries count once they are on disk|s/majority_value(r, r->synced_index, peer_match_index)/majority_value(r, last_index(r), peer_match_index)/
-raft|src/control/raft.c|a snapshot keeps acknowledged log entries|s/bool agrees = s->last_index <= last_index(r) \&\&/bool agrees = false \&\&/
+raft|src/control/raft.c|local log entries count once they are on disk|s/majority_value(r, r->synced_index, peer_match_index)/majority_value(r, mg_raft_last_index(r), peer_match_index)/
+raft|src/control/raft.c|a snapshot keeps acknowledged log entries|s/bool agrees = s->last_index <= mg_raft_last_index(r) \&\&/bool agrees = false \&\&/
 raft|src/control/raft.c|a new disk identity resets the match index|s/if (peer->uid != p->uid) {/if (false) {/
-raft|src/control/raft.c|a vote is persisted before it is sent|s/(r->meta.vote == 0 || r->meta.vote == from)/true/
+raft|src/control/raft_vote.c|a vote is persisted before it is sent|s/(r->meta.vote == 0 || r->meta.vote == from)/true/
+raft|src/control/raft.c|entries are acknowledged once they are synced|s/synced ? r->reply_match : r->synced_index/r->reply_match/
+raft|src/control/raft_log.c|a truncation lowers what a sync in progress covers|s/if (r->syncing_index >= index) {/if (false) {/
 state|src/control/state.c|a different text of the same version is refused|s/if (!mg_str_eq(digest, new_sec->digest)) {/if (false) {/
 state|src/control/state.c|a change is checked against its base revision|s/c->base_rev != s->document_rev) {/false) {/
 state|src/control/state.c|a repeated batch of credits is ignored|s/c->seq <= b->seq)/false)/
 response_reader|src/entry/response_reader.c|a stream needs its final event|s/return memcmp(r->tail.*/return true;/
 response_reader|src/entry/response_reader.c|a refused resume is not part of the response|s/if (r->resume_refused) {/if (false) {/
 store|src/control/store.c|corruption before valid records is refused|s/if (valid_record_after(b, at)) {/if (false) {/
+store|src/control/store.c|a truncation waits for the sync in progress|s/mg_rc rc = wait_for_sync(s);$/mg_rc rc = MG_OK;/
+http_server|src/wire/http_server.c|the bodies of all requests are bounded|s/s->body_bytes + bytes > s->opts.limits.bodies_max/false/
+http_server|src/wire/http_server.c|unread responses are bounded|s/if (unsent > s->opts.limits.unsent_max) {/if (false) {/
 store|src/control/store.c|records are checksummed|s/return h->sum == record_checksum(.*/return true;/
 rollout|src/policy/rollout.c|a rollout ends at its deadline|s/if (wall >= r->deadline_wall_ms) {/if (false) {/
 base|src/wire/http_client.c|a missing last chunk is detected|s/bool last_chunk_missing = .*/bool last_chunk_missing = false;/
--- a/src/control/raft.c
+++ b/src/control/raft.c
@@ -3,72 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
-become_leader(mg_raft *r);
-static void
-start_election(mg_raft *r, bool pre);
-
-static unsigned
-majority(const mg_raft *r)
-{
-    return r->n / 2 + 1;
-}
-
-static bool
-save_meta(mg_raft *r)
-{
-    return mg_raft_check_storage(
-        r, r->callbacks->save_meta(r->callbacks, &r->meta));
-}
-
-static void
-set_election_timer(mg_raft *r, uint32_t min_ms, uint32_t max_ms)
-{
-    r->election_deadline_ms =
-        mg_now(r->clock) + min_ms + mg_rng_below(&r->rng, max_ms - min_ms);
-}
-
-static void
-reset_election_timer(mg_raft *r)
-{
-    set_election_timer(r, MG_RAFT_ELECTION_MIN_MS, MG_RAFT_ELECTION_MAX_MS);
-}
-
-/* sets the delay before the next pre-vote; it is shorter than the election
-   timeout, because pre-votes do not disturb a leader */
-static void
-set_prevote_timer(mg_raft *r)
-{
-    set_election_timer(r, MG_RAFT_PREVOTE_MIN_MS, MG_RAFT_PREVOTE_MAX_MS);
-}
-
-static void
-set_role(mg_raft *r, mg_raft_role role)
-{
-    if (r->role != role) {
-        r->role = role;
-        r->callbacks->role_changed(r->callbacks, role, r->meta.term);
-    }
-}
-
-/* term must not be less than the current one */
-static void
-become_follower(mg_raft *r, uint64_t term, unsigned leader)
-{
-    if (term > r->meta.term) {
-        r->meta.term = term;
-        r->meta.vote = 0;
-        if (!save_meta(r)) {
-            return;
-        }
-        /* the new leader's log may differ from the former leader's */
-        r->reply_pending = false;
-        r->reply_match = 0;
-    }
-    r->leader = leader;
-    set_role(r, MG_RAFT_FOLLOWER);
-}
-
 /* makes this member a voter if READMIT carries its id and its disk's uid */
 static void
 apply_readmit(mg_raft *r, const mg_msg *m)
@@ -76,7 +10,7 @@
     if (m->u.cmd_readmit.node == r->id &&
         m->u.cmd_readmit.uid == r->meta.uid && !r->meta.voter) {
         r->meta.voter = 1;
-        save_meta(r);
+        mg_raft_save_meta(r);
     }
 }
 
@@ -113,7 +47,7 @@
         }
         sorted[at] = v;
     }
-    return sorted[majority(r) - 1];
+    return sorted[mg_raft_majority(r) - 1];
 }
 
 static uint64_t
@@ -210,8 +144,8 @@
     mg_buf_free(&entries);
 }
 
-static void
-send_to_all(mg_raft *r)
+void
+mg_raft_send_to_all(mg_raft *r)
 {
     for (unsigned i = 1; i <= r->n; i++) {
         if (i != r->id) {
@@ -235,152 +169,6 @@
     r->callbacks->send(r->callbacks, to, &m);
 }
 
-/* ----------------------------------------------------------- election */
-
-static bool
-log_is_up_to_date(const mg_raft *r, uint64_t index, uint64_t term)
-{
-    uint64_t last = mg_raft_log_term_at(r, mg_raft_last_index(r));
-    return term > last || (term == last && index >= mg_raft_last_index(r));
-}
-
-static unsigned
-count_granted(const mg_raft *r)
-{
-    unsigned n = 0;
-    for (unsigned i = 1; i <= r->n; i++) {
-        n += r->peers[i].vote_granted;
-    }
-    return n;
-}
-
-static void
-advance_if_elected(mg_raft *r)
-{
-    if (count_granted(r) < majority(r)) {
-        return;
-    }
-    if (r->role == MG_RAFT_PRE_CANDIDATE) {
-        start_election(r, false);
-    }
-    else if (r->role == MG_RAFT_CANDIDATE) {
-        become_leader(r);
-    }
-}
-
-static void
-start_election(mg_raft *r, bool pre)
-{
-    if (!pre) {
-        r->meta.term++;
-        r->meta.vote = r->id;
-        if (!save_meta(r)) {
-            return;
-        }
-    }
-    r->leader = 0;
-    if (pre) {
-        set_prevote_timer(r);
-    }
-    else {
-        reset_election_timer(r);
-    }
-    set_role(r, pre ? MG_RAFT_PRE_CANDIDATE : MG_RAFT_CANDIDATE);
-    for (unsigned i = 1; i <= r->n; i++) {
-        r->peers[i].vote_granted = i == r->id;
-    }
-    mg_msg m = {.type = MG_MSG_VOTE_REQ};
-    m.u.vote_req.term = r->meta.term + pre;
-    m.u.vote_req.last_index = mg_raft_last_index(r);
-    m.u.vote_req.last_term = mg_raft_log_term_at(r, mg_raft_last_index(r));
-    m.u.vote_req.pre = pre;
-    for (unsigned i = 1; i <= r->n; i++) {
-        if (i != r->id) {
-            r->callbacks->send(r->callbacks, i, &m);
-        }
-    }
-    advance_if_elected(r);
-}
-
-static void
-become_leader(mg_raft *r)
-{
-    int64_t now = mg_now(r->clock);
-    r->leader = r->id;
-    for (unsigned i = 1; i <= r->n; i++) {
-        struct mg_raft_peer *p = &r->peers[i];
-        *p = (struct mg_raft_peer){.vacant = p->vacant};
-        p->next_index = mg_raft_last_index(r) + 1;
-        p->last_received_ms = now;
-    }
-    r->leader_first_index = mg_raft_last_index(r) + 1;
-    set_role(r, MG_RAFT_LEADER);
-    /* an entry of the current term lets those of earlier terms be committed */
-    mg_msg m = {.type = MG_MSG_CMD_NOOP};
-    m.u.cmd_noop.term = r->meta.term;
-    mg_buf data = {0};
-    mg_msg_encode(&m, &data);
-    mg_raft_log_append(r, r->meta.term, mg_str_buf(&data));
-    mg_buf_free(&data);
-    send_to_all(r);
-}
-
-static bool
-may_grant(const mg_raft *r, unsigned from, const mg_vote_req_msg *q)
-{
-    if (!r->meta.voter || !log_is_up_to_date(r, q->last_index, q->last_term)) {
-        return false;
-    }
-    if (q->pre) {
-        /* while heartbeats arrive, the leader is not to be replaced */
-        bool has_leader =
-            r->role == MG_RAFT_LEADER ||
-            mg_now(r->clock) - r->leader_contact_ms < MG_RAFT_ELECTION_MIN_MS;
-        return q->term > r->meta.term && !has_leader;
-    }
-    return q->term == r->meta.term &&
-           (r->meta.vote == 0 || r->meta.vote == from);
-}
-
-static void
-on_vote_req(mg_raft *r, unsigned from, const mg_vote_req_msg *q)
-{
-    if (!q->pre && q->term > r->meta.term) {
-        become_follower(r, q->term, 0);
-    }
-    bool grant = may_grant(r, from, q);
-    if (grant && !q->pre) {
-        r->meta.vote = from;
-        if (!save_meta(r)) {
-            return;
-        }
-        reset_election_timer(r);
-    }
-    mg_msg m = {.type = MG_MSG_VOTE_REP};
-    m.u.vote_rep.term = q->pre && grant ? q->term : r->meta.term;
-    m.u.vote_rep.granted = grant;
-    m.u.vote_rep.pre = q->pre;
-    r->callbacks->send(r->callbacks, from, &m);
-}
-
-static void
-on_vote_rep(mg_raft *r, unsigned from, const mg_vote_rep_msg *p)
-{
-    bool pre = r->role == MG_RAFT_PRE_CANDIDATE;
-    if (!p->granted && p->term > r->meta.term) {
-        become_follower(r, p->term, 0);
-        return;
-    }
-    if (!p->granted || p->pre != pre ||
-        p->term != r->meta.term + (pre ? 1 : 0)) {
-        return;
-    }
-    if (pre || r->role == MG_RAFT_CANDIDATE) {
-        r->peers[from].vote_granted = true;
-        advance_if_elected(r);
-    }
-}
-
 /* ----------------------------------------------------------- follower */
 
 /* keeps matching entries, truncates at the first that differs, appends */
@@ -416,9 +204,9 @@
 static void
 follow_leader(mg_raft *r, unsigned from, uint64_t term)
 {
-    become_follower(r, term, from);
+    mg_raft_become_follower(r, term, from);
     r->leader_contact_ms = mg_now(r->clock);
-    reset_election_timer(r);
+    mg_raft_reset_election_timer(r);
 }
 
 static void
@@ -528,7 +316,7 @@
 on_append_rep(mg_raft *r, unsigned from, const mg_append_rep_msg *p)
 {
     if (p->term > r->meta.term) {
-        become_follower(r, p->term, 0);
+        mg_raft_become_follower(r, p->term, 0);
         return;
     }
     if (r->role != MG_RAFT_LEADER || p->term < r->meta.term) {
@@ -578,20 +366,20 @@
         n += i != r->id && !r->peers[i].vacant &&
              now - r->peers[i].last_received_ms < MG_RAFT_ELECTION_MAX_MS;
     }
-    return n >= majority(r);
+    return n >= mg_raft_majority(r);
 }
 
 static void
 tick_leader(mg_raft *r, int64_t now)
 {
     if (!has_majority_contact(r, now)) {
-        become_follower(r, r->meta.term, 0);
-        reset_election_timer(r);
+        mg_raft_become_follower(r, r->meta.term, 0);
+        mg_raft_reset_election_timer(r);
         return;
     }
     if (now >= r->next_heartbeat_ms) {
         r->round++;
-        send_to_all(r);
+        mg_raft_send_to_all(r);
     }
 }
 
@@ -638,9 +426,9 @@
         tick_leader(r, now);
     }
     else if (now >= r->election_deadline_ms) {
-        set_prevote_timer(r);
+        mg_raft_set_prevote_timer(r);
         if (r->meta.voter) {
-            start_election(r, true);
+            mg_raft_start_election(r, true);
         }
     }
 }
@@ -654,10 +442,10 @@
     }
     switch (m->type) {
     case MG_MSG_VOTE_REQ:
-        on_vote_req(r, from, &m->u.vote_req);
+        mg_raft_on_vote_req(r, from, &m->u.vote_req);
         break;
     case MG_MSG_VOTE_REP:
-        on_vote_rep(r, from, &m->u.vote_rep);
+        mg_raft_on_vote_rep(r, from, &m->u.vote_rep);
         break;
     case MG_MSG_APPEND:
         on_append(r, from, &m->u.append);
@@ -781,7 +569,7 @@
 {
     r->round++;
     if (r->role == MG_RAFT_LEADER) {
-        send_to_all(r);
+        mg_raft_send_to_all(r);
     }
     return r->round;
 }
@@ -818,7 +606,7 @@
     }
     r->synced_index = mg_raft_last_index(r);
     r->leader_contact_ms = mg_now(r->clock) - MG_RAFT_ELECTION_MIN_MS;
-    set_prevote_timer(r);
+    mg_raft_set_prevote_timer(r);
     if (r->snap_index > 0) {
         r->callbacks->restore(r->callbacks, mg_str_buf(&r->snap));
     }
--- a/src/control/raft_int.h
+++ b/src/control/raft_int.h
@@ -1,7 +1,8 @@
 /*
  * raft_int - state of a member of the replicated log, and its log in memory
  *
- * raft.c: roles, elections, replication; raft_log.c: entries and snapshot.
+ * raft.c: replication; raft_vote.c: roles and elections; raft_log.c: entries
+ * and snapshot.
  */
 #ifndef MG_RAFT_INT_H
 #define MG_RAFT_INT_H
@@ -63,6 +64,32 @@
     struct mg_raft_peer peers[MG_RAFT_MAX_MEMBERS + 1];
 };
 
+/* Number of voter slots that are a majority. */
+unsigned
+mg_raft_majority(const mg_raft *r);
+/* Stores term, vote and voter flag; returns whether they are stored. */
+bool
+mg_raft_save_meta(mg_raft *r);
+void
+mg_raft_reset_election_timer(mg_raft *r);
+/* Sets the delay before the next pre-vote; it is shorter than the election
+   timeout, because pre-votes do not disturb a leader. */
+void
+mg_raft_set_prevote_timer(mg_raft *r);
+/* The term must not be less than the current one. */
+void
+mg_raft_become_follower(mg_raft *r, uint64_t term, unsigned leader);
+/* Starts an election, or a pre-vote if pre. */
+void
+mg_raft_start_election(mg_raft *r, bool pre);
+void
+mg_raft_on_vote_req(mg_raft *r, unsigned from, const mg_vote_req_msg *q);
+void
+mg_raft_on_vote_rep(mg_raft *r, unsigned from, const mg_vote_rep_msg *p);
+/* Sends new entries, or a heartbeat, to each other member. */
+void
+mg_raft_send_to_all(mg_raft *r);
+
 /* Term of an entry or of the snapshot; 0 if the log has no such index. */
 uint64_t
 mg_raft_log_term_at(const mg_raft *r, uint64_t index);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -14,7 +14,7 @@
 #include "base/addr.h"
 #include "wire/http.h"
 
-#define ADDR "127.0.0.1:24741"
+#define PORT 24741
 #define CLIENTS 12
 #define BODY_BYTES (600u << 10)
 #define BODIES_MAX (2u << 20)
@@ -30,6 +30,17 @@
     size_t served;
 } world;
 
+/* an address of this process: the test may run several times at once */
+static const char *
+test_addr(void)
+{
+    static char addr[MG_ADDR_SIZE];
+    unsigned pid = (unsigned)getpid();
+    snprintf(addr, sizeof(addr), "127.%u.%u.%u:%d", pid >> 16 & 127,
+             pid >> 8 & 255, pid & 255, PORT);
+    return addr;
+}
+
 static void
 on_request(void *user, mg_http_req *r)
 {
@@ -58,7 +69,7 @@
         mg_http_open(&world.server,
                      &(mg_http_options){
                          .loop = &world.loop,
-                         .listen_addr = ADDR,
+                         .listen_addr = test_addr(),
                          .limits = {.body_max = 1u << 20,
                                     .bodies_max = BODIES_MAX,
                                     .unsent_max = UNSENT_MAX},
@@ -98,7 +109,7 @@
     struct sockaddr_in sin;
     int size = RECEIVE_BUFFER_BYTES;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    CU_ASSERT_EQUAL_FATAL(mg_addr_parse(ADDR, &sin), MG_OK);
+    CU_ASSERT_EQUAL_FATAL(mg_addr_parse(test_addr(), &sin), MG_OK);
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
     CU_ASSERT_EQUAL_FATAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)),
                           0);
--- a/tests/unit/raft_test.c
+++ b/tests/unit/raft_test.c
@@ -519,11 +519,13 @@
     return true;
 }
 
+static bool syncs_later; /* in histories */
+
 static const char *
 history(uint64_t seed)
 {
     reset(seed);
-    sim.syncs_later = seed % 2 == 0;
+    sim.syncs_later = syncs_later;
     for (int i = 0; i < STEPS && sim.failure == NULL; i++) {
         random_step();
     }
@@ -541,6 +543,14 @@
 static void
 test_histories(void)
 {
+    syncs_later = false;
+    run_histories(history, HISTORIES);
+}
+
+static void
+test_histories_of_later_syncs(void)
+{
+    syncs_later = true;
     run_histories(history, HISTORIES);
 }
 
@@ -778,6 +788,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"random histories", test_histories},
+        {"histories whose syncs end later", test_histories_of_later_syncs},
         {"a lost disk must not vote", test_lost_disk_must_not_vote},
         {"a new leader within 1.5 s", test_new_leader_within_bound},
         {"a round is confirmed by a majority", test_round_needs_majority},
