--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -1,4 +1,4 @@
-#include "node/mesh.h"
+#include "node/mesh_int.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,8 +10,6 @@
 #define ANNOUNCE_MS 2000
 /* a node that was silent for this long is no longer live, ms */
 #define NODE_TIMEOUT_MS 2500
-/* interval at which a hub forwards periodic messages in batches, ms */
-#define BATCH_MS 50
 /* a node replaces a primary hub that was silent for this long, and avoids it
    for HUB_AVOID_MS, ms */
 #define HUB_TIMEOUT_MS 600
@@ -22,62 +20,6 @@
 #define MISSING_MAX_MS 10000
 /* a hub sends a node batches for this long after its last report, ms */
 #define SUBSCRIPTION_MS 1000
-/* while more bytes than this wait to be sent to all nodes, a hub sends no
-   further batch; a change then waits for 80 ms at 100 Mbit/s */
-#define BATCH_UNSENT_MAX (1u << 20)
-/* a node for which more bytes than this wait is passed over, and a hub counts
-   as not reached */
-#define PEER_UNSENT_MAX (64u << 10)
-/* heartbeats held back beyond this size are dropped; later ones follow */
-#define HELD_BACK_MAX (256u << 10)
-
-typedef struct hub {
-    char node[MG_NAME_SIZE];
-    int64_t last_seen_ms;
-    int64_t avoid_until;
-} hub;
-
-/* heartbeats of nodes and instances that a hub has not yet forwarded, encoded;
-   reports are kept with their nodes */
-typedef struct heartbeats {
-    mg_buf nodes;
-    mg_buf instances;
-} heartbeats;
-
-/* encoded messages that a hub forwards together */
-typedef struct batch {
-    heartbeats heartbeats;
-    mg_buf reports;
-} batch;
-
-/* to whom a node's newest report is still to be forwarded */
-enum { REPORT_TO_HUBS = 1, REPORT_TO_SUBSCRIBERS = 2 };
-
-struct mg_mesh {
-    mg_mesh_options opts;
-    mg_mesh_node self;
-    hub hubs[MG_MESH_HUBS_MAX]; /* without this node */
-    size_t hub_count;
-    mg_voters contacts;
-    hub *primary;   /* receives periodic messages; NULL: none yet */
-    hub *secondary; /* also sends batches while a node is missing */
-    int64_t primary_since;
-    bool is_hub;
-    bool missing;        /* some node has been silent for MISSING_MS */
-    mg_mesh_node *nodes; /* without this node */
-    /* the highest incarnation of this node that another one knows, 0: none
-       above the current one */
-    uint64_t incarnation_to_exceed;
-    int64_t announce_at;
-    int64_t batch_at;
-    uint64_t report_seq;
-    heartbeats to_hubs;
-    heartbeats to_subscribers;
-    /* the batch that is being sent to subscribers, from next_subscriber on;
-       the next batch starts when all have got it */
-    batch current;
-    mg_mesh_node *next_subscriber;
-};
 
 mg_mesh *
 mg_mesh_new(const mg_mesh_options *opts)
@@ -104,7 +46,7 @@
     return n;
 }
 
-static hub *
+static mg_mesh_hub *
 find_hub(mg_mesh *m, const char *node)
 {
     for (size_t i = 0; i < m->hub_count; i++) {
@@ -155,8 +97,8 @@
         if (ip[0] == '\0' || strcmp(ip, m->self.node) == 0) {
             continue;
         }
-        hub *h = &m->hubs[m->hub_count++];
-        *h = (hub){0};
+        mg_mesh_hub *h = &m->hubs[m->hub_count++];
+        *h = (mg_mesh_hub){0};
         mg_str_copy(h->node, sizeof(h->node), mg_str_of(ip));
         snprintf(addr, sizeof(addr), "%s:%u", ip, port);
         mg_net_dial(m->opts.net, ip, addr);
@@ -185,7 +127,7 @@
 /* Ranks a hub, lower is better: link up, not avoided, local failure domain;
    among equals a hash, which spreads the nodes over the hubs. */
 static uint64_t
-hub_rank(const mg_mesh *m, const hub *h, int64_t now)
+hub_rank(const mg_mesh *m, const mg_mesh_hub *h, int64_t now)
 {
     const mg_mesh_node *n = find_node(m, h->node);
     uint64_t rank = mg_net_is_up(m->opts.net, h->node) ? 0 : 4;
@@ -196,12 +138,12 @@
 }
 
 /* Returns the hub with the lowest rank other than the one given, or NULL. */
-static hub *
-best_hub(mg_mesh *m, const hub *other, int64_t now)
+static mg_mesh_hub *
+best_hub(mg_mesh *m, const mg_mesh_hub *other, int64_t now)
 {
-    hub *best = NULL;
+    mg_mesh_hub *best = NULL;
     for (size_t i = 0; i < m->hub_count; i++) {
-        hub *h = &m->hubs[i];
+        mg_mesh_hub *h = &m->hubs[i];
         if (h != other &&
             (best == NULL || hub_rank(m, h, now) < hub_rank(m, best, now))) {
             best = h;
@@ -213,7 +155,7 @@
 static void
 choose_hubs(mg_mesh *m, int64_t now)
 {
-    hub *old = m->primary;
+    mg_mesh_hub *old = m->primary;
     if (old != NULL && now - m->primary_since > HUB_TIMEOUT_MS &&
         now - old->last_seen_ms > HUB_TIMEOUT_MS) {
         old->avoid_until = now + HUB_AVOID_MS;
@@ -260,7 +202,7 @@
     mg_msg forwarded = {.type = MG_MSG_REPORTS};
     forwarded.u.reports.reports = mg_str_buf(&encoded);
     for (size_t i = 0; i < m->hub_count; i++) {
-        const hub *h = &m->hubs[i];
+        const mg_mesh_hub *h = &m->hubs[i];
         if (h != m->primary) {
             mg_net_send(m->opts.net, h->node,
                         h == m->secondary ? report : &forwarded);
@@ -490,15 +432,6 @@
 
 /* ------------------------------------------------------------- reports */
 
-/* Keeps a report for the next batches in place of the node's last one. */
-static void
-keep_report(mg_mesh_node *n, const mg_msg *msg, unsigned flags)
-{
-    n->report.n = 0;
-    mg_msg_encode(msg, &n->report);
-    n->report_flags |= flags;
-}
-
 static void
 receive_report(mg_mesh *m, const mg_msg *msg, bool from_hub)
 {
@@ -525,9 +458,10 @@
     if (!m->is_hub) {
         return;
     }
-    keep_report(n, msg,
-                from_hub ? REPORT_TO_SUBSCRIBERS
-                         : REPORT_TO_SUBSCRIBERS | REPORT_TO_HUBS);
+    mg_mesh_keep_report(n, msg,
+                        from_hub
+                            ? MG_REPORT_TO_SUBSCRIBERS
+                            : MG_REPORT_TO_SUBSCRIBERS | MG_REPORT_TO_HUBS);
 }
 
 void
@@ -542,7 +476,8 @@
     msg.u.report.loads = loads;
     send_report(m, &msg);
     if (m->is_hub) {
-        keep_report(&m->self, &msg, REPORT_TO_HUBS | REPORT_TO_SUBSCRIBERS);
+        mg_mesh_keep_report(&m->self, &msg,
+                            MG_REPORT_TO_HUBS | MG_REPORT_TO_SUBSCRIBERS);
     }
 }
 
@@ -582,7 +517,7 @@
 bool
 mg_mesh_receive(mg_mesh *m, const char *peer, const mg_msg *msg)
 {
-    hub *h = find_hub(m, peer);
+    mg_mesh_hub *h = find_hub(m, peer);
     if (h != NULL) {
         h->last_seen_ms = mg_now(m->opts.clock);
     }
@@ -643,118 +578,6 @@
     mg_buf_free(&all);
 }
 
-static void
-take_report(mg_mesh_node *n, unsigned flag, mg_buf *out)
-{
-    if (n->report_flags & flag) {
-        mg_buf_put(out, n->report.p, n->report.n);
-        n->report_flags &= ~flag;
-    }
-}
-
-/* Moves what is to be forwarded into an empty batch. */
-static void
-fill_batch(mg_mesh *m, batch *b, heartbeats *from, unsigned report_flag)
-{
-    b->heartbeats = *from;
-    *from = (heartbeats){0};
-    take_report(&m->self, report_flag, &b->reports);
-    for (mg_mesh_node *n = m->nodes; n != NULL; n = n->hh.next) {
-        take_report(n, report_flag, &b->reports);
-    }
-}
-
-static void
-free_batch(batch *b)
-{
-    mg_buf_free(&b->heartbeats.nodes);
-    mg_buf_free(&b->heartbeats.instances);
-    mg_buf_free(&b->reports);
-}
-
-static void
-send_batch(mg_mesh *m, const batch *b, const char *peer)
-{
-    mg_msg msg;
-    if (b->heartbeats.nodes.n > 0) {
-        msg.type = MG_MSG_NODES;
-        msg.u.nodes.nodes = mg_str_buf(&b->heartbeats.nodes);
-        mg_net_send(m->opts.net, peer, &msg);
-    }
-    if (b->heartbeats.instances.n > 0) {
-        msg.type = MG_MSG_INSTANCES;
-        msg.u.instances.instances = mg_str_buf(&b->heartbeats.instances);
-        mg_net_send(m->opts.net, peer, &msg);
-    }
-    /* sent even if empty: it serves as the hub's heartbeat */
-    msg.type = MG_MSG_REPORTS;
-    msg.u.reports.reports = mg_str_buf(&b->reports);
-    mg_net_send(m->opts.net, peer, &msg);
-}
-
-static bool
-is_congested(const mg_mesh *m)
-{
-    return mg_net_unsent_total(m->opts.net) > BATCH_UNSENT_MAX;
-}
-
-static void
-drop_if_large(mg_buf *held_back)
-{
-    if (held_back->n > HELD_BACK_MAX) {
-        held_back->n = 0;
-    }
-}
-
-static void
-send_to_other_hubs(mg_mesh *m)
-{
-    batch b = {0};
-    if (is_congested(m)) {
-        drop_if_large(&m->to_hubs.nodes);
-        drop_if_large(&m->to_hubs.instances);
-        return;
-    }
-    fill_batch(m, &b, &m->to_hubs, REPORT_TO_HUBS);
-    for (size_t i = 0; i < m->hub_count; i++) {
-        send_batch(m, &b, m->hubs[i].node);
-    }
-    free_batch(&b);
-}
-
-/* Sends the current batch to further subscribers, as long as few bytes
-   wait. */
-static void
-send_to_subscribers(mg_mesh *m, int64_t now)
-{
-    mg_mesh_node *n = m->next_subscriber;
-    for (; n != NULL && !is_congested(m); n = n->hh.next) {
-        if (now < n->subscriber_until &&
-            mg_net_unsent(m->opts.net, n->node) < PEER_UNSENT_MAX) {
-            send_batch(m, &m->current, n->node);
-        }
-    }
-    m->next_subscriber = n;
-    drop_if_large(&m->to_subscribers.nodes);
-    drop_if_large(&m->to_subscribers.instances);
-}
-
-static void
-forward_batches(mg_mesh *m, int64_t now)
-{
-    if (now >= m->batch_at) {
-        m->batch_at = now + BATCH_MS;
-        send_to_other_hubs(m);
-        if (m->next_subscriber == NULL) {
-            free_batch(&m->current);
-            fill_batch(m, &m->current, &m->to_subscribers,
-                       REPORT_TO_SUBSCRIBERS);
-            m->next_subscriber = m->nodes;
-        }
-    }
-    send_to_subscribers(m, now);
-}
-
 static void
 exceed_incarnation(mg_mesh *m)
 {
@@ -781,7 +604,7 @@
         announce_self(m, false);
     }
     if (m->is_hub) {
-        forward_batches(m, now);
+        mg_mesh_forward_batches(m, now);
     }
 }
 
@@ -875,7 +698,7 @@
     for (size_t i = 0; i < m->hub_count; i++) {
         const char *node = m->hubs[i].node;
         up += mg_net_is_up(m->opts.net, node) &&
-              mg_net_unsent(m->opts.net, node) < PEER_UNSENT_MAX;
+              mg_net_unsent(m->opts.net, node) < MG_MESH_PEER_UNSENT_MAX;
     }
     return 2 * up > m->hub_count + m->is_hub;
 }
