Quota: a request that is sent again is used again; a refund belongs to its use

Two causes: a request that fails at a target and is sent to another runs twice, and was counted once; the refund of a request that waited and was refused was counted when it was refused, so that it still made room once the use itself had left the window.

Now each later send is charged, whatever the limits, and a refund goes to the slice of its use.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -160,7 +160,8 @@
                  (double)retry_ms / 1000.0);
     }
     if (f->usage != NULL && f->possible_runs == 0) {
-        mg_quota_refund(&f->usage->quota, f->quota_cost, now_of(f));
+        mg_quota_refund(&f->usage->quota, f->quota_cost, f->arrived_ms,
+                        now_of(f));
     }
     mg_http_reply(f->request.http, status, NULL, extra, (mg_str){"", 0});
     finish(f);
@@ -628,6 +629,9 @@
     if (f->sends++ == 0) {
         mg_retry_budget_count_request(&f->pool->retry_budget, now);
     }
+    if (f->usage != NULL && f->possible_runs > 0) {
+        mg_quota_charge(&f->usage->quota, f->quota_cost, now);
+    }
     f->possible_runs++;
     f->sent_ms = now;
     f->state = MG_FLOW_SENT;
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -78,6 +78,14 @@
     return recent * (double)q->lag_ms / (double)(RATE_SLICES * q->slice_ms);
 }
 
+void
+mg_quota_charge(mg_quota *q, double cost, int64_t now)
+{
+    advance(q, now);
+    add(q, cost);
+    q->used_total += (uint64_t)cost;
+}
+
 bool
 mg_quota_take(mg_quota *q, double cost, int64_t now)
 {
@@ -86,8 +94,7 @@
         q->used_window + unreported_estimate(q) >= limit_of(q)) {
         return false;
     }
-    add(q, cost);
-    q->used_total += (uint64_t)cost;
+    mg_quota_charge(q, cost, now);
     return true;
 }
 
@@ -100,10 +107,14 @@
 }
 
 void
-mg_quota_refund(mg_quota *q, double cost, int64_t now)
+mg_quota_refund(mg_quota *q, double cost, int64_t taken_ms, int64_t now)
 {
+    int64_t slice = taken_ms / q->slice_ms;
     advance(q, now);
-    add(q, -cost);
+    if (q->slice - slice < MG_QUOTA_SLICES) {
+        *slice_at(q, slice) -= cost;
+        q->used_window -= cost;
+    }
     q->used_total -=
         q->used_total >= (uint64_t)cost ? (uint64_t)cost : q->used_total;
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -44,9 +44,13 @@
 /* Counts use at another entry; cost: increase since its previous report. */
 void
 mg_quota_add_remote(mg_quota *q, double cost, int64_t now);
-/* Returns the cost of a request that was not run. */
+/* Counts another use of a request that has taken cost, whatever the limits. */
 void
-mg_quota_refund(mg_quota *q, double cost, int64_t now);
+mg_quota_charge(mg_quota *q, double cost, int64_t now);
+/* Returns the cost, taken at a time taken_ms, of a request that was not run.
+ */
+void
+mg_quota_refund(mg_quota *q, double cost, int64_t taken_ms, int64_t now);
 /* Time until the window has room again, ms; 0 when it has room now. */
 int64_t
 mg_quota_wait_ms(mg_quota *q, int64_t now);
--- a/tests/unit/quota_test.c
+++ b/tests/unit/quota_test.c
@@ -38,10 +38,42 @@
     mg_quota_set(&q, 100, 100, 0, WINDOW_MS);
     mg_quota_add_remote(&q, 420, 0);
     CU_ASSERT_FALSE(mg_quota_take(&q, 1, 1900));
-    mg_quota_refund(&q, 20, 1900);
+    mg_quota_refund(&q, 20, 0, 1900);
     CU_ASSERT_TRUE(mg_quota_take(&q, 1, 1900));
 }
 
+/* a refund belongs to the time of the use: once that has left the window, it
+   makes no room */
+static void
+test_refund_after_a_wait(void)
+{
+    mg_quota q = {0};
+    mg_quota_set(&q, 100, 100, 0, WINDOW_MS);
+    double limit = 100 + 100 * WINDOW_MS / 1000.0;
+    CU_ASSERT_TRUE(mg_quota_take(&q, limit, 0));
+    mg_quota_refund(&q, limit, 0, WINDOW_MS / 2);
+    CU_ASSERT_EQUAL(q.used_window, 0);
+    CU_ASSERT_TRUE(mg_quota_take(&q, limit, WINDOW_MS / 2));
+    CU_ASSERT_FALSE(mg_quota_take(&q, 1, WINDOW_MS + 1));
+    mg_quota_refund(&q, limit, 0, WINDOW_MS + 1);
+    CU_ASSERT_FALSE(mg_quota_take(&q, 1, WINDOW_MS + 1));
+}
+
+/* a request that is sent to another target is used twice, even beyond the
+   limit */
+static void
+test_charge(void)
+{
+    mg_quota q = {0};
+    mg_quota_set(&q, 100, 100, 0, WINDOW_MS);
+    double limit = 100 + 100 * WINDOW_MS / 1000.0;
+    CU_ASSERT_TRUE(mg_quota_take(&q, limit - 1, 0));
+    mg_quota_charge(&q, limit - 1, 100);
+    CU_ASSERT_EQUAL(q.used_window, 2 * (limit - 1));
+    CU_ASSERT_EQUAL(q.used_total, (uint64_t)(2 * (limit - 1)));
+    CU_ASSERT_FALSE(mg_quota_take(&q, 1, 100));
+}
+
 static void
 test_a_long_pause_empties_the_window(void)
 {
@@ -194,6 +226,8 @@
         {"use at other entries counts", test_remote_use_counts},
         {"a long pause empties the window",
          test_a_long_pause_empties_the_window},
+        {"a refund after a wait", test_refund_after_a_wait},
+        {"a second use of a request", test_charge},
         {"histories of entries with delayed reports", test_histories},
         {"many entries that report rarely", test_many},
         CU_TEST_INFO_NULL,
