--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -440,7 +440,7 @@
 hold_response(mg_flow *f)
 {
     size_t event = f->sse_parser.pending.n - f->sse_parser.consumed;
-    size_t bytes = f->body.n + event;
+    size_t bytes = f->body.cap + f->sse_parser.pending.cap;
     if (event > MG_SSE_EVENT_BYTES_MAX) {
         reject_response(f, "event_too_large");
         return;
