HTTP server: a flush may close any connection that waits for one

Read in the diff: limit_unsent() closes the connection that has waited longest, which may be the next one of the list that on_prepare() walks through; the walk then never ended. Test that hangs without (ended by its alarm after 10 s): http_server_test 'a closed connection with output', clients that pipeline requests and read nothing. The walk now takes the first of the list each time. Looked at for the same: link.c unlinks a connection in its close callback only.

--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -260,9 +260,10 @@
 on_prepare(uv_prepare_t *h)
 {
     mg_http_server *s = h->data;
-    list_for_each_safe(el, el1, &s->pending_flush)
-    {
-        flush_conn(list_entry(el, http_conn, pending_flush));
+    /* each flush may close, and so remove, any connection of the list */
+    while (!list_empty(&s->pending_flush)) {
+        flush_conn(
+            list_entry(s->pending_flush.next, http_conn, pending_flush));
     }
 }
 
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -21,6 +21,7 @@
 #define RESPONSE_BYTES (8u << 20)
 #define UNSENT_MAX (24u << 20)
 #define RECEIVE_BUFFER_BYTES 4096
+#define HANG_S 10
 
 static struct {
     uv_loop_t loop;
@@ -230,12 +231,46 @@
     close_world();
 }
 
+/* a connection that is closed because of another one has output of its own to
+   write in the same iteration of the loop */
+static void
+test_closed_with_output(void)
+{
+    static const char get[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    enum { FULL = 3 };
+    /* the first two exceed the limit, which closes client 0 */
+    static const int order[2 * FULL] = {5, 4, 0, 1, 2, 3};
+    open_world();
+    char *bytes = mg_alloc(RESPONSE_BYTES);
+    mg_buf_put(&world.response, bytes, RESPONSE_BYTES);
+    free(bytes);
+    for (int i = 0; i < 2 * FULL; i++) {
+        connect_client(i);
+        run_loop_ms(10);
+    }
+    for (int i = 0; i < FULL; i++) {
+        send_all(i, get, sizeof(get) - 1);
+        run_loop_ms(20);
+    }
+    alarm(HANG_S);
+    for (size_t k = 0; k < 2 * FULL; k++) {
+        CU_ASSERT_EQUAL(
+            send(world.clients[order[k]], get, sizeof(get) - 1, MSG_DONTWAIT),
+            sizeof(get) - 1);
+    }
+    run_loop_ms(100);
+    alarm(0);
+    CU_ASSERT_EQUAL(world.served, 3 * FULL);
+    close_world();
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"bodies that arrive slowly", test_bodies},
         {"responses that are not read", test_slow_readers},
+        {"a closed connection with output", test_closed_with_output},
         CU_TEST_INFO_NULL,
     };
     signal(SIGPIPE, SIG_IGN);
