--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -36,8 +36,8 @@
 typedef struct mg_http_limits {
     size_t header_bytes_max;
     size_t body_max; /* bytes; has no default, 0 keeps the former value */
-    /* bytes of the bodies of all requests; a request whose body would exceed
-       this is refused with 503 */
+    /* bytes of the bodies of all requests, at least body_max; a request whose
+       body would exceed this is refused with 503 */
     size_t bodies_max;
     /* bytes of all ended responses that their clients have not taken; above
        this, the connection whose response ended first is closed */
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -281,7 +281,8 @@
     }
 }
 
-/* rejects invalid input with an error response by the server itself */
+/* rejects input that is invalid or too large, with an error response by the
+   server itself */
 static void
 reject_request(http_conn *c, int status, const char *why)
 {
@@ -565,6 +566,9 @@
         (int64_t)l->header_bytes_max, MG_HTTP_HEADER_BYTES_MAX);
     s->opts.limits.bodies_max =
         (size_t)or_default((int64_t)l->bodies_max, MG_HTTP_BODIES_BYTES_MAX);
+    if (s->opts.limits.bodies_max < s->opts.limits.body_max) {
+        s->opts.limits.bodies_max = s->opts.limits.body_max;
+    }
     s->opts.limits.unsent_max =
         (size_t)or_default((int64_t)l->unsent_max, MG_HTTP_UNSENT_BYTES_MAX);
     s->opts.limits.header_timeout_ms =
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -205,6 +205,22 @@
     close_world();
 }
 
+/* one body may be as large as body_max, whatever the limit for all */
+static void
+test_one_large_body(void)
+{
+    char first[256];
+    open_world();
+    mg_http_set_limits(world.server,
+                       &(mg_http_limits){.body_max = 2 * BODIES_MAX,
+                                         .bodies_max = BODIES_MAX,
+                                         .unsent_max = UNSENT_MAX});
+    send_body(0, 2 * BODIES_MAX, 2 * BODIES_MAX);
+    receive(0, first, sizeof(first));
+    CU_ASSERT_EQUAL(strncmp(first, "HTTP/1.1 200", 12), 0);
+    close_world();
+}
+
 static void
 test_slow_readers(void)
 {
@@ -269,6 +285,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"bodies that arrive slowly", test_bodies},
+        {"one large body", test_one_large_body},
         {"responses that are not read", test_slow_readers},
         {"a closed connection with output", test_closed_with_output},
         CU_TEST_INFO_NULL,
