Rollouts: a version whose rollout is done stays in use

Trace: the move was done at 18:38:06.4; from 18:38:09.3 on the pool granted nothing for a minute, 430 requests waited, no target was down (the last requests were answered, the service's pool went on). In the state done the old version may not be used, and a sample that arrived after it, or between the change and its record, could still reject the new one: the machine was busy, so that the new version looked slow. Then neither may be used. The log doesn't show a rejection after the end; that it was this one is inferred from the state. Entries of the platform decide the state done by themselves (gateway/versions.c) and were not affected.

rollout_test 'failures after the end' fails without; its other histories ended at the state done.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -46,6 +46,7 @@
 flow|src/gateway/flow.c|a request that is sent again uses its quota again|s/f->usage != NULL \&\& f->possible_runs > 0/false/
 quota|src/gateway/quota.c|a refund belongs to the time of the use|s/int64_t slice = taken_ms/int64_t slice = now/
 store|src/control/store.c|records are checksummed|s/return h->sum == record_checksum(.*/return true;/
+rollout|src/policy/rollout.c|a version whose rollout is done stays in use|s/if (r->state == MG_ROLLOUT_DONE) {/if (false) {/
 rollout|src/policy/rollout.c|a rollout ends at its deadline|s/if (wall >= r->deadline_wall_ms) {/if (false) {/
 base|src/wire/http_client.c|a missing last chunk is detected|s/bool last_chunk_missing = .*/bool last_chunk_missing = false;/
 EOF
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -158,6 +158,9 @@
 bool
 mg_rollout_may_use_new(const mg_rollout *r)
 {
+    if (r->state == MG_ROLLOUT_DONE) {
+        return true; /* whatever the tests say: no other version is used */
+    }
     if (r->rejected) {
         return false;
     }
@@ -169,7 +172,6 @@
         return r->share == ALL_PERMILLE ||
                r->step_new * 1000 <= (r->step_all + 1) * r->share;
     case MG_ROLLOUT_DONE:
-        return true;
     case MG_ROLLOUT_PENDING:
     case MG_ROLLOUT_ROLLED_BACK:
         break;
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -18,7 +18,8 @@
  *    reserved in the log before they are made, and a successor counts every
  *    reserved grant as used, so that the bound holds over restarts;
  *  - in PENDING and ROLLED_BACK, and as soon as a local test has rejected the
- *    new version, it is granted nothing;
+ *    new version before DONE, it is granted nothing;
+ *  - in each state at least one of the versions may be granted requests;
  *  - DONE and ROLLED_BACK are final.
  *
  * The new version's failures are tested for each route and over all routes
--- a/tests/unit/rollout_test.c
+++ b/tests/unit/rollout_test.c
@@ -333,6 +333,27 @@
     s.r = NULL;
 }
 
+/* A version whose rollout is done remains in use, also when requests fail or
+   are slow afterwards: there is no other one to use. */
+static void
+test_failures_after_the_end(void)
+{
+    const char *error = NULL;
+    start(1);
+    for (int i = 0; i < REQUESTS && s.state != MG_ROLLOUT_DONE; i++) {
+        error = error == NULL ? commit_changes() : error;
+        error = error == NULL ? one_request(GOOD) : error;
+    }
+    CU_ASSERT_EQUAL(s.state, MG_ROLLOUT_DONE);
+    for (int i = 0; i < 1000 && error == NULL; i++) {
+        error = one_request(i % 2 ? FAILS_FROM_START : SLOW);
+        CU_ASSERT_TRUE(mg_rollout_may_use_new(s.r));
+    }
+    CU_ASSERT_PTR_NULL(error);
+    mg_rollout_free(s.r);
+    s.r = NULL;
+}
+
 int
 main(void)
 {
@@ -347,6 +368,7 @@
         {"the deadline passes", test_deadline_passes},
         {"a rejection stops the new version at once",
          test_rejection_is_immediate},
+        {"failures after the end", test_failures_after_the_end},
         CU_TEST_INFO_NULL,
     };
     return run_suite("rollout", tests);
