Targets: one stalled response counts as at most four times the average

Trace: when the target's link answers again after two seconds, the first responses have 2,000 ms to their first byte for prompts of 30 tokens; each moves the average per token by a tenth of that, from 0.1 to over 6 ms, and prompts of 2,000 tokens are then refused at once as late ('why=deadline', 7.9 of 8 s left).

sched_test 'one stall of a target' fails without; a target that has become slow for good is still seen.

--- a/src/topology/target.c
+++ b/src/topology/target.c
@@ -2,6 +2,9 @@
 
 /* minimum weight of a sample in the running averages */
 #define SAMPLE_WEIGHT_MIN 0.1
+/* a sample counts as at most this multiple of the average: one stall must not
+   make a target look too slow, a lasting one shows in some samples */
+#define SAMPLE_MAX_FACTOR 4.0
 /* estimates before the first sample */
 #define INITIAL_FIRST_PER_TOKEN 0.1
 #define INITIAL_GAP_MS 10.0
@@ -60,6 +63,9 @@
 update_mean(double *mean, double value, uint64_t samples)
 {
     double w = 1.0 / (double)(samples + 1);
+    if (samples > 0 && *mean > 0 && value > *mean * SAMPLE_MAX_FACTOR) {
+        value = *mean * SAMPLE_MAX_FACTOR;
+    }
     *mean += (value - *mean) * (w > SAMPLE_WEIGHT_MIN ? w : SAMPLE_WEIGHT_MIN);
 }
 
--- a/tests/unit/sched_test.c
+++ b/tests/unit/sched_test.c
@@ -462,6 +462,28 @@
     mg_sched_free(s.sched);
 }
 
+/* responses that were held up for two seconds don't make a target look too
+   slow for long prompts */
+static void
+test_one_stall(void)
+{
+    mg_target t = {.slots_max = 8};
+    init_list_head(&t.slots);
+    for (int i = 0; i < 20; i++) {
+        mg_target_add_sample(&t, 100, 10, 110, 11);
+    }
+    double usual = mg_target_estimate(&t, 2000, 100, 0, 0).total_ms;
+    mg_target_add_sample(&t, 30, 2000, 4100, 11);
+    mg_target_add_sample(&t, 30, 2000, 4100, 11);
+    CU_ASSERT_TRUE(mg_target_estimate(&t, 2000, 100, 0, 0).total_ms <=
+                   2 * usual);
+    for (int i = 0; i < 60; i++) {
+        mg_target_add_sample(&t, 100, 100, 1100, 11); /* it has become slow */
+    }
+    CU_ASSERT_TRUE(mg_target_estimate(&t, 2000, 100, 0, 0).total_ms >=
+                   8 * usual);
+}
+
 int
 main(void)
 {
@@ -475,6 +497,7 @@
          test_silent_target_keeps_its_slots},
         {"two suspects never share a target",
          test_suspects_never_share_a_target},
+        {"one stall of a target", test_one_stall},
         CU_TEST_INFO_NULL,
     };
     return run_suite("sched", tests);
