Comments and small repeats that a newcomer would stumble over

Read in the diff: what a refund does, why packing cannot fail, how a sample is limited, two constants under one comment, which lists and texts are packed (msg.h, mesh.h), a condition written as a nested choice in http_server.c, two tests that differed in one number (flow_test; the checks are the same). No logic changes.

--- a/src/base/pack.c
+++ b/src/base/pack.c
@@ -13,7 +13,7 @@
     uLongf size = compressBound(text.n);
     unsigned char *z = mg_alloc(size);
     char mark = PACKED_MARK;
-    /* with room for compressBound() bytes, only memory can be lacking */
+    /* cannot fail but for lack of memory: compressBound() bytes suffice */
     MG_INVARIANT(compress2(z, &size, (const unsigned char *)text.p, text.n,
                            Z_BEST_SPEED) == Z_OK);
     mg_buf_put(out, &mark, 1);
--- a/src/control/raft_int.h
+++ b/src/control/raft_int.h
@@ -50,7 +50,7 @@
     uint64_t syncing_index; /* last entry that the sync in progress covers */
     bool reply_pending;     /* follower: an acknowledgement is to be sent */
     uint64_t reply_round;
-    uint64_t replied_round; /* the last one that was acknowledged */
+    uint64_t replied_round; /* follower: the last round it acknowledged */
     uint64_t reply_match;   /* highest index known to match the leader's log */
     bool stopped;           /* storage has failed */
     /* log[i] has index snap_index + 1 + i */
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -47,8 +47,8 @@
 /* Counts another use of a request that has taken cost, whatever the limits. */
 void
 mg_quota_charge(mg_quota *q, double cost, int64_t now);
-/* Returns the cost, taken at a time taken_ms, of a request that was not run.
- */
+/* Takes back a cost that was counted at taken_ms: the request was not run.
+   Once that time has left the window, nothing changes. */
 void
 mg_quota_refund(mg_quota *q, double cost, int64_t taken_ms, int64_t now);
 /* Time until the window has room again, ms; 0 when it has room now. */
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -12,6 +12,7 @@
  *
  * Changes go before periodic messages: a hub holds its batches back while many
  * bytes wait to be sent, and then sends the newest report of each node only.
+ * Batches, and the state that a new link gets, are packed (base/pack.h).
  *
  * The states of a node are ordered by its incarnation, then by a sequence
  * number; only a newer state is stored and forwarded, so that copies that
--- a/src/topology/target.c
+++ b/src/topology/target.c
@@ -2,8 +2,9 @@
 
 /* minimum weight of a sample in the running averages */
 #define SAMPLE_WEIGHT_MIN 0.1
-/* a sample counts as at most this multiple of the average: one stall must not
-   make a target look too slow, a lasting one shows in some samples */
+/* a sample counts as at most this multiple of the average, so that one stalled
+   response does not make a target look too slow; if the target remains slow,
+   the average follows within some ten samples */
 #define SAMPLE_MAX_FACTOR 4.0
 /* estimates before the first sample */
 #define INITIAL_FIRST_PER_TOKEN 0.1
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -209,6 +209,8 @@
     return c->state != CONN_BUSY && c->unsent_bytes > MG_HTTP_BYTES_SMALL;
 }
 
+/* Closes the connection whose response ended first if clients have left too
+   many bytes unread. */
 static void
 limit_unsent(mg_http_server *s)
 {
@@ -217,12 +219,12 @@
     list_for_each(el, &s->conns)
     {
         http_conn *c = list_entry(el, http_conn, link);
-        if (is_read_slowly(c)) {
-            unsent += c->unsent_bytes;
-            oldest = oldest == NULL ||
-                             c->timeout_start_ms < oldest->timeout_start_ms
-                         ? c
-                         : oldest;
+        if (!is_read_slowly(c)) {
+            continue;
+        }
+        unsent += c->unsent_bytes;
+        if (oldest == NULL || c->timeout_start_ms < oldest->timeout_start_ms) {
+            oldest = c;
         }
     }
     if (unsent > s->opts.limits.unsent_max) {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -64,6 +64,7 @@
 #define MG_FIELDS_CREDIT(F) F(STR, member) F(U64, count)
 #define MG_FIELDS_RECORD(F) \
     F(U64, kind) F(STR, key) F(U64, rev) F(BIN, value)
+/* text: packed (base/pack.h) in the log of nodes, plain in a control group */
 #define MG_FIELDS_REC_SECTION(F) \
     F(STR, name) F(STR, owner) F(U64, version) F(STR, digest) \
     F(U64, accepted_rev) F(STR, text) F(BIN, history)
@@ -170,7 +171,8 @@
 #define MG_FIELDS_CONFIRM_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
 #define MG_FIELDS_PROPOSED(F) F(U64, seq) F(U64, rc) F(U64, rev) F(STR, why)
 
-/* nodes and target instances, relayed to all nodes by the hubs */
+/* nodes and target instances, relayed to all nodes by the hubs; the lists of
+   NODES, INSTANCES and REPORTS may be packed (base/pack.h) */
 #define MG_FIELDS_NODE(F) \
     F(STR, node) F(STR, front_addr) F(STR, domain) F(STR, region) \
     F(U64, incarnation) F(U64, seq) F(U64, ready) F(U64, disk)
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -11,6 +11,8 @@
 #include "base/addr.h"
 #include "gateway/gateway.h"
 
+/* of the first target; the other one and the gateway follow */
+#define PORT 24760
 #define TARGETS 2
 #define REQUESTS 30
 #define QUOTA 12 /* requests; the rate adds none within the test */
@@ -93,7 +95,7 @@
     unsigned pid = (unsigned)getpid();
     /* an address of this process: the test may run several times at once */
     snprintf(world.addrs[i], sizeof(world.addrs[i]), "127.%u.%u.%u:%d",
-             pid >> 16 & 127, pid >> 8 & 255, pid & 255, 24760 + i);
+             pid >> 16 & 127, pid >> 8 & 255, pid & 255, PORT + i);
     CU_ASSERT_EQUAL_FATAL(mg_http_open(&s,
                                        &(mg_http_options){
                                            .loop = &world.loop,
@@ -235,30 +237,33 @@
     uv_run(&world.loop, UV_RUN_NOWAIT);
 }
 
-static void
-test_quota_of_good_targets(void)
+/* Number of requests that targets execute if all their responses have this
+   status. */
+static unsigned
+count_executed(int target_status)
 {
     open_world();
-    world.target_status = 200;
+    world.target_status = target_status;
     send_requests(REQUESTS);
     printf("\n  %u requests, quota %d: targets executed %u\n", REQUESTS, QUOTA,
            world.executed);
-    CU_ASSERT_EQUAL(world.executed, QUOTA);
     close_world();
+    return world.executed;
+}
+
+static void
+test_quota_of_good_targets(void)
+{
+    CU_ASSERT_EQUAL(count_executed(200), QUOTA);
 }
 
 static void
 test_quota_of_failing_targets(void)
 {
-    open_world();
-    world.target_status = 500;
-    send_requests(REQUESTS);
-    printf("\n  %u requests, quota %d: targets executed %u\n", REQUESTS, QUOTA,
-           world.executed);
-    CU_ASSERT_TRUE(world.executed > 0);
+    unsigned executed = count_executed(500);
+    CU_ASSERT_TRUE(executed > 0);
     /* the last one that is admitted may be sent once more */
-    CU_ASSERT_TRUE(world.executed <= QUOTA + 1);
-    close_world();
+    CU_ASSERT_TRUE(executed <= QUOTA + 1);
 }
 
 int
--- a/tests/unit/mesh_test.c
+++ b/tests/unit/mesh_test.c
@@ -24,12 +24,12 @@
 /* limit of messages per second that a node other than a hub may send */
 #define SENT_PER_S_MAX 6
 #define QUEUE_MAX 400000
-/* hosts that restart together, and the time that messages of one hub to the
-   other hubs are late */
+/* nodes that restart together */
 #define RESTARTS 60
+/* delay of the messages of one hub to the other hubs */
 #define LATE_MS 400
-/* limit of changes of nodes that a node receives for each restart: twice from
-   each hub, starting and ready, and once more for copies that cross */
+/* limit of changes of nodes that a node receives for each restart: from each
+   hub the states starting and ready, and both again when copies cross */
 #define CHANGES_PER_RESTART_MAX (4 * HUBS)
 
 /* limit of the traffic at a node while another one is missing, in tenths of
