Log: outcome of each probe of a target after a broken connection

Crashes that gave a request no strike left no line, and a strike could not be traced to the request's id. 343 CRASH_PROBE has both; a 308 line without a 343 line after it is a connection whose target was not probed.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -588,7 +588,7 @@
     }
     else if (!stale_channel) {
         target_failed(f, false);
-        mg_suspect_connection_lost(f->gw, f->target,
+        mg_suspect_connection_lost(f->gw, f->target, f->request.id,
                                    mg_suspect_fingerprint(f));
     }
     if (result == MG_CHANNEL_CONNECT_FAILED) {
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -15,6 +15,7 @@
     uv_timer_t timer;
     uint64_t fingerprint;
     uint64_t started_ms;
+    char id[MG_NAME_SIZE]; /* of the request */
     char target[MG_NAME_SIZE];
 } probe;
 
@@ -85,8 +86,11 @@
 }
 
 static void
-stop_probe(probe *p)
+stop_probe(probe *p, const char *outcome)
 {
+    mg_log(MG_EV_CRASH_PROBE,
+           "id=%s fingerprint=%016" PRIx64 " target=%s outcome=%s", p->id,
+           p->fingerprint, p->target, outcome);
     if (p->channel != NULL) {
         mg_channel_close(p->channel);
         p->channel = NULL;
@@ -97,7 +101,7 @@
 static void
 on_probe_connected(mg_channel_callbacks *cb)
 {
-    stop_probe((probe *)cb);
+    stop_probe((probe *)cb, "listens");
 }
 
 static void
@@ -107,8 +111,10 @@
     p->channel = NULL;
     if (result == MG_CHANNEL_CONNECT_FAILED) {
         report_crash(p);
+        stop_probe(p, "down");
+        return;
     }
-    stop_probe(p);
+    stop_probe(p, "unknown");
 }
 
 /* Adds no strike: the host may be unreachable or the target busy, so a timeout
@@ -116,11 +122,11 @@
 static void
 on_probe_timer(uv_timer_t *t)
 {
-    stop_probe(t->data);
+    stop_probe(t->data, "timeout");
 }
 
 void
-mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t,
+mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t, mg_str id,
                            uint64_t fingerprint)
 {
     const mg_announcement *info = &t->instance->info;
@@ -130,6 +136,7 @@
     p->gw = gw;
     p->fingerprint = fingerprint;
     p->started_ms = info->started_ms;
+    mg_str_copy(p->id, sizeof(p->id), id);
     mg_str_copy(p->target, sizeof(p->target), mg_str_of(info->id));
     uv_timer_init(gw->opts.loop, &p->timer);
     p->timer.data = p;
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -22,9 +22,10 @@
 /* Whether the fingerprint has MG_SUSPECT_STRIKES_MAX unexpired strikes. */
 bool
 mg_suspect_is_refused(mg_gateway *gw, uint64_t fingerprint);
-/* Probes t after a request's connection broke; adds a strike if t is down. */
+/* Probes t after the connection of request id broke; adds a strike if t is
+   down. */
 void
-mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t,
+mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t, mg_str id,
                            uint64_t fingerprint);
 /* Applies a strike that another entry reported. */
 void
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -70,8 +70,9 @@
     for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
         char id[16];
         snprintf(id, sizeof(id), "i-%d", i);
-        mg_suspect_connection_lost(
-            reporter, add_target(reporter, id, DEAD_ADDR), SUSPECT);
+        mg_suspect_connection_lost(reporter,
+                                   add_target(reporter, id, DEAD_ADDR),
+                                   mg_str_of("r"), SUSPECT);
     }
     uv_run(&loop, UV_RUN_DEFAULT);
     CU_ASSERT_TRUE(mg_suspect_is_refused(reporter, SUSPECT));
@@ -107,7 +108,8 @@
     for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
         char id[16];
         snprintf(id, sizeof(id), "i-%d", i);
-        mg_suspect_connection_lost(gw, add_target(gw, id, LIVE_ADDR), SUSPECT);
+        mg_suspect_connection_lost(gw, add_target(gw, id, LIVE_ADDR),
+                                   mg_str_of("r"), SUSPECT);
     }
     for (int i = 0; i < 20; i++) {
         uv_run(&loop, UV_RUN_NOWAIT);
