Gateway: a target is probed also when a reused channel breaks

Cause: a reused channel that ends before the first byte of a response was taken for one that its target has closed while idle; the target was not probed, so the crash gave no strike.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -583,13 +583,17 @@
            "id=%.*s target=%s why=%s kept=%d ms=%" PRId64,
            MG_STR_FMT(f->request.id), f->target->instance->info.id,
            result_name(result), f->reused_channel, now_of(f) - f->arrived_ms);
-    if (!stale_channel && result == MG_CHANNEL_CONNECT_FAILED) {
+    if (result == MG_CHANNEL_CONNECT_FAILED) {
         mg_gw_target_failed(f->target, false);
     }
-    else if (!stale_channel) {
-        target_failed(f, false);
+    else {
+        /* whether the target has closed an idle channel or crashed shows only
+           when it is probed */
         mg_suspect_connection_lost(f->gw, f->target, f->request.id,
                                    mg_suspect_fingerprint(f));
+        if (!stale_channel) {
+            target_failed(f, false);
+        }
     }
     if (result == MG_CHANNEL_CONNECT_FAILED) {
         mg_count(MG_C_CONNECT_FAILED, 1);
