--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -489,6 +489,8 @@
 {
     if (ends_inside_event(f) || !f->response_started) {
         target_failed(f, false);
+        mg_suspect_connection_lost(f->gw, f->target, f->request.id,
+                                   mg_suspect_fingerprint(f));
         if (!retry(f)) {
             fail_request(f, "stream_ended_early");
         }
--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -7,6 +7,11 @@
 #define ROUNDS 6
 
 static unsigned crashes;
+/* written before a crash, may be NULL */
+static const char *last_words;
+/* a request for this path is held until the test crashes its target */
+static const char *held_path;
+static int held_by; /* target, -1: none */
 
 static void
 serve(world_conn *c, mg_str head)
@@ -15,20 +20,35 @@
         world_write_ok(c);
         return;
     }
+    if (c->target == held_by) {
+        world_close(c);
+        return;
+    }
+    if (held_path != NULL && held_by < 0) {
+        held_by = c->target;
+        return;
+    }
     crashes++;
+    if (last_words != NULL) {
+        world_write(c, last_words);
+    }
     world_crash(c->target);
 }
 
 static void
-open_crash_world(void)
+open_crash_world(mg_retry_policy policy, bool stream)
 {
     mg_route r = {
-        .retry_policy = MG_RETRY_BEFORE_RESPONSE,
+        .retry_policy = policy,
         .timeout_ms = 2000,
         .goal_ms = 500,
         .attempts_max = 2,
+        .stream = stream,
     };
     crashes = 0;
+    last_words = NULL;
+    held_path = NULL;
+    held_by = -1;
     world_open(world_routing(&r, 0, 0), WORLD_TARGETS, serve);
 }
 
@@ -74,7 +94,7 @@
 static void
 test_new_channels(void)
 {
-    open_crash_world();
+    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
     CU_ASSERT_EQUAL(run_rounds(false), 503);
     CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX + 1);
     CU_ASSERT_EQUAL(world_get("/"), 200);
@@ -84,19 +104,59 @@
 static void
 test_reused_channels(void)
 {
-    open_crash_world();
+    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
     CU_ASSERT_EQUAL(run_rounds(true), 503);
     CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX + 1);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     world_shut();
 }
 
+/* the end of an unframed stream inside an event may be a crash */
+static void
+test_unframed_streams(void)
+{
+    open_crash_world(MG_RETRY_NEVER, true);
+    last_words = "HTTP/1.1 200 OK\r\n\r\ndata: ";
+    CU_ASSERT_EQUAL(run_rounds(true), 503);
+    CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX);
+    world_shut();
+}
+
+/* a request in progress is not retried after its copies have crashed three
+   targets */
+static void
+test_refused_meanwhile(void)
+{
+    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
+    held_path = "/crash";
+    world_send(held_path);
+    while (held_by < 0) {
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+    }
+    for (int i = 0; i < ROUNDS; i++) {
+        world_send("/crash");
+        world_pass(20);
+        boot_crashed();
+    }
+    CU_ASSERT_TRUE(crashes >= MG_SUSPECT_STRIKES_MAX);
+    unsigned before = world.executed;
+    int last = held_by;
+    held_by = WORLD_TARGETS;
+    world_crash(last);
+    world_run();
+    CU_ASSERT_EQUAL(world.executed, before);
+    CU_ASSERT_EQUAL(world.answer.status, 502);
+    world_shut();
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"crashes on new channels are counted", test_new_channels},
         {"crashes on reused channels are counted", test_reused_channels},
+        {"crashes in unframed streams are counted", test_unframed_streams},
+        {"no retry after three crashes", test_refused_meanwhile},
         CU_TEST_INFO_NULL,
     };
     return run_suite("crash", tests);
