Gateway: a request is not sent on after three crashes, retries included

Strikes were checked only when a request arrived: one that waited, or whose target had just crashed, went to one more target. Checked before each dispatch now; a request that may have run gets 502, one that has not 503. crash_test 'no retry after three crashes' failed before (one more request executed).

--- a/src/gateway/admit.c
+++ b/src/gateway/admit.c
@@ -8,7 +8,6 @@
 #define DEADLINE_MARGIN_MS 20
 /* used when neither the client nor the route sets a timeout */
 #define DEADLINE_DEFAULT_MS 30000
-#define SUSPECT_RETRY_MS 3000
 #define DECODE_TOKENS_DEFAULT 64
 /* parts of the tolerated quota excess used in the local limit; the rest covers
    what entries admit between reports */
@@ -125,9 +124,8 @@
         mg_flow_refuse(f, status, -1, "key");
         return;
     }
-    if (!mg_quarantine_is_empty(gw->suspects) &&
-        mg_suspect_is_refused(gw, mg_suspect_fingerprint(f))) {
-        mg_flow_refuse(f, 503, SUSPECT_RETRY_MS, "ended_its_targets");
+    if (mg_suspect_refuses(f)) {
+        mg_flow_refuse_suspect(f);
         return;
     }
     if (!take_quota(f)) {
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -10,6 +10,8 @@
 
 /* a time measured with mg_now() exceeds the true one by less than this */
 #define CLOCK_RESOLUTION_MS 1.0
+/* retry-after of a request that has crashed its targets */
+#define SUSPECT_RETRY_MS 3000
 /* failed connections after which a request fails */
 #define CONNECT_ATTEMPTS_MAX 4
 /* "not run" responses after which a request fails */
@@ -193,6 +195,17 @@
     }
 }
 
+void
+mg_flow_refuse_suspect(mg_flow *f)
+{
+    if (f->response_started || f->possible_runs > 0) {
+        fail_request(f, "ended_its_targets");
+    }
+    else {
+        mg_flow_refuse(f, 503, SUSPECT_RETRY_MS, "ended_its_targets");
+    }
+}
+
 static void
 on_client_disconnect(void *user)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -50,6 +50,10 @@
     mg_ticket *ticket;
     while ((ticket = mg_tierq_head(p->waiting)) != NULL) {
         mg_flow *f = list_entry(ticket, mg_flow, ticket);
+        if (mg_suspect_refuses(f)) {
+            mg_flow_refuse_suspect(f);
+            continue;
+        }
         mg_gw_target *t = mg_gw_choose_target(gw, f);
         if (t == NULL) {
             return;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -125,6 +125,7 @@
     const mg_client_workspace *workspace;
     mg_gw_usage *usage;
     double quota_cost;
+    uint64_t fingerprint; /* see suspects.h; 0: not computed yet */
     mg_gw_pool *pool;
     mg_ticket ticket; /* linked into pool->waiting */
     mg_flow_state state;
@@ -195,6 +196,9 @@
    has gone. */
 void
 mg_flow_refuse_busy(mg_flow *f, const char *why);
+/* Ends a request that has crashed its targets. */
+void
+mg_flow_refuse_suspect(mg_flow *f);
 /* Adds the request to its pool's queue, first or for a retry. */
 void
 mg_flow_wait_for_target(mg_flow *f);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -20,8 +20,11 @@
 } probe;
 
 uint64_t
-mg_suspect_fingerprint(const mg_flow *f)
+mg_suspect_fingerprint(mg_flow *f)
 {
+    if (f->fingerprint != 0) {
+        return f->fingerprint;
+    }
     const mg_client_request *c = &f->request;
     mg_str client =
         f->workspace != NULL ? mg_str_of(f->workspace->name) : c->key;
@@ -30,7 +33,8 @@
     uint64_t rest = mg_hash_pair(client, mg_http_body(c->http));
     uint64_t h = mg_hash_pair((mg_str){(const char *)&path, sizeof(path)},
                               (mg_str){(const char *)&rest, sizeof(rest)});
-    return h != 0 ? h : 1;
+    f->fingerprint = h != 0 ? h : 1;
+    return f->fingerprint;
 }
 
 bool
@@ -41,6 +45,13 @@
            MG_SUSPECT_STRIKES_MAX;
 }
 
+bool
+mg_suspect_refuses(mg_flow *f)
+{
+    return !mg_quarantine_is_empty(f->gw->suspects) &&
+           mg_suspect_is_refused(f->gw, mg_suspect_fingerprint(f));
+}
+
 static void
 add_strike(mg_gateway *gw, uint64_t fingerprint, const char *target,
            uint64_t started_ms)
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -18,10 +18,14 @@
 
 /* Hash of a request's path, workspace or key, and body; never 0. */
 uint64_t
-mg_suspect_fingerprint(const mg_flow *f);
+mg_suspect_fingerprint(mg_flow *f);
 /* Whether the fingerprint has MG_SUSPECT_STRIKES_MAX unexpired strikes. */
 bool
 mg_suspect_is_refused(mg_gateway *gw, uint64_t fingerprint);
+/* Whether the request must not be sent to a target: not for the first time,
+   nor for a retry. */
+bool
+mg_suspect_refuses(mg_flow *f);
 /* Probes t after the connection of request id broke; adds a strike if t is
    down. */
 void
