Quarantine: a crash is counted once, however often it is reported

Only the last crash of a fingerprint was remembered, so two crashes that two entries report in turn counted three times and more: harmless requests were refused for an hour. The last eight are remembered now, and the number of fingerprints has a bound. suspects_test 'the same crashes, reported in turn' failed before (refused after two crashes).

--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -57,7 +57,8 @@
            uint64_t started_ms)
 {
     unsigned strikes = mg_quarantine_add_strike(
-        gw->suspects, fingerprint, target, started_ms, mg_now(gw->opts.clock));
+        gw->suspects, fingerprint, mg_quarantine_crash(target, started_ms),
+        mg_now(gw->opts.clock));
     mg_log(strikes < MG_SUSPECT_STRIKES_MAX ? MG_EV_CRASH_SUSPECT
                                             : MG_EV_QUARANTINE,
            "fingerprint=%016" PRIx64 " target=%s born=%" PRIu64 " marks=%u",
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -9,7 +9,8 @@
     UT_hash_handle hh;
     uint64_t fingerprint;
     unsigned strikes;
-    uint64_t last_crash; /* hash of the target and its epoch */
+    uint64_t crashes[MG_QUARANTINE_CRASHES]; /* a ring; 0: none */
+    unsigned next_crash;                     /* index into the ring */
     int64_t until_wall_ms;
 };
 
@@ -49,6 +50,11 @@
 {
     struct strike_record *r = find(q, fingerprint);
     if (r == NULL) {
+        if (HASH_COUNT(q->records) >= MG_QUARANTINE_RECORDS_MAX) {
+            struct strike_record *first = q->records;
+            HASH_DEL(q->records, first);
+            free(first);
+        }
         r = mg_alloc(sizeof(*r));
         r->fingerprint = fingerprint;
         HASH_ADD(hh, q->records, fingerprint, sizeof(fingerprint), r);
@@ -56,21 +62,37 @@
     return r;
 }
 
+uint64_t
+mg_quarantine_crash(const char *target, uint64_t target_epoch)
+{
+    mg_str epoch = {(const char *)&target_epoch, sizeof(target_epoch)};
+    uint64_t h = mg_hash_pair(mg_str_of(target), epoch);
+    return h != 0 ? h : 1;
+}
+
+static bool
+has_crash(const struct strike_record *r, uint64_t crash)
+{
+    for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
+        if (r->crashes[i] == crash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 unsigned
 mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
-                         const char *target, uint64_t target_epoch,
-                         int64_t wall_ms)
+                         uint64_t crash, int64_t wall_ms)
 {
     struct strike_record *r = find_or_add(q, fingerprint);
-    mg_str epoch = {(const char *)&target_epoch, sizeof(target_epoch)};
-    uint64_t crash = mg_hash_pair(mg_str_of(target), epoch);
     if (r->until_wall_ms <= wall_ms) {
         r->strikes = 0;
     }
-    if (r->strikes == 0 || r->last_crash != crash) {
+    if (!has_crash(r, crash)) {
+        r->crashes[r->next_crash++ % MG_QUARANTINE_CRASHES] = crash;
         r->strikes++;
     }
-    r->last_crash = crash;
     r->until_wall_ms = wall_ms + MG_QUARANTINE_DURATION_MS;
     return r->strikes;
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -20,6 +20,10 @@
    gateway is in gateway/suspects.h */
 #define MG_QUARANTINE_STRIKES 2
 #define MG_QUARANTINE_DURATION_MS (3600 * INT64_C(1000))
+/* the last crashes of a fingerprint, none of which is counted again */
+#define MG_QUARANTINE_CRASHES 8
+/* fingerprints with strikes; beyond this, the first one added is forgotten */
+#define MG_QUARANTINE_RECORDS_MAX 8192
 
 typedef struct mg_quarantine mg_quarantine;
 
@@ -27,15 +31,17 @@
 mg_quarantine_new(void);
 void
 mg_quarantine_free(mg_quarantine *q);
+/* Identifies the crash that ended an epoch of a target. */
+uint64_t
+mg_quarantine_crash(const char *target, uint64_t target_epoch);
 /*
- * Adds a strike for the crash of a target's epoch and restarts the expiry of
- * all strikes of the fingerprint. The crash that gave the latest strike is
- * not counted again. Returns the number of strikes.
+ * Adds a strike for a crash and restarts the expiry of all strikes of the
+ * fingerprint. A crash among its last MG_QUARANTINE_CRASHES is not counted
+ * again. Returns the number of strikes.
  */
 unsigned
 mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
-                         const char *target, uint64_t target_epoch,
-                         int64_t wall_ms);
+                         uint64_t crash, int64_t wall_ms);
 /*
  * Applies a record of the control log; never lowers the number of strikes or
  * the expiry time.
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -60,6 +60,20 @@
     CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
 }
 
+/* two entries report the same two crashes in turn */
+static void
+test_same_crashes_in_turn(void)
+{
+    mg_gateway *gw = new_gateway();
+    for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
+        receive_strike(gw, SUSPECT, "i-1", 5);
+        receive_strike(gw, SUSPECT, "i-2", 5);
+    }
+    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    receive_strike(gw, SUSPECT, "i-3", 5);
+    CU_ASSERT_TRUE(mg_suspect_is_refused(gw, SUSPECT));
+}
+
 /* crashes reported by another entry count, each once */
 static void
 test_reported(void)
@@ -124,6 +138,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"three crashes of targets", test_three_crashes},
+        {"the same crashes, reported in turn", test_same_crashes_in_turn},
         {"crashes seen by other entries", test_reported},
         {"a target that still listens", test_listening},
         CU_TEST_INFO_NULL,
