Strikes outlive lost reports and entries that restart

Strikes have a module of their own now: four copies over 1.75 s, and all strikes of refused keys when an entry starts or a key is first refused.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -120,7 +120,7 @@
         m.u.load_usage.used = u->quota.used_total;
         mg_msg_encode(&m, loads);
     }
-    mg_suspect_report(gw, loads);
+    mg_strikes_report(gw->strikes, loads);
 }
 
 /* a workspace's total in the previous report of entry p, 0 if it has none */
@@ -242,14 +242,15 @@
     if (p->incarnation != incarnation) {
         p->incarnation = incarnation;
         p->loads.n = 0;
+        mg_strikes_entry_started(gw->strikes);
     }
     mg_str rest = loads;
     while (mg_msg_next(&rest, &m) == MG_OK) {
         if (m.type == MG_MSG_LOAD_USAGE) {
             add_remote_usage(gw, p, &m.u.load_usage);
         }
-        else if (m.type == MG_MSG_LOAD_CRASH) {
-            mg_suspect_receive_strike(gw, &m.u.load_crash);
+        else if (m.type == MG_MSG_LOAD_STRIKE) {
+            mg_suspect_receive_strike(gw, &m.u.load_strike);
         }
     }
     p->loads.n = 0;
@@ -289,7 +290,7 @@
     mg_str_copy(gw->domain, sizeof(gw->domain), mg_str_of(opts->domain));
     mg_rng_init(&gw->rng, opts->seed);
     init_list_head(&gw->scheduled_pools);
-    gw->suspects = mg_quarantine_new();
+    gw->strikes = mg_strikes_new(opts->clock);
     gw->versions = mg_versions_new(opts->clock);
     gw->started_ms = mg_now(opts->clock);
     gw->entry_count = 1;
@@ -440,7 +441,7 @@
     if (now >= gw->next_sweep_ms) {
         gw->next_sweep_ms = now + SWEEP_MS;
         drop_stale_reports(gw);
-        mg_quarantine_expire(gw->suspects, now);
+        mg_strikes_expire(gw->strikes);
         mg_registry_each(gw->opts.registry, sweep_target, NULL);
     }
 }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -14,8 +14,8 @@
 #include "gateway/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/sse.h"
+#include "gateway/strikes.h"
 #include "gateway/versions.h"
-#include "policy/quarantine.h"
 #include "policy/tierq.h"
 #include "wire/channel.h"
 
@@ -91,8 +91,7 @@
     struct list_head scheduled_pools;
     mg_gw_usage *usage;
     mg_versions *versions;
-    mg_quarantine *suspects;
-    mg_buf crashes; /* LOAD_CRASH messages, not reported yet */
+    mg_strikes *strikes;
     mg_gw_peer *peers;
     size_t open_requests;
     mg_response_memory response_memory;
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -37,58 +37,37 @@
     return f->fingerprint;
 }
 
-bool
-mg_suspect_is_refused(mg_gateway *gw, uint64_t fingerprint)
-{
-    return mg_quarantine_strikes(gw->suspects, fingerprint,
-                                 mg_now(gw->opts.clock)) >=
-           MG_SUSPECT_STRIKES_MAX;
-}
-
 bool
 mg_suspect_refuses(mg_flow *f)
 {
-    return !mg_quarantine_is_empty(f->gw->suspects) &&
-           mg_suspect_is_refused(f->gw, mg_suspect_fingerprint(f));
+    return !mg_strikes_is_empty(f->gw->strikes) &&
+           mg_strikes_refuses(f->gw->strikes, mg_suspect_fingerprint(f));
 }
 
 static void
-add_strike(mg_gateway *gw, uint64_t fingerprint, const char *target,
-           uint64_t started_ms)
-{
-    unsigned strikes = mg_quarantine_add_strike(
-        gw->suspects, fingerprint, mg_quarantine_crash(target, started_ms),
-        mg_now(gw->opts.clock));
-    mg_log(strikes < MG_SUSPECT_STRIKES_MAX ? MG_EV_CRASH_SUSPECT
-                                            : MG_EV_QUARANTINE,
-           "fingerprint=%016" PRIx64 " target=%s born=%" PRIu64 " marks=%u",
-           fingerprint, target, started_ms, strikes);
-}
-
-void
-mg_suspect_receive_strike(mg_gateway *gw, const mg_load_crash_msg *m)
+log_strike(uint64_t fingerprint, const char *target, unsigned strikes)
 {
-    char target[MG_NAME_SIZE];
-    mg_str_copy(target, sizeof(target), m->target);
-    add_strike(gw, m->fingerprint, target, m->born_ms);
+    mg_log(strikes < MG_STRIKES_MAX ? MG_EV_CRASH_SUSPECT : MG_EV_QUARANTINE,
+           "fingerprint=%016" PRIx64 " target=%s marks=%u", fingerprint,
+           target, strikes);
 }
 
 void
-mg_suspect_report(mg_gateway *gw, mg_buf *loads)
+mg_suspect_receive_strike(mg_gateway *gw, const mg_load_strike_msg *m)
 {
-    mg_buf_put(loads, gw->crashes.p, gw->crashes.n);
-    gw->crashes.n = 0;
+    bool refused = mg_strikes_refuses(gw->strikes, m->key);
+    unsigned strikes = mg_strikes_receive(gw->strikes, m->key, m->crash);
+    if (!refused && strikes >= MG_STRIKES_MAX) {
+        log_strike(m->key, "-", strikes);
+    }
 }
 
 static void
-report_crash(probe *p)
+report_crash(const probe *p)
 {
-    mg_msg m = {.type = MG_MSG_LOAD_CRASH};
-    m.u.load_crash.fingerprint = p->fingerprint;
-    m.u.load_crash.target = mg_str_of(p->target);
-    m.u.load_crash.born_ms = p->started_ms;
-    mg_msg_encode(&m, &p->gw->crashes);
-    add_strike(p->gw, p->fingerprint, p->target, p->started_ms);
+    uint64_t crash = mg_quarantine_crash(p->target, p->started_ms);
+    log_strike(p->fingerprint, p->target,
+               mg_strikes_add(p->gw->strikes, p->fingerprint, crash));
 }
 
 static void
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -5,23 +5,17 @@
  * and the request may be the cause. A probe connection checks this: if it
  * is refused, no process listens any more. Then the request's fingerprint
  * (path, workspace and body, without the id, so that a retry has the same one)
- * gets a strike, here and, with the next report, at all entries. A request
- * with strikes from MG_SUSPECT_STRIKES_MAX crashes is refused.
+ * gets a strike, here and, with the next reports, at all entries (strikes.h).
+ * A request with strikes from MG_STRIKES_MAX crashes is refused.
  */
 #ifndef MG_SUSPECTS_H
 #define MG_SUSPECTS_H
 
 #include "gateway/gateway_int.h"
 
-/* crashes after which a request is refused */
-#define MG_SUSPECT_STRIKES_MAX 3
-
 /* Hash of a request's path, workspace or key, and body; never 0. */
 uint64_t
 mg_suspect_fingerprint(mg_flow *f);
-/* Whether the fingerprint has MG_SUSPECT_STRIKES_MAX unexpired strikes. */
-bool
-mg_suspect_is_refused(mg_gateway *gw, uint64_t fingerprint);
 /* Whether the request must not be sent to a target: not for the first time,
    nor for a retry. */
 bool
@@ -31,11 +25,8 @@
 void
 mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t, mg_str id,
                            uint64_t fingerprint);
-/* Applies a strike that another entry reported. */
-void
-mg_suspect_receive_strike(mg_gateway *gw, const mg_load_crash_msg *m);
-/* Appends local strikes since the last call, as LOAD_CRASH messages. */
+/* Applies a strike that another entry reports. */
 void
-mg_suspect_report(mg_gateway *gw, mg_buf *loads);
+mg_suspect_receive_strike(mg_gateway *gw, const mg_load_strike_msg *m);
 
 #endif
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -118,6 +118,45 @@
     return r != NULL && r->until_wall_ms > wall_ms ? r->strikes : 0;
 }
 
+static void
+each_crash(const struct strike_record *r,
+           void (*f)(void *user, uint64_t fingerprint, uint64_t crash),
+           void *user)
+{
+    for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
+        if (r->crashes[i] != 0) {
+            f(user, r->fingerprint, r->crashes[i]);
+        }
+    }
+}
+
+void
+mg_quarantine_each(const mg_quarantine *q, unsigned strikes_min,
+                   int64_t wall_ms,
+                   void (*f)(void *user, uint64_t fingerprint, uint64_t crash),
+                   void *user)
+{
+    for (const struct strike_record *r = q->records; r != NULL;
+         r = r->hh.next) {
+        if (r->until_wall_ms <= wall_ms || r->strikes < strikes_min) {
+            continue;
+        }
+        each_crash(r, f, user);
+    }
+}
+
+void
+mg_quarantine_each_crash(const mg_quarantine *q, uint64_t fingerprint,
+                         void (*f)(void *user, uint64_t fingerprint,
+                                   uint64_t crash),
+                         void *user)
+{
+    const struct strike_record *r = find(q, fingerprint);
+    if (r != NULL) {
+        each_crash(r, f, user);
+    }
+}
+
 bool
 mg_quarantine_is_empty(const mg_quarantine *q)
 {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -53,6 +53,19 @@
 unsigned
 mg_quarantine_strikes(const mg_quarantine *q, uint64_t fingerprint,
                       int64_t wall_ms);
+/* Calls f with each remembered crash of the fingerprints that have this many
+   strikes or more. */
+void
+mg_quarantine_each(const mg_quarantine *q, unsigned strikes_min,
+                   int64_t wall_ms,
+                   void (*f)(void *user, uint64_t fingerprint, uint64_t crash),
+                   void *user);
+/* Calls f with each remembered crash of a fingerprint. */
+void
+mg_quarantine_each_crash(const mg_quarantine *q, uint64_t fingerprint,
+                         void (*f)(void *user, uint64_t fingerprint,
+                                   uint64_t crash),
+                         void *user);
 bool
 mg_quarantine_is_empty(const mg_quarantine *q);
 /* Removes the fingerprints whose strikes have expired. */
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -199,9 +199,8 @@
 #define MG_FIELDS_ROLLOUT_SAMPLE(F) \
     F(STR, route) F(U64, is_new) F(U64, failed) F(U64, first_ns_per_token) \
     F(U64, gap_us)
-/* crash suspect: a request that was running when its target ended */
-#define MG_FIELDS_LOAD_CRASH(F) \
-    F(U64, fingerprint) F(STR, target) F(U64, born_ms)
+/* a crash that requests with this key are suspected of */
+#define MG_FIELDS_LOAD_STRIKE(F) F(U64, key) F(U64, crash)
 
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
@@ -277,7 +276,7 @@
     M(124, LOAD_POOL, load_pool) \
     M(125, ROLLOUT_SAMPLES, rollout_samples) \
     M(126, ROLLOUT_SAMPLE, rollout_sample) \
-    M(127, LOAD_CRASH, load_crash)
+    M(128, LOAD_STRIKE, load_strike)
 
 /* clang-format on */
 
--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -96,7 +96,7 @@
 {
     open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
     CU_ASSERT_EQUAL(run_rounds(false), 503);
-    CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX + 1);
+    CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX + 1);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     world_shut();
 }
@@ -106,7 +106,7 @@
 {
     open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
     CU_ASSERT_EQUAL(run_rounds(true), 503);
-    CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX + 1);
+    CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX + 1);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     world_shut();
 }
@@ -118,7 +118,7 @@
     open_crash_world(MG_RETRY_NEVER, true);
     last_words = "HTTP/1.1 200 OK\r\n\r\ndata: ";
     CU_ASSERT_EQUAL(run_rounds(true), 503);
-    CU_ASSERT_TRUE(crashes <= MG_SUSPECT_STRIKES_MAX);
+    CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX);
     world_shut();
 }
 
@@ -138,7 +138,7 @@
         world_pass(20);
         boot_crashed();
     }
-    CU_ASSERT_TRUE(crashes >= MG_SUSPECT_STRIKES_MAX);
+    CU_ASSERT_TRUE(crashes >= MG_STRIKES_MAX);
     unsigned before = world.executed;
     int last = held_by;
     held_by = WORLD_TARGETS;
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -41,7 +41,8 @@
 receive_strike(mg_gateway *gw, uint64_t fingerprint, const char *target,
                uint64_t started_ms)
 {
-    mg_load_crash_msg m = {fingerprint, mg_str_of(target), started_ms};
+    mg_load_strike_msg m = {fingerprint,
+                            mg_quarantine_crash(target, started_ms)};
     mg_suspect_receive_strike(gw, &m);
 }
 
@@ -52,12 +53,12 @@
     receive_strike(gw, SUSPECT, "i-1", 5);
     receive_strike(gw, SUSPECT, "i-1", 5); /* the same crash, reported twice */
     receive_strike(gw, SUSPECT, "i-2", 5);
-    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_FALSE(mg_strikes_refuses(gw->strikes, SUSPECT));
     receive_strike(gw, SUSPECT, "i-2", 9); /* the target's next run */
-    CU_ASSERT_TRUE(mg_suspect_is_refused(gw, SUSPECT));
-    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT + 1));
+    CU_ASSERT_TRUE(mg_strikes_refuses(gw->strikes, SUSPECT));
+    CU_ASSERT_FALSE(mg_strikes_refuses(gw->strikes, SUSPECT + 1));
     clk.mono += MG_QUARANTINE_DURATION_MS + 1;
-    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_FALSE(mg_strikes_refuses(gw->strikes, SUSPECT));
 }
 
 /* two entries report the same two crashes in turn */
@@ -65,13 +66,13 @@
 test_same_crashes_in_turn(void)
 {
     mg_gateway *gw = new_gateway();
-    for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
+    for (int i = 0; i < MG_STRIKES_MAX; i++) {
         receive_strike(gw, SUSPECT, "i-1", 5);
         receive_strike(gw, SUSPECT, "i-2", 5);
     }
-    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_FALSE(mg_strikes_refuses(gw->strikes, SUSPECT));
     receive_strike(gw, SUSPECT, "i-3", 5);
-    CU_ASSERT_TRUE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_TRUE(mg_strikes_refuses(gw->strikes, SUSPECT));
 }
 
 /* crashes reported by another entry count, each once */
@@ -81,7 +82,7 @@
     mg_gateway *reporter = new_gateway();
     mg_gateway *receiver = new_gateway();
     mg_buf loads = {0};
-    for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
+    for (int i = 0; i < MG_STRIKES_MAX; i++) {
         char id[16];
         snprintf(id, sizeof(id), "i-%d", i);
         mg_suspect_connection_lost(reporter,
@@ -89,16 +90,41 @@
                                    mg_str_of("r"), SUSPECT);
     }
     uv_run(&loop, UV_RUN_DEFAULT);
-    CU_ASSERT_TRUE(mg_suspect_is_refused(reporter, SUSPECT));
+    CU_ASSERT_TRUE(mg_strikes_refuses(reporter->strikes, SUSPECT));
     mg_gateway_append_report(reporter, &loads);
     mg_gateway_receive_report(receiver, "10.0.0.1", 1, mg_str_buf(&loads));
-    CU_ASSERT_TRUE(mg_suspect_is_refused(receiver, SUSPECT));
+    CU_ASSERT_TRUE(mg_strikes_refuses(receiver->strikes, SUSPECT));
+    for (int i = 1; i < MG_STRIKE_COPIES; i++) {
+        loads.n = 0;
+        clk.mono += (int64_t)MG_STRIKE_GAP_MS << i;
+        mg_gateway_append_report(reporter, &loads);
+        CU_ASSERT_TRUE(loads.n > 0);
+    }
     loads.n = 0;
+    clk.mono += MG_QUARANTINE_DURATION_MS / 2;
     mg_gateway_append_report(reporter, &loads);
     CU_ASSERT_EQUAL(loads.n, 0);
     mg_buf_free(&loads);
 }
 
+/* an entry that starts later learns which requests are refused, although it
+   has got no report that was sent before, and though another one found it */
+static void
+test_entry_that_starts(void)
+{
+    mg_gateway *gw = new_gateway();
+    mg_gateway *late = new_gateway();
+    mg_buf loads = {0};
+    receive_strike(gw, SUSPECT, "i-1", 5);
+    receive_strike(gw, SUSPECT, "i-2", 5);
+    receive_strike(gw, SUSPECT, "i-3", 5);
+    mg_gateway_receive_report(gw, "10.0.0.2", 7, (mg_str){"", 0});
+    mg_gateway_append_report(gw, &loads);
+    mg_gateway_receive_report(late, "10.0.0.1", 1, mg_str_buf(&loads));
+    CU_ASSERT_TRUE(mg_strikes_refuses(late->strikes, SUSPECT));
+    mg_buf_free(&loads);
+}
+
 static void
 on_connection(uv_stream_t *server, int status)
 {
@@ -119,7 +145,7 @@
         uv_tcp_bind(&server, (const struct sockaddr *)&addr, 0), 0);
     CU_ASSERT_EQUAL_FATAL(uv_listen((uv_stream_t *)&server, 8, on_connection),
                           0);
-    for (int i = 0; i < MG_SUSPECT_STRIKES_MAX; i++) {
+    for (int i = 0; i < MG_STRIKES_MAX; i++) {
         char id[16];
         snprintf(id, sizeof(id), "i-%d", i);
         mg_suspect_connection_lost(gw, add_target(gw, id, LIVE_ADDR),
@@ -128,7 +154,7 @@
     for (int i = 0; i < 20; i++) {
         uv_run(&loop, UV_RUN_NOWAIT);
     }
-    CU_ASSERT_FALSE(mg_suspect_is_refused(gw, SUSPECT));
+    CU_ASSERT_FALSE(mg_strikes_refuses(gw->strikes, SUSPECT));
     uv_close((uv_handle_t *)&server, NULL);
     uv_run(&loop, UV_RUN_DEFAULT);
 }
@@ -140,6 +166,7 @@
         {"three crashes of targets", test_three_crashes},
         {"the same crashes, reported in turn", test_same_crashes_in_turn},
         {"crashes seen by other entries", test_reported},
+        {"an entry that starts", test_entry_that_starts},
         {"a target that still listens", test_listening},
         CU_TEST_INFO_NULL,
     };
