--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -1,4 +1,4 @@
-/* A request that crashes the targets that run it. */
+/* Requests, and parts of prompts, that crash the targets that run them. */
 #include "flow_world.h"
 
 #include "gateway/suspects.h"
@@ -149,6 +149,70 @@
     world_shut();
 }
 
+/* --------------------------------------------------- parts of prompts */
+
+/* requests have three parts: one that all share, one of a few, their own */
+#define SHARED 1
+#define LETHAL 66
+#define SOUND 77
+#define PART_ROUNDS 12
+/* between the rounds: restarts of targets take longer than a request */
+#define ROUND_MS 150
+/* crashes after which no more than three requests may reach targets */
+#define LETHAL_CRASHES 5
+
+static void
+serve_prompts(world_conn *c, mg_str head)
+{
+    if (strstr(head.p, ",66,") == NULL) {
+        world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n");
+        return;
+    }
+    crashes++;
+    world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    world_crash(c->target);
+}
+
+static int
+get_prompt(unsigned part)
+{
+    static unsigned own = 1000;
+    char path[64];
+    snprintf(path, sizeof(path), "/?%u,%u,%u", SHARED, part, ++own);
+    return world_get(path);
+}
+
+static void
+open_prompt_world(void)
+{
+    open_crash_world(MG_RETRY_NEVER, true);
+    world.serve = serve_prompts;
+}
+
+/* a part that crashes its targets, no two requests alike, beside sound ones
+   that share the first part */
+static void
+test_lethal_part(void)
+{
+    unsigned sound = 0;
+    int status = 0;
+    open_prompt_world();
+    for (int i = 0; i < PART_ROUNDS; i++) {
+        sound += get_prompt(SOUND) == 200;
+        status = get_prompt(LETHAL);
+        world_pass(ROUND_MS);
+        boot_crashed();
+        sound += get_prompt(SOUND) == 200;
+    }
+    printf("\n  %u crashes, last status %d, %u of %d sound requests served\n",
+           crashes, status, sound, 2 * PART_ROUNDS);
+    CU_ASSERT_EQUAL(status, 503);
+    CU_ASSERT_TRUE(crashes <= LETHAL_CRASHES);
+    CU_ASSERT_EQUAL(sound, 2 * PART_ROUNDS);
+    world_shut();
+}
+
 int
 main(void)
 {
@@ -157,6 +221,7 @@
         {"crashes on reused channels are counted", test_reused_channels},
         {"crashes in unframed streams are counted", test_unframed_streams},
         {"no retry after three crashes", test_refused_meanwhile},
+        {"a prompt part that crashes its targets", test_lethal_part},
         CU_TEST_INFO_NULL,
     };
     return run_suite("crash", tests);
