Channel: malformed chunks no longer end the process

Outputs are set on every return now, the header says so, and the result is looked at first. 400 BAD_INPUT names the address and what was malformed (head, chunks, interim responses), not the bytes: bodies are never logged.

The class, an output read before its result, looked for in each caller of mg_h1_parse_request/response, mg_h1_body_decode, mg_frame_decode, mg_msg_next, mg_msg_decode, mg_unpack, mg_addr_parse, mg_str_parse_uint, the parsers of platform/dialect.c and control.c, registry.c, operator.c, group.c, mesh.c, node.c: no other place. mg_frame_decode() left *used unset; it is 0 now.

--- a/src/base/addr.c
+++ b/src/base/addr.c
@@ -1,6 +1,7 @@
 #include "base/addr.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,3 +28,11 @@
     out->sin_port = htons((uint16_t)port);
     return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? MG_OK : MG_E_INPUT;
 }
+
+void
+mg_addr_format(const struct sockaddr_in *addr, char out[MG_ADDR_SIZE])
+{
+    char ip[INET_ADDRSTRLEN] = "?";
+    inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof(ip));
+    snprintf(out, MG_ADDR_SIZE, "%s:%u", ip, ntohs(addr->sin_port));
+}
--- a/src/base/addr.h
+++ b/src/base/addr.h
@@ -15,5 +15,8 @@
    from 1 to 65535. */
 mg_rc
 mg_addr_parse(const char *addr, struct sockaddr_in *out);
+/* Writes an address as IP:PORT. */
+void
+mg_addr_format(const struct sockaddr_in *addr, char out[MG_ADDR_SIZE]);
 
 #endif
--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/addr.h"
+#include "base/counter.h"
+#include "base/event.h"
 #include "wire/scratch.h"
 
 #define HEADER_BYTES_MAX 32768
@@ -86,6 +89,18 @@
     }
 }
 
+/* Ends the request; what: the malformed part of the response, size: bytes of
+   it that have arrived. */
+static void
+close_malformed(mg_channel *c, const char *what, size_t size)
+{
+    char addr[MG_ADDR_SIZE];
+    mg_addr_format(&c->opts.addr, addr);
+    mg_log(MG_EV_BAD_INPUT, "addr=%s what=%s bytes=%zu", addr, what, size);
+    mg_count(MG_C_BAD_INPUT, 1);
+    close_with_result(c, MG_CHANNEL_MALFORMED);
+}
+
 static void
 finish_request(mg_channel *c)
 {
@@ -129,12 +144,12 @@
     mg_buf in = c->in;
     c->in = (mg_buf){0};
     mg_rc rc = mg_h1_body_decode(&c->body, in.p, in.n, &data, &rest);
-    mg_buf_put(&c->in, rest.p, rest.n);
     if (rc == MG_E_INPUT) {
+        close_malformed(c, "chunks", in.n);
         mg_buf_free(&in);
-        close_with_result(c, MG_CHANNEL_MALFORMED);
         return;
     }
+    mg_buf_put(&c->in, rest.p, rest.n);
     if (data.n > 0 && !c->skipping) {
         c->callbacks->on_data(c->callbacks, data);
     }
@@ -151,7 +166,7 @@
 skip_interim(mg_channel *c, size_t size)
 {
     if (++c->interim_count > INTERIM_RESPONSES_MAX) {
-        close_with_result(c, MG_CHANNEL_MALFORMED);
+        close_malformed(c, "interim_responses", c->in.n);
         return false;
     }
     mg_buf_skip(&c->in, size);
@@ -171,7 +186,7 @@
         return false;
     }
     if (rc != MG_OK) {
-        close_with_result(c, MG_CHANNEL_MALFORMED);
+        close_malformed(c, "head", c->in.n);
         return false;
     }
     if (headers.status < 200) {
--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -256,6 +256,8 @@
     size_t size = n;
     ssize_t rc = phr_decode_chunked(&b->chunks, p, &size);
     if (rc == -1) {
+        *data = (mg_str){p, 0};
+        *rest = (mg_str){p + n, 0};
         return MG_E_INPUT;
     }
     *data = (mg_str){p, size};
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -92,7 +92,8 @@
 /*
  * Decodes p[n] in place. Sets *data to the decoded bytes of the body and
  * *rest to the bytes after its end. MG_OK: the body is complete.
- * MG_E_IN_PROGRESS: more bytes are needed. MG_E_INPUT: malformed chunks.
+ * MG_E_IN_PROGRESS: more bytes are needed. MG_E_INPUT: malformed chunks; both
+ * are empty.
  */
 mg_rc
 mg_h1_body_decode(mg_h1_body *b, char *p, size_t n, mg_str *data,
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -184,6 +184,7 @@
 mg_rc
 mg_frame_decode(mg_str in, size_t max, size_t *used, mg_msg *m)
 {
+    *used = 0;
     if (in.n < MG_FRAME_HEADER_SIZE) {
         return MG_E_IN_PROGRESS;
     }
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -347,8 +347,9 @@
 mg_frame_encode(const mg_msg *m, mg_buf *out);
 /*
  * Decodes the frame at the start of in. MG_OK: it is *used bytes long.
- * MG_E_IN_PROGRESS: more bytes are needed. MG_E_TOO_LARGE: its length exceeds
- * max. MG_E_INPUT: malformed message.
+ * MG_E_IN_PROGRESS: more bytes are needed; *used is 0. MG_E_TOO_LARGE: its
+ * length exceeds max; *used is 0. MG_E_INPUT: malformed message of *used
+ * bytes. *m is undefined unless MG_OK.
  */
 mg_rc
 mg_frame_decode(mg_str in, size_t max, size_t *used, mg_msg *m);
--- a/tests/unit/channel_test.c
+++ b/tests/unit/channel_test.c
@@ -1,7 +1,8 @@
 /*
  * A channel to a server that writes given bytes for each request. Guards
  * against a response that is not read because it came together with an interim
- * one, and against interim responses without end.
+ * one, against interim responses without end, and against malformed chunks
+ * that end the process.
  */
 #include "suite.h"
 
@@ -14,6 +15,7 @@
 #define TIMEOUT_MS 2000
 #define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
 #define FINAL "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static struct {
     mg_channel_callbacks callbacks;
@@ -26,8 +28,9 @@
     mg_buf response;
     mg_buf body;
     bool accepted;
-    bool ended;
+    unsigned ended;
     mg_channel_result result;
+    bool idle;
     char in[4096];
 } world;
 
@@ -77,7 +80,7 @@
 on_end(mg_channel_callbacks *cb, mg_channel_result result)
 {
     (void)cb;
-    world.ended = true;
+    world.ended++;
     world.result = result;
     end();
 }
@@ -101,6 +104,7 @@
 on_idle(void *owner, mg_channel *c)
 {
     (void)owner;
+    world.idle = true;
     mg_channel_close(c);
 }
 
@@ -174,7 +178,7 @@
     reset();
     mg_buf_printf(&world.response, "%s%s%s", INTERIM, INTERIM, FINAL);
     run_request();
-    CU_ASSERT_TRUE(world.ended);
+    CU_ASSERT_EQUAL(world.ended, 1);
     CU_ASSERT_EQUAL(world.result, MG_CHANNEL_COMPLETE);
     CU_ASSERT_EQUAL(world.body.n, 2);
 }
@@ -187,11 +191,52 @@
         mg_buf_printf(&world.response, "%s", INTERIM);
     }
     run_request();
-    CU_ASSERT_TRUE(world.ended);
+    CU_ASSERT_EQUAL(world.ended, 1);
     CU_ASSERT_EQUAL(world.result, MG_CHANNEL_MALFORMED);
     reset();
 }
 
+static void
+test_malformed_chunks(void)
+{
+    static const struct {
+        const char *response;
+        size_t body; /* bytes before the malformed one */
+    } rows[] = {
+        {CHUNKED "x", 0},
+        {CHUNKED "\r\n", 0},
+        {CHUNKED "2\r\nokX", 2},
+        {CHUNKED "2\r\nok\r\nx", 2},
+        {CHUNKED "fffffffffffffffff\r\n", 0},
+        {INTERIM CHUNKED "x", 0},
+        {INTERIM CHUNKED "2\r\nokX", 2},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        reset();
+        mg_buf_printf(&world.response, "%s", rows[i].response);
+        run_request();
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result, MG_CHANNEL_MALFORMED);
+        CU_ASSERT_TRUE(world.body.n <= rows[i].body);
+        CU_ASSERT_FALSE(world.idle);
+    }
+    reset();
+}
+
+/* the response is complete; nobody waits for what follows */
+static void
+test_bytes_after_the_last_chunk(void)
+{
+    reset();
+    mg_buf_printf(&world.response, "%s", CHUNKED "2\r\nok\r\n0\r\n\r\nx");
+    run_request();
+    CU_ASSERT_EQUAL(world.ended, 1);
+    CU_ASSERT_EQUAL(world.result, MG_CHANNEL_COMPLETE);
+    CU_ASSERT_EQUAL(world.body.n, 2);
+    CU_ASSERT_FALSE(world.idle);
+    reset();
+}
+
 int
 main(void)
 {
@@ -199,6 +244,8 @@
         {"a final response together with an interim one",
          test_final_response_after_interim},
         {"interim responses without end", test_interim_responses_without_end},
+        {"malformed chunks", test_malformed_chunks},
+        {"bytes after the last chunk", test_bytes_after_the_last_chunk},
         CU_TEST_INFO_NULL,
     };
     return run_suite("channel", tests);
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -146,6 +146,28 @@
     run_histories(decode_random_body, HISTORIES);
 }
 
+/* the outputs are set whatever is returned */
+static void
+test_outputs_for_malformed_chunks(void)
+{
+    static const char *const malformed[] = {
+        "x",      "\r\n", "2\r\nokX", "2\r\nok\r\nx", "fffffffffffffffff\r\n",
+        "-1\r\n",
+    };
+    for (size_t i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
+        char in[64];
+        mg_str data = {(char *)1, SIZE_MAX};
+        mg_str rest = data;
+        mg_h1_body b;
+        mg_h1_body_init_request(&b, &(mg_h1_headers){.chunked = true});
+        strcpy(in, malformed[i]);
+        CU_ASSERT_EQUAL(mg_h1_body_decode(&b, in, strlen(in), &data, &rest),
+                        MG_E_INPUT);
+        CU_ASSERT_EQUAL(data.n, 0);
+        CU_ASSERT_EQUAL(rest.n, 0);
+    }
+}
+
 int
 main(void)
 {
@@ -155,6 +177,7 @@
          test_ambiguous_header_sections},
         {"framing of responses", test_response_framing},
         {"fragmented bodies", test_fragmented_bodies},
+        {"outputs for malformed chunks", test_outputs_for_malformed_chunks},
         CU_TEST_INFO_NULL,
     };
     return run_suite("h1", tests);
