Gateway: a request is sent again on a channel of its own

Reported by other operators: a target wrote an earlier refusal once more on a kept connection. Here: a refused request that goes to the same target again reused the channel that the refusal came on; a second copy bears the same id, so the request was taken for refused although it ran, and was sent a third time, or told 503 (REFUSED, TWICE). Two more reports can't happen here, tests show it: an error after a broken stream is never written to the client, whose response stays incomplete; a header section that breaks off is 502.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -706,7 +706,10 @@
     t->instance->refs++;
     mg_versions_count_sent(f->gw->versions, f->pool->service,
                            t->instance->info.version);
-    f->channel = mg_gw_idle_channel(t, recent_only);
+    /* after a refusal, the channel that it came on may bear it once more, with
+       the same id */
+    f->channel =
+        t != f->previous_target ? mg_gw_idle_channel(t, recent_only) : NULL;
     f->reused_channel = f->channel != NULL;
     if (f->reused_channel) {
         mg_channel_reuse(f->channel, &f->callbacks);
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -5,6 +5,7 @@
 
 static const char *faulty; /* response to a request for /faulty */
 static unsigned faulty_sent;
+static bool close_after; /* the faulty response ends with its connection */
 
 /* the first request for /faulty gets the faulty response */
 static void
@@ -16,6 +17,9 @@
     }
     faulty_sent++;
     world_write(c, faulty);
+    if (close_after) {
+        world_close(c);
+    }
 }
 
 static void
@@ -31,6 +35,7 @@
     };
     faulty = response;
     faulty_sent = 0;
+    close_after = false;
     world_open(world_routing(&r, 0, 0), WORLD_TARGETS, serve);
 }
 
@@ -54,11 +59,151 @@
     }
 }
 
+/* a target stops in the middle of its header section and closes */
+static void
+test_partial_headers(void)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "HTTP/1.1 2"};
+    for (size_t i = 0; i < 2 * sizeof(rows) / sizeof(rows[0]); i++) {
+        open_answers_world(MG_RETRY_NEVER, i % 2, rows[i / 2]);
+        close_after = true;
+        CU_ASSERT_EQUAL(world_get("/faulty"), 502);
+        CU_ASSERT_EQUAL(world_get("/"), i % 2 ? 502 : 200);
+        world_shut();
+    }
+}
+
+/* -------------------------------------------- streams that are resumed */
+
+#define EVENT_1 "id: 1\ndata: a\n\n"
+#define EVENT_2 "id: 2\ndata: b\n\n"
+#define STREAM "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+/* the first target breaks off after an event, the next one sends this */
+static const char *second_answer;
+
+static void
+serve_broken_stream(world_conn *c, mg_str head)
+{
+    (void)head;
+    if (faulty_sent++ == 0) {
+        world_write(c, STREAM "f\r\n" EVENT_1 "\r\n");
+        world_close(c);
+        return;
+    }
+    world_write(c, second_answer);
+}
+
+static void
+test_error_after_a_broken_stream(void)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror",
+        "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nerror\r\n0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nerror",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nerror",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        open_answers_world(MG_RETRY_RESUME, true, NULL);
+        world.serve = serve_broken_stream;
+        second_answer = rows[i];
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+        CU_ASSERT_EQUAL(world.executed, 2);
+        CU_ASSERT_NOT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+        CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), EVENT_1));
+        world_shut();
+    }
+    open_answers_world(MG_RETRY_RESUME, true, NULL);
+    world.serve = serve_broken_stream;
+    second_answer = STREAM "f\r\n" EVENT_2 "\r\n0\r\n\r\n";
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), EVENT_1 EVENT_2));
+    world_shut();
+}
+
+/* ------------------------------------------------- repeated refusals */
+
+#define REFUSAL                                                        \
+    "HTTP/1.1 503 Full\r\nx-id: r\r\nx-not-run: 1\r\nContent-Length: " \
+    "0\r\n\r\n"
+#define REFUSAL_WITHOUT_ID \
+    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"
+
+static world_conn *refusing;
+
+/* refuses a request and writes the refusal again when the next one arrives,
+   which runs */
+static void
+serve_repeated_refusal(world_conn *c, mg_str head)
+{
+    (void)head;
+    if (world.executed == 1) {
+        refusing = c;
+        world_write(c, REFUSAL);
+        return;
+    }
+    world_write(refusing, REFUSAL);
+    if (c != refusing) {
+        world_write_ok(c);
+    }
+}
+
+/* the second send of a request is not taken for refused by the first one's
+   refusal */
+static void
+test_repeated_refusal(void)
+{
+    mg_route r = {.retry_policy = MG_RETRY_NEVER,
+                  .timeout_ms = 2000,
+                  .goal_ms = 500,
+                  .attempts_max = 2};
+    world_open(world_routing(&r, 0, 0), 1, serve_repeated_refusal);
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    CU_ASSERT_EQUAL(world.executed, 2);
+    world_shut();
+}
+
+static void
+serve_refusal_without_id(world_conn *c, mg_str head)
+{
+    if (strstr(head.p, "faulty") == NULL) {
+        world_write_ok(c);
+        return;
+    }
+    world_write(c, REFUSAL_WITHOUT_ID);
+}
+
+/* on a channel that has carried another request, a refusal without an id may
+   be that one's */
+static void
+test_refusal_without_id(void)
+{
+    mg_route r = {.retry_policy = MG_RETRY_NEVER,
+                  .timeout_ms = 2000,
+                  .goal_ms = 500,
+                  .attempts_max = 2};
+    world_open(world_routing(&r, 0, 0), 1, serve_refusal_without_id);
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    CU_ASSERT_EQUAL(world_get("/faulty"), 502);
+    CU_ASSERT_EQUAL(world.executed, 2);
+    world_shut();
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"malformed chunks", test_malformed_chunks},
+        {"a header section that breaks off", test_partial_headers},
+        {"an error after a broken stream", test_error_after_a_broken_stream},
+        {"a refusal that is written twice", test_repeated_refusal},
+        {"a refusal without an id on a reused channel",
+         test_refusal_without_id},
         CU_TEST_INFO_NULL,
     };
     return run_suite("answers", tests);
