Gateway: a refusal without an id counts on a new channel only

On a channel that has carried another request it may be that one's, written once more; taken for this request's, the client got 503 for a request that ran. The channel is closed and the request ends as unknown. answers_test 'a refusal without an id on a reused channel' failed before (503).

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -404,6 +404,12 @@
                MG_STR_FMT(f->request.id), f->target->instance->info.id);
         return MG_CHANNEL_SKIP;
     }
+    if (res.not_run && res.id.n == 0 && f->reused_channel) {
+        /* it may belong to the request before this one, which may run */
+        mg_log(MG_EV_BAD_INPUT, "id=%.*s target=%s what=refusal_without_id",
+               MG_STR_FMT(f->request.id), f->target->instance->info.id);
+        return MG_CHANNEL_REJECT;
+    }
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -197,11 +197,16 @@
     c->keep_alive_ms = keep_s < 0 ? -1 : (int64_t)keep_s * 1000;
     mg_h1_body_init_response(&c->body, &headers, c->is_head);
     c->state = CHANNEL_BODY;
-    c->skipping =
-        c->callbacks->on_headers(c->callbacks, &headers) == MG_CHANNEL_SKIP;
+    mg_channel_action action =
+        c->callbacks->on_headers(c->callbacks, &headers);
+    c->skipping = action == MG_CHANNEL_SKIP;
     if (c->state != CHANNEL_BODY) {
         return false;
     }
+    if (action == MG_CHANNEL_REJECT) {
+        close_malformed(c, "rejected", headers.size);
+        return false;
+    }
     mg_buf_skip(&c->in, headers.size);
     c->header_bytes_seen = 0;
     return true;
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -30,7 +30,8 @@
 /* what on_headers decides about the response */
 typedef enum mg_channel_action {
     MG_CHANNEL_ACCEPT,
-    MG_CHANNEL_SKIP, /* discard the response and wait for the next one */
+    MG_CHANNEL_SKIP,   /* discard the response and wait for the next one */
+    MG_CHANNEL_REJECT, /* close the channel, the result is MALFORMED */
 } mg_channel_action;
 
 /* callbacks for one request, called in this order */
