--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -12,9 +12,8 @@
     struct {
         uint64_t id; /* 0: none */
         int64_t at_ms;
-    } crashes[MG_QUARANTINE_CRASHES]; /* a ring */
-    unsigned next_crash;              /* index into the ring */
-    int64_t cleared_ms;               /* crashes up to this don't count */
+    } crashes[MG_QUARANTINE_CRASHES];
+    int64_t cleared_ms; /* crashes up to this don't count */
     int64_t until_wall_ms;
 };
 
@@ -92,19 +91,55 @@
     return false;
 }
 
+/* The place for a crash at at_ms: a free one, else that of the oldest crash
+   that doesn't count, else that of the last one if it is older; -1: none. */
+static int
+place_for(const struct strike_record *r, int64_t at_ms)
+{
+    int old = -1;
+    int last = 0;
+    for (int i = 0; i < MG_QUARANTINE_CRASHES; i++) {
+        int64_t at = r->crashes[i].at_ms;
+        if (r->crashes[i].id == 0) {
+            return i;
+        }
+        if (!counts(r, (size_t)i) && (old < 0 || at < r->crashes[old].at_ms)) {
+            old = i;
+        }
+        last = at > r->crashes[last].at_ms ? i : last;
+    }
+    if (old >= 0) {
+        return old;
+    }
+    return at_ms > r->crashes[last].at_ms ? last : -1;
+}
+
+/* The first crashes stay and the last one is replaced: others, which are
+   forgotten, don't count when they are reported again. */
+static void
+add_crash(struct strike_record *r, uint64_t crash, int64_t at_ms)
+{
+    int i = place_for(r, at_ms);
+    if (i < 0) {
+        return;
+    }
+    bool counted = counts(r, (size_t)i);
+    r->crashes[i].id = crash;
+    r->crashes[i].at_ms = at_ms;
+    r->strikes += !counted && counts(r, (size_t)i);
+}
+
 unsigned
 mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
                          uint64_t crash, int64_t at_ms, int64_t wall_ms)
 {
     struct strike_record *r = find_or_add(q, fingerprint);
-    if (r->until_wall_ms <= wall_ms) {
+    if (r->until_wall_ms != 0 && r->until_wall_ms <= wall_ms) {
         r->strikes = 0;
+        r->cleared_ms = r->until_wall_ms;
     }
     if (!has_crash(r, crash)) {
-        unsigned i = r->next_crash++ % MG_QUARANTINE_CRASHES;
-        r->crashes[i].id = crash;
-        r->crashes[i].at_ms = at_ms;
-        r->strikes += at_ms > r->cleared_ms;
+        add_crash(r, crash, at_ms);
     }
     r->until_wall_ms = wall_ms + MG_QUARANTINE_DURATION_MS;
     return r->strikes;
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -20,7 +20,8 @@
    gateway is in gateway/suspects.h */
 #define MG_QUARANTINE_STRIKES 2
 #define MG_QUARANTINE_DURATION_MS (3600 * INT64_C(1000))
-/* the last crashes of a fingerprint, none of which is counted again */
+/* crashes of a fingerprint that are remembered: the first ones that count, and
+   the last one; further ones give no strike */
 #define MG_QUARANTINE_CRASHES 8
 /* fingerprints with strikes; beyond this, the first one added is forgotten */
 #define MG_QUARANTINE_RECORDS_MAX 8192
@@ -36,8 +37,7 @@
 mg_quarantine_crash(const char *target, uint64_t target_epoch);
 /*
  * Adds a strike for a crash at at_ms and restarts the expiry of all strikes of
- * the fingerprint. A crash among its last MG_QUARANTINE_CRASHES is not counted
- * again. Returns the number of strikes.
+ * the fingerprint. A crash is counted once. Returns the number of strikes.
  */
 unsigned
 mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -28,6 +28,9 @@
     int64_t crashed_ms[KEYS][CRASHES_MAX];
     size_t counts[KEYS];
     uint64_t next_crash;
+    bool refused[ENTRIES][LETHAL_KEYS]; /* parts, after the last step */
+    size_t reports;                     /* messages that entries have sent */
+    unsigned serves;                    /* calls of serve_sound_keys() */
     /* copies lost from one entry to another: of a crash, of a key served */
     unsigned lost[ENTRIES][ENTRIES][4][KEYS * CRASHES_MAX];
 } world;
@@ -60,6 +63,7 @@
         mg_str rest = loads;
         bool report_lost = mg_rng_unit(&world.rng) < lost;
         while (to != from && mg_msg_next(&rest, &m) == MG_OK) {
+            world.reports++;
             receive(from, to, &m, report_lost);
         }
     }
@@ -77,11 +81,11 @@
     }
 }
 
-/* a target crashes under a key; one entry or two see it */
+/* a target crashes under one of the first keys; one entry or two see it */
 static void
-crash(void)
+crash(uint32_t keys)
 {
-    size_t key = mg_rng_below(&world.rng, KEYS);
+    size_t key = mg_rng_below(&world.rng, keys);
     int first = (int)mg_rng_below(&world.rng, ENTRIES);
     uint64_t c = ++world.next_crash;
     if (world.counts[key] == CRASHES_MAX) {
@@ -96,7 +100,8 @@
     }
 }
 
-static void
+/* returns the entry that restarts */
+static int
 restart(void)
 {
     int i = (int)mg_rng_below(&world.rng, ENTRIES);
@@ -108,11 +113,13 @@
             mg_strikes_entry_started(world.entries[i]);
         }
     }
+    return i;
 }
 
 static void
 serve_sound_keys(int entry)
 {
+    world.serves++;
     for (size_t k = LETHAL_KEYS; k < KEYS; k++) {
         mg_strikes_served(world.entries[entry], REQUEST(k));
         mg_strikes_served(world.entries[entry], PART(k));
@@ -169,13 +176,24 @@
         refusing != ENTRIES) {
         return "three crashes, not refused by all";
     }
-    if (!restarted && crashed_apart(k) &&
-        world.counts[k] <= MG_QUARANTINE_CRASHES && parts != ENTRIES) {
+    if (!restarted && crashed_apart(k) && parts != ENTRIES) {
         return "three crashes under a part, not refused by all";
     }
     return NULL;
 }
 
+/* without restarts: each crash of a request and a part, reported by two
+   entries, all remembered ones again by all entries when a key is refused,
+   which may be once after each time that it was served; all to all others */
+static size_t
+reports_max(void)
+{
+    size_t again = ENTRIES * KEYS * MG_QUARANTINE_CRASHES;
+    size_t serves = (size_t)world.serves * ENTRIES * KEYS;
+    return 2 * MG_STRIKE_COPIES * (ENTRIES - 1) *
+           (2 * world.next_crash + again + serves);
+}
+
 static const char *
 check_end(bool restarted)
 {
@@ -186,6 +204,22 @@
     return violation;
 }
 
+/* remembers what is refused; returns whether an entry that has not restarted
+   lets through again what has never been served */
+static bool
+refuses_no_longer(int restarted)
+{
+    bool violated = false;
+    for (int i = 0; i < ENTRIES; i++) {
+        for (size_t k = 0; k < LETHAL_KEYS; k++) {
+            bool now = mg_strikes_refuses(world.entries[i], PART(k));
+            violated |= world.refused[i][k] && !now && i != restarted;
+            world.refused[i][k] = now;
+        }
+    }
+    return violated;
+}
+
 static const char *
 run(uint64_t seed)
 {
@@ -197,22 +231,29 @@
     for (int i = 0; i < ENTRIES; i++) {
         world.entries[i] = mg_strikes_new(&world.clk.clock);
     }
+    /* a third of the histories have many crashes, under one key */
+    bool many = seed % 3 == 0;
+    uint32_t crash_below = many ? 35 : 12;
     for (int i = 0; i < STEPS && violation == NULL; i++) {
         uint32_t what = mg_rng_below(&world.rng, 40);
-        if (what < 5) {
-            crash();
+        int restarted_now = -1;
+        if (what >= 7 && what < crash_below) {
+            crash(many ? 1 : KEYS);
         }
         else if (what == 6) {
             serve_sound_keys((int)mg_rng_below(&world.rng, ENTRIES));
         }
         else if (what == 5 && seed % 2 == 0) {
-            restart();
+            restarted_now = restart();
             restarted = true;
         }
         step(LOST_SHARE);
         if (refuses_harmless()) {
             violation = "refused after fewer than three crashes";
         }
+        if (refuses_no_longer(restarted_now)) {
+            violation = "a part that has never been served is let through";
+        }
     }
     step(0);
     for (int i = 0; i < ENTRIES; i++) {
@@ -222,6 +263,9 @@
         step(0);
     }
     violation = violation != NULL ? violation : check_end(restarted);
+    if (!restarted && world.reports > reports_max()) {
+        violation = "more reports than strikes need";
+    }
     for (int i = 0; i < ENTRIES; i++) {
         mg_strikes_free(world.entries[i]);
     }
