--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -10,14 +10,31 @@
     uint64_t key;
     uint64_t crash; /* 0: the key was served */
     int64_t at_ms;
+    unsigned position;
     unsigned copies; /* to be sent */
     int64_t next_ms;
     int64_t gap_ms;
 } strike_report;
 
+/* a part with enough strikes to be refused */
+typedef struct part {
+    uint64_t key;
+    unsigned position;
+    size_t crash_count;
+    uint64_t crashes[MG_QUARANTINE_CRASHES];
+} part;
+
+typedef struct parts {
+    size_t count;
+    part parts[MG_STRIKES_PARTS_MAX];
+} parts;
+
 struct mg_strikes {
     mg_clock *clock;
     mg_quarantine *quarantine;
+    uint64_t refused_parts[MG_STRIKES_PARTS_MAX];
+    size_t refused_count;
+    bool changed; /* refused_parts must be determined again */
     struct list_head reports;
     size_t report_count;
 };
@@ -86,6 +103,7 @@
     strike_report *r = find_report(s, c);
     r = r != NULL ? r : new_report(s, c);
     r->at_ms = c->at_ms;
+    r->position = c->rank;
     r->copies = MG_STRIKE_COPIES;
     r->next_ms = mg_now(s->clock);
     r->gap_ms = MG_STRIKE_GAP_MS;
@@ -95,8 +113,9 @@
 add_strike(mg_strikes *s, const mg_quarantine_crash_row *c)
 {
     bool refused = mg_strikes_refuses(s, c->fingerprint);
-    unsigned strikes = mg_quarantine_add_strike(
-        s->quarantine, c->fingerprint, c->crash, c->at_ms, mg_now(s->clock));
+    unsigned strikes =
+        mg_quarantine_add_strike(s->quarantine, c, mg_now(s->clock));
+    s->changed = true;
     if (!refused && strikes >= MG_STRIKES_MAX) {
         /* an entry that has started meanwhile knows the last one only */
         mg_quarantine_each_crash(s->quarantine, c->fingerprint, queue_report,
@@ -106,9 +125,9 @@
 }
 
 unsigned
-mg_strikes_add(mg_strikes *s, uint64_t key, uint64_t crash)
+mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash)
 {
-    mg_quarantine_crash_row c = {key, crash, mg_now(s->clock)};
+    mg_quarantine_crash_row c = {key, crash, mg_now(s->clock), position};
     queue_report(s, &c);
     return add_strike(s, &c);
 }
@@ -124,7 +143,8 @@
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m)
 {
-    mg_quarantine_crash_row c = {m->key, m->crash, time_of(s, m->age_ms)};
+    mg_quarantine_crash_row c = {m->key, m->crash, time_of(s, m->age_ms),
+                                 (unsigned)m->position};
     return add_strike(s, &c);
 }
 
@@ -140,6 +160,7 @@
 clear_strikes(mg_strikes *s, uint64_t key, int64_t at_ms)
 {
     mg_quarantine_clear(s->quarantine, key, at_ms, mg_now(s->clock));
+    s->changed = true;
     list_for_each_safe(el, el1, &s->reports)
     {
         strike_report *r = list_entry(el, strike_report, link);
@@ -152,7 +173,7 @@
 void
 mg_strikes_served(mg_strikes *s, uint64_t key)
 {
-    mg_quarantine_crash_row c = {key, 0, mg_now(s->clock)};
+    mg_quarantine_crash_row c = {key, 0, mg_now(s->clock), 0};
     if (!has_strikes(s, key)) {
         return;
     }
@@ -166,13 +187,103 @@
     clear_strikes(s, m->key, time_of(s, m->age_ms));
 }
 
+static void
+collect_crash(void *user, const mg_quarantine_crash_row *c)
+{
+    parts *all = user;
+    part *p = all->count > 0 ? &all->parts[all->count - 1] : NULL;
+    if (!(c->fingerprint & MG_STRIKES_PART)) {
+        return;
+    }
+    if (p == NULL || p->key != c->fingerprint) {
+        if (all->count == MG_STRIKES_PARTS_MAX) {
+            return;
+        }
+        p = &all->parts[all->count++];
+        *p = (part){.key = c->fingerprint, .position = c->rank};
+    }
+    p->crashes[p->crash_count++] = c->crash;
+}
+
+static bool
+is_better_cause(const part *a, const part *b)
+{
+    if (a->crash_count != b->crash_count) {
+        return a->crash_count > b->crash_count;
+    }
+    return a->position > b->position ||
+           (a->position == b->position && a->key > b->key);
+}
+
+/* takes the crashes that the cause explains away from a part */
+static void
+explain(part *p, const part *cause)
+{
+    size_t n = 0;
+    for (size_t i = 0; i < p->crash_count; i++) {
+        bool explained = false;
+        for (size_t k = 0; k < cause->crash_count; k++) {
+            explained |= p->crashes[i] == cause->crashes[k];
+        }
+        if (!explained) {
+            p->crashes[n++] = p->crashes[i];
+        }
+    }
+    p->crash_count = n;
+}
+
+static void
+determine_refused_parts(mg_strikes *s)
+{
+    static parts all;
+    all.count = 0;
+    s->refused_count = 0;
+    s->changed = false;
+    mg_quarantine_each(s->quarantine, MG_STRIKES_MAX, mg_now(s->clock),
+                       collect_crash, &all);
+    for (;;) {
+        part *cause = NULL;
+        for (size_t i = 0; i < all.count; i++) {
+            part *p = &all.parts[i];
+            if (p->crash_count >= MG_STRIKES_MAX &&
+                (cause == NULL || is_better_cause(p, cause))) {
+                cause = p;
+            }
+        }
+        if (cause == NULL) {
+            return;
+        }
+        part found = *cause;
+        s->refused_parts[s->refused_count++] = found.key;
+        for (size_t i = 0; i < all.count; i++) {
+            explain(&all.parts[i], &found);
+        }
+    }
+}
+
+static bool
+refuses_part(mg_strikes *s, uint64_t key)
+{
+    if (s->changed) {
+        determine_refused_parts(s);
+    }
+    for (size_t i = 0; i < s->refused_count; i++) {
+        if (s->refused_parts[i] == key) {
+            return mg_quarantine_span_ms(s->quarantine, key) >=
+                   MG_STRIKES_SPAN_MS;
+        }
+    }
+    return false;
+}
+
 bool
-mg_strikes_refuses(const mg_strikes *s, uint64_t key)
+mg_strikes_refuses(mg_strikes *s, uint64_t key)
 {
-    int64_t span_min = key & MG_STRIKES_PART ? MG_STRIKES_SPAN_MS : 0;
+    if (key & MG_STRIKES_PART) {
+        return refuses_part(s, key);
+    }
     return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) >=
-               MG_STRIKES_MAX &&
-           mg_quarantine_span_ms(s->quarantine, key) >= span_min;
+           MG_STRIKES_MAX;
 }
 
 bool
@@ -200,6 +311,7 @@
     }
     else {
         m.u.load_strike.key = r->key;
+        m.u.load_strike.position = r->position;
         m.u.load_strike.crash = r->crash;
         m.u.load_strike.age_ms = age_ms;
     }
@@ -229,4 +341,5 @@
 mg_strikes_expire(mg_strikes *s)
 {
     mg_quarantine_expire(s->quarantine, mg_now(s->clock));
+    s->changed = true;
 }
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -7,6 +7,13 @@
  * served has not crashed its target: that takes the key's earlier strikes
  * back.
  *
+ * A target that crashes gives strikes to all that it ran and to all parts of
+ * their prompts. Few of them are the cause: of the parts with enough strikes,
+ * the one with the most crashes is refused, then the one with the most of the
+ * remaining crashes, as long as there are enough. Of parts with the same
+ * crashes it is the last one in the prompt: what comes first is shared by more
+ * requests.
+ *
  * Strikes, and that a key with strikes was served, are sent to the other
  * entries with the load reports. A report may be lost, so each one stands in
  * several; an entry that starts is sent all strikes of refused keys.
@@ -32,6 +39,8 @@
    it doubles with each one */
 #define MG_STRIKE_COPIES 4
 #define MG_STRIKE_GAP_MS 250
+/* parts that are refused at a time; with more, those with the most crashes */
+#define MG_STRIKES_PARTS_MAX 64
 /* strikes that wait to be reported; beyond this, the first one is dropped */
 #define MG_STRIKE_REPORTS_MAX 2048
 
@@ -42,9 +51,10 @@
 void
 mg_strikes_free(mg_strikes *s);
 /* Adds a strike for a crash that this entry has seen now; returns the key's
-   strikes. crash: see mg_quarantine_crash(). */
+   strikes. position: of the part in the prompt. crash: see
+   mg_quarantine_crash(). */
 unsigned
-mg_strikes_add(mg_strikes *s, uint64_t key, uint64_t crash);
+mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash);
 /* Adds a strike that another entry reports; returns the key's strikes. */
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m);
@@ -56,7 +66,7 @@
 mg_strikes_receive_served(mg_strikes *s, const mg_load_served_msg *m);
 /* Whether what has this key is refused. */
 bool
-mg_strikes_refuses(const mg_strikes *s, uint64_t key);
+mg_strikes_refuses(mg_strikes *s, uint64_t key);
 /* Whether no key has strikes. */
 bool
 mg_strikes_is_empty(const mg_strikes *s);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -85,6 +85,7 @@
     }
     out->keys[out->key_count++] = mg_suspect_fingerprint(f);
     for (size_t i = 0; f->event_count <= 1 && i < shared_parts(f); i++) {
+        out->positions[out->key_count] = (unsigned)i;
         out->keys[out->key_count++] = part_key(&f->request.parts[i]);
     }
 }
@@ -96,7 +97,7 @@
 }
 
 static void
-log_if_cleared(const mg_gateway *gw, uint64_t key, bool was_refused)
+log_if_cleared(mg_gateway *gw, uint64_t key, bool was_refused)
 {
     if (was_refused && !mg_strikes_refuses(gw->strikes, key)) {
         mg_log(MG_EV_CRASH_CLEARED, "kind=%s key=%016" PRIx64, kind_of(key),
@@ -158,7 +159,8 @@
     uint64_t crash = mg_quarantine_crash(p->target, p->started_ms);
     for (size_t i = 0; i < p->suspect.key_count; i++) {
         uint64_t key = p->suspect.keys[i];
-        unsigned strikes = mg_strikes_add(p->gw->strikes, key, crash);
+        unsigned strikes = mg_strikes_add(p->gw->strikes, key,
+                                          p->suspect.positions[i], crash);
         mg_log(mg_strikes_refuses(p->gw->strikes, key) ? MG_EV_QUARANTINE
                                                        : MG_EV_CRASH_SUSPECT,
                "id=%s kind=%s key=%016" PRIx64 " target=%s marks=%u", p->id,
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -19,7 +19,8 @@
 typedef struct mg_suspect {
     mg_str id;
     size_t key_count;
-    uint64_t keys[MG_PARTS_MAX]; /* that get a strike */
+    uint64_t keys[MG_PARTS_MAX];      /* that get a strike */
+    unsigned positions[MG_PARTS_MAX]; /* of parts, in the prompt */
 } mg_suspect;
 
 /* Hash of a request's path, workspace or key, and body: its key for strikes;
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -9,6 +9,7 @@
     UT_hash_handle hh;
     uint64_t fingerprint;
     unsigned strikes;
+    unsigned rank;
     struct {
         uint64_t id; /* 0: none */
         int64_t at_ms;
@@ -130,17 +131,18 @@
 }
 
 unsigned
-mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
-                         uint64_t crash, int64_t at_ms, int64_t wall_ms)
+mg_quarantine_add_strike(mg_quarantine *q, const mg_quarantine_crash_row *c,
+                         int64_t wall_ms)
 {
-    struct strike_record *r = find_or_add(q, fingerprint);
+    struct strike_record *r = find_or_add(q, c->fingerprint);
     if (r->until_wall_ms != 0 && r->until_wall_ms <= wall_ms) {
         r->strikes = 0;
         r->cleared_ms = r->until_wall_ms;
     }
-    if (!has_crash(r, crash)) {
-        add_crash(r, crash, at_ms);
+    if (!has_crash(r, c->crash)) {
+        add_crash(r, c->crash, c->at_ms);
     }
+    r->rank = c->rank > r->rank ? c->rank : r->rank;
     r->until_wall_ms = wall_ms + MG_QUARANTINE_DURATION_MS;
     return r->strikes;
 }
@@ -204,9 +206,9 @@
 {
     for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
         if (counts(r, i)) {
-            f(user,
-              &(mg_quarantine_crash_row){r->fingerprint, r->crashes[i].id,
-                                         r->crashes[i].at_ms});
+            mg_quarantine_crash_row c = {r->fingerprint, r->crashes[i].id,
+                                         r->crashes[i].at_ms, r->rank};
+            f(user, &c);
         }
     }
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -35,13 +35,22 @@
 /* Identifies the crash that ended an epoch of a target. */
 uint64_t
 mg_quarantine_crash(const char *target, uint64_t target_epoch);
+/* a crash under a fingerprint */
+typedef struct mg_quarantine_crash_row {
+    uint64_t fingerprint;
+    uint64_t crash; /* see mg_quarantine_crash() */
+    int64_t at_ms;
+    unsigned rank; /* of the fingerprint, for the caller's use */
+} mg_quarantine_crash_row;
+
 /*
- * Adds a strike for a crash at at_ms and restarts the expiry of all strikes of
- * the fingerprint. A crash is counted once. Returns the number of strikes.
+ * Adds a strike for a crash and restarts the expiry of all strikes of the
+ * fingerprint, whose highest rank is kept. A crash is counted once. Returns
+ * the number of strikes.
  */
 unsigned
-mg_quarantine_add_strike(mg_quarantine *q, uint64_t fingerprint,
-                         uint64_t crash, int64_t at_ms, int64_t wall_ms);
+mg_quarantine_add_strike(mg_quarantine *q, const mg_quarantine_crash_row *c,
+                         int64_t wall_ms);
 /* Takes back the strikes for crashes up to at_ms, those too that are added
    later: the fingerprint was served then. */
 void
@@ -63,12 +72,6 @@
 int64_t
 mg_quarantine_span_ms(const mg_quarantine *q, uint64_t fingerprint);
 
-typedef struct mg_quarantine_crash_row {
-    uint64_t fingerprint;
-    uint64_t crash;
-    int64_t at_ms;
-} mg_quarantine_crash_row;
-
 /* Calls f with each remembered crash that counts, of the fingerprints that
    have this many strikes or more. */
 void
--- a/src/policy/sched_target.c
+++ b/src/policy/sched_target.c
@@ -39,9 +39,12 @@
     if (slot->fingerprint == 0) {
         return;
     }
-    unsigned strikes = mg_quarantine_add_strike(
-        s->quarantine, slot->fingerprint,
-        mg_quarantine_crash(t->name, t->epoch), wall, wall);
+    mg_quarantine_crash_row c = {
+        .fingerprint = slot->fingerprint,
+        .crash = mg_quarantine_crash(t->name, t->epoch),
+        .at_ms = wall,
+    };
+    unsigned strikes = mg_quarantine_add_strike(s->quarantine, &c, wall);
     mg_log(strikes >= MG_QUARANTINE_STRIKES ? MG_EV_QUARANTINE
                                             : MG_EV_CRASH_SUSPECT,
            "id=%" PRIx64 " fingerprint=%016" PRIx64 " target=%s marks=%u",
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -201,7 +201,8 @@
     F(U64, gap_us)
 /* a crash that requests with this key are suspected of; such a request was
    served */
-#define MG_FIELDS_LOAD_STRIKE(F) F(U64, key) F(U64, crash) F(U64, age_ms)
+#define MG_FIELDS_LOAD_STRIKE(F) \
+    F(U64, key) F(U64, position) F(U64, crash) F(U64, age_ms)
 #define MG_FIELDS_LOAD_SERVED(F) F(U64, key) F(U64, age_ms)
 
 /* number, name, lower-case name */
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -95,8 +95,8 @@
     unsigned seen_by = 1 + mg_rng_below(&world.rng, 2);
     for (unsigned i = 0; i < seen_by; i++) {
         mg_strikes *s = world.entries[((unsigned)first + i) % ENTRIES];
-        mg_strikes_add(s, REQUEST(key), c);
-        mg_strikes_add(s, PART(key), c);
+        mg_strikes_add(s, REQUEST(key), 0, c);
+        mg_strikes_add(s, PART(key), 0, c);
     }
 }
 
@@ -272,6 +272,102 @@
     return violation;
 }
 
+/* ------------------------------------------- which part is the cause */
+
+#define FRONT_PARTS 3
+#define BACK_PARTS 6
+#define CAUSE_CRASHES 8
+#define CAUSE_MS 400
+
+/* crashes a target under requests with one lethal part; a sound request ran
+   on it, too */
+static void
+crash_prompts(mg_strikes *s, const uint64_t lethal[2], const uint64_t sound[2])
+{
+    uint64_t c = ++world.next_crash;
+    for (unsigned i = 0; i < 2; i++) {
+        mg_strikes_add(s, PART(lethal[i]), i, c);
+        mg_strikes_add(s, PART(sound[i]), i, c);
+    }
+}
+
+/*
+ * Prompts of two shared parts, one of few fronts and one of more backs. One
+ * front or back is lethal. It ends up refused; a part that has been in some of
+ * the lethal requests only does not.
+ */
+static const char *
+find_cause(uint64_t seed)
+{
+    const char *violation = NULL;
+    memset(&world, 0, sizeof(world));
+    mg_manual_clock_init(&world.clk);
+    mg_rng_init(&world.rng, seed);
+    mg_strikes *s = mg_strikes_new(&world.clk.clock);
+    bool front = mg_rng_below(&world.rng, 2);
+    uint64_t part = front ? mg_rng_below(&world.rng, FRONT_PARTS)
+                          : FRONT_PARTS + mg_rng_below(&world.rng, BACK_PARTS);
+    bool always[FRONT_PARTS + BACK_PARTS];
+    memset(always, 1, sizeof(always));
+    for (int i = 0; i < CAUSE_CRASHES; i++) {
+        uint64_t lethal[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
+                              FRONT_PARTS +
+                                  mg_rng_below(&world.rng, BACK_PARTS)};
+        uint64_t sound[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
+                             FRONT_PARTS +
+                                 mg_rng_below(&world.rng, BACK_PARTS)};
+        lethal[front ? 0 : 1] = part;
+        crash_prompts(s, lethal, sound);
+        for (uint64_t k = 0; k < FRONT_PARTS + BACK_PARTS; k++) {
+            always[k] &= k == lethal[0] || k == lethal[1] || k == sound[0] ||
+                         k == sound[1];
+        }
+        world.clk.mono += CAUSE_MS;
+    }
+    unsigned candidates = 0;
+    for (uint64_t k = 0; k < FRONT_PARTS + BACK_PARTS; k++) {
+        candidates += always[k];
+    }
+    for (uint64_t k = 0; k < FRONT_PARTS + BACK_PARTS; k++) {
+        bool refused = mg_strikes_refuses(s, PART(k));
+        if (refused && !always[k]) {
+            violation = "a part is refused that was not always there";
+        }
+        if (k == part && !refused && candidates == 1) {
+            violation = "the lethal part is not refused";
+        }
+    }
+    mg_strikes_free(s);
+    return violation;
+}
+
+static void
+test_cause(void)
+{
+    run_histories(find_cause, HISTORIES);
+}
+
+/* a front and a back that are always there together: the back is the cause;
+   requests with the front only are not refused */
+static void
+test_parts_together(void)
+{
+    mg_manual_clock_init(&world.clk);
+    mg_strikes *s = mg_strikes_new(&world.clk.clock);
+    for (int i = 0; i < MG_STRIKES_MAX; i++) {
+        mg_strikes_add(s, PART(0), 0, (uint64_t)i + 1);
+        mg_strikes_add(s, PART(1), 1, (uint64_t)i + 1);
+        world.clk.mono += CAUSE_MS;
+    }
+    CU_ASSERT_FALSE(mg_strikes_refuses(s, PART(0)));
+    CU_ASSERT_TRUE(mg_strikes_refuses(s, PART(1)));
+    /* one more crash without the back: it was the front */
+    mg_strikes_add(s, PART(0), 0, MG_STRIKES_MAX + 1);
+    CU_ASSERT_TRUE(mg_strikes_refuses(s, PART(0)));
+    CU_ASSERT_FALSE(mg_strikes_refuses(s, PART(1)));
+    mg_strikes_free(s);
+}
+
 static void
 test_histories(void)
 {
@@ -283,6 +379,8 @@
 {
     static const CU_TestInfo tests[] = {
         {"lost reports and entries that restart", test_histories},
+        {"the part that is the cause", test_cause},
+        {"two parts that are always there together", test_parts_together},
         CU_TEST_INFO_NULL,
     };
     return run_suite("strikes", tests);
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -43,8 +43,8 @@
 receive_strike(mg_gateway *gw, uint64_t fingerprint, const char *target,
                uint64_t started_ms)
 {
-    mg_load_strike_msg m = {fingerprint,
-                            mg_quarantine_crash(target, started_ms), 0};
+    mg_load_strike_msg m = {.key = fingerprint,
+                            .crash = mg_quarantine_crash(target, started_ms)};
     mg_suspect_receive_strike(gw, &m);
 }
 
