Quota: an entry that starts learns the use of the last window

The others report, for two seconds after an entry has started, what workspaces above half of their quota have used, in eighths of the window with their age; the starting entry counts what is older than its start, from the first such report. Now it admits none, and all again a window later.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -13,6 +13,8 @@
 /* for this time after the start, the first usage total reported by another
    entry is only a baseline and is not counted, ms */
 #define BASELINE_MS 2500
+/* reports bear past use for this time after another entry has started, ms */
+#define PAST_REPORTS_MS 2000
 /* age at which a report is no longer counted, ms */
 #define REPORT_STALE_MS 2000
 
@@ -99,6 +101,27 @@
     mg_msg_encode(&m, user);
 }
 
+static void
+report_past_usage(mg_gateway *gw, mg_buf *loads)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    mg_gw_usage *u = now < gw->past_until_ms ? gw->usage : NULL;
+    for (; u != NULL; u = u->hh.next) {
+        for (unsigned i = 0; i < MG_QUOTA_PARTS; i++) {
+            mg_msg m = {.type = MG_MSG_LOAD_PAST};
+            int64_t age_ms;
+            double used = mg_quota_past(&u->quota, i, now, &age_ms);
+            if (used < 1) {
+                continue;
+            }
+            m.u.load_past.workspace = mg_str_of(u->workspace);
+            m.u.load_past.used = (uint64_t)used;
+            m.u.load_past.age_ms = (uint64_t)age_ms;
+            mg_msg_encode(&m, loads);
+        }
+    }
+}
+
 void
 mg_gateway_append_report(mg_gateway *gw, mg_buf *loads)
 {
@@ -120,6 +143,7 @@
         m.u.load_usage.used = u->quota.used_total;
         mg_msg_encode(&m, loads);
     }
+    report_past_usage(gw, loads);
     mg_strikes_report(gw->strikes, loads);
 }
 
@@ -170,6 +194,29 @@
     }
 }
 
+/* After a start, counts what a workspace had used before it, as the first
+   report that says so has it. */
+static void
+add_past_usage(mg_gateway *gw, const mg_load_past_msg *l)
+{
+    char name[MG_NAME_SIZE];
+    int64_t now = mg_now(gw->opts.clock);
+    if (now - gw->started_ms > gw->opts.limits.quota_window_ms) {
+        return;
+    }
+    mg_str_copy(name, sizeof(name), l->workspace);
+    mg_gw_usage *u = mg_gw_usage_of(gw, name);
+    if (u->past_report == 0) {
+        u->past_report = gw->report_count;
+        mg_log(MG_EV_QUOTA, "workspace=%s why=past_use", name);
+    }
+    int64_t age_ms = l->age_ms < INT32_MAX ? (int64_t)l->age_ms : INT32_MAX;
+    /* what was used since is known */
+    if (u->past_report == gw->report_count && age_ms >= now - gw->started_ms) {
+        mg_quota_add_past(&u->quota, (double)l->used, age_ms, now);
+    }
+}
+
 static void
 add_signed(double *sum, double sign, uint64_t value)
 {
@@ -243,12 +290,17 @@
         p->incarnation = incarnation;
         p->loads.n = 0;
         mg_strikes_entry_started(gw->strikes);
+        gw->past_until_ms = mg_now(gw->opts.clock) + PAST_REPORTS_MS;
     }
+    gw->report_count++;
     mg_str rest = loads;
     while (mg_msg_next(&rest, &m) == MG_OK) {
         if (m.type == MG_MSG_LOAD_USAGE) {
             add_remote_usage(gw, p, &m.u.load_usage);
         }
+        else if (m.type == MG_MSG_LOAD_PAST) {
+            add_past_usage(gw, &m.u.load_past);
+        }
         else if (m.type == MG_MSG_LOAD_STRIKE) {
             mg_suspect_receive_strike(gw, &m.u.load_strike);
         }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -70,6 +70,8 @@
     UT_hash_handle hh;
     char workspace[MG_NAME_SIZE];
     mg_quota quota;
+    /* report from which use before this entry's start was taken, 0: none */
+    uint64_t past_report;
 } mg_gw_usage;
 
 /* the last load report of another entry */
@@ -96,6 +98,8 @@
     size_t open_requests;
     mg_response_memory response_memory;
     int64_t started_ms;
+    int64_t past_until_ms; /* reports bear past use, an entry has started */
+    uint64_t report_count; /* received */
     int64_t report_age_ms;
     size_t entry_count; /* number of entries that share the slots */
     size_t self_index;  /* index of this entry among them */
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -106,6 +106,34 @@
     q->remote_per_slice[q->slice % MG_QUOTA_SLICES] += cost;
 }
 
+double
+mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms)
+{
+    enum { SLICES = MG_QUOTA_SLICES / MG_QUOTA_PARTS };
+    double used = 0;
+    advance(q, now);
+    *age_ms = (int64_t)part * SLICES * q->slice_ms;
+    if (q->rate <= 0 || 2 * q->used_window < limit_of(q)) {
+        return 0;
+    }
+    for (int64_t i = 0; i < SLICES; i++) {
+        int64_t slice = q->slice - (int64_t)part * SLICES - i;
+        used += slice >= 0 ? *slice_at(q, slice) : 0;
+    }
+    return used;
+}
+
+void
+mg_quota_add_past(mg_quota *q, double cost, int64_t age_ms, int64_t now)
+{
+    advance(q, now);
+    int64_t slice = q->slice - age_ms / q->slice_ms;
+    if (slice >= 0 && q->slice - slice < MG_QUOTA_SLICES) {
+        *slice_at(q, slice) += cost;
+        q->used_window += cost;
+    }
+}
+
 void
 mg_quota_refund(mg_quota *q, double cost, int64_t taken_ms, int64_t now)
 {
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -47,6 +47,16 @@
 /* Counts another use of a request that has taken cost, whatever the limits. */
 void
 mg_quota_charge(mg_quota *q, double cost, int64_t now);
+/* parts into which mg_quota_past() divides a window */
+#define MG_QUOTA_PARTS 8
+/* Use in a part of the last window, part 0 being the last one, and the time
+   since its end. Returns 0 unless more than half of the quota is used: then no
+   entry needs to know. */
+double
+mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms);
+/* Counts use of that age, from before this entry's start. */
+void
+mg_quota_add_past(mg_quota *q, double cost, int64_t age_ms, int64_t now);
 /* Takes back a cost that was counted at taken_ms: the request was not run.
    Once that time has left the window, nothing changes. */
 void
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -190,6 +190,8 @@
 #define MG_FIELDS_LOAD_TARGET(F) \
     F(STR, id) F(U64, running) F(U64, prefill) F(U64, took_ms) F(U64, work_ms)
 #define MG_FIELDS_LOAD_USAGE(F) F(STR, workspace) F(U64, used)
+/* use by all entries that is age_ms old, for an entry that has just started */
+#define MG_FIELDS_LOAD_PAST(F) F(STR, workspace) F(U64, used) F(U64, age_ms)
 #define MG_FIELDS_LOAD_POOL(F) F(STR, service) F(U64, waiting)
 
 /* rollout: requests sent and results measured since the last message */
@@ -280,7 +282,8 @@
     M(125, ROLLOUT_SAMPLES, rollout_samples) \
     M(126, ROLLOUT_SAMPLE, rollout_sample) \
     M(128, LOAD_STRIKE, load_strike) \
-    M(129, LOAD_SERVED, load_served)
+    M(129, LOAD_SERVED, load_served) \
+    M(130, LOAD_PAST, load_past)
 
 /* clang-format on */
 
--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -5,6 +5,10 @@
 
 #define WINDOW_MS 8000
 #define LONG_UPTIME_MS 60000
+/* units a second, of a burst and of a whole window */
+#define QUOTA_RATE 100
+#define QUOTA_BURST 200
+#define QUOTA_WINDOW (QUOTA_RATE * WINDOW_MS / 1000 + QUOTA_BURST)
 
 static mg_manual_clock clk;
 
@@ -70,12 +74,51 @@
     CU_ASSERT_EQUAL(in_window(gw), 40);
 }
 
+/* Takes units until the quota is reached; returns their number. */
+static unsigned
+take_all(mg_gateway *gw)
+{
+    mg_quota *q = &mg_gw_usage_of(gw, "w")->quota;
+    unsigned n = 0;
+    mg_quota_set(q, QUOTA_RATE, QUOTA_BURST, 0, WINDOW_MS);
+    while (n < 10 * QUOTA_WINDOW && mg_quota_take(q, 1, clk.mono)) {
+        n++;
+    }
+    return n;
+}
+
+/* An entry that starts while a workspace is at its quota doesn't grant the
+   quota of the last window again; it does so when that window has passed. */
+static void
+test_start_within_a_window(void)
+{
+    mg_buf loads = {0};
+    mg_manual_clock_init(&clk);
+    clk.mono = 1000;
+    mg_gateway *old = new_gateway();
+    clk.mono += LONG_UPTIME_MS;
+    CU_ASSERT_EQUAL(take_all(old), QUOTA_WINDOW);
+    mg_gateway *started = new_gateway();
+    mg_gateway_receive_report(old, "10.0.0.2", 7, (mg_str){"", 0});
+    mg_gateway_append_report(old, &loads);
+    mg_gateway_receive_report(started, "10.0.0.1", 1, mg_str_buf(&loads));
+    CU_ASSERT_EQUAL(take_all(started), 0);
+    /* another entry reports the same */
+    mg_gateway_receive_report(started, "10.0.0.3", 1, mg_str_buf(&loads));
+    clk.mono += WINDOW_MS / 2;
+    CU_ASSERT_EQUAL(take_all(started), 0);
+    clk.mono += WINDOW_MS / 2 + WINDOW_MS / 8;
+    CU_ASSERT_EQUAL(take_all(started), QUOTA_WINDOW);
+    mg_buf_free(&loads);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"before the first request", test_before_the_first_request},
         {"after a start", test_after_a_start},
+        {"a start within a window", test_start_within_a_window},
         CU_TEST_INFO_NULL,
     };
     return run_suite("usage", tests);
