--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -81,6 +81,10 @@
 #define EVENT_2 "id: 2\ndata: b\n\n"
 #define STREAM "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+static const char error_chunked[] =
+    "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nerror\r\n0\r\n\r\n";
+
 /* the first target breaks off after an event, the next one sends this */
 static const char *second_answer;
 
@@ -101,8 +105,7 @@
 {
     static const char *const rows[] = {
         "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror",
-        "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "5\r\nerror\r\n0\r\n\r\n",
+        error_chunked,
         "HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nerror",
         "HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nerror",
         "HTTP/1.1 204 No Content\r\n\r\n",
