--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -102,22 +102,32 @@
 }
 
 static void
-report_past_usage(mg_gateway *gw, mg_buf *loads)
+report_past_use_of(mg_gw_usage *u, int64_t now, mg_buf *loads)
+{
+    for (unsigned i = 0; i < MG_QUOTA_PARTS; i++) {
+        mg_msg m = {.type = MG_MSG_LOAD_PAST};
+        int64_t age_ms;
+        double used = mg_quota_past(&u->quota, i, now, &age_ms);
+        if (used < 1) {
+            continue;
+        }
+        m.u.load_past.workspace = mg_str_of(u->workspace);
+        m.u.load_past.used = (uint64_t)used;
+        m.u.load_past.age_ms = (uint64_t)age_ms;
+        mg_msg_encode(&m, loads);
+    }
+}
+
+/* For entries that have just started; workspaces below half of their quota
+   can't exceed it there before they are known. */
+static void
+report_past_use(mg_gateway *gw, mg_buf *loads)
 {
     int64_t now = mg_now(gw->opts.clock);
     mg_gw_usage *u = now < gw->past_until_ms ? gw->usage : NULL;
     for (; u != NULL; u = u->hh.next) {
-        for (unsigned i = 0; i < MG_QUOTA_PARTS; i++) {
-            mg_msg m = {.type = MG_MSG_LOAD_PAST};
-            int64_t age_ms;
-            double used = mg_quota_past(&u->quota, i, now, &age_ms);
-            if (used < 1) {
-                continue;
-            }
-            m.u.load_past.workspace = mg_str_of(u->workspace);
-            m.u.load_past.used = (uint64_t)used;
-            m.u.load_past.age_ms = (uint64_t)age_ms;
-            mg_msg_encode(&m, loads);
+        if (mg_quota_is_half_used(&u->quota, now)) {
+            report_past_use_of(u, now, loads);
         }
     }
 }
@@ -143,7 +153,7 @@
         m.u.load_usage.used = u->quota.used_total;
         mg_msg_encode(&m, loads);
     }
-    report_past_usage(gw, loads);
+    report_past_use(gw, loads);
     mg_strikes_report(gw->strikes, loads);
 }
 
@@ -197,7 +207,7 @@
 /* After a start, counts what a workspace had used before it, as the first
    report that says so has it. */
 static void
-add_past_usage(mg_gateway *gw, const mg_load_past_msg *l)
+add_past_use(mg_gateway *gw, const mg_load_past_msg *l)
 {
     char name[MG_NAME_SIZE];
     int64_t now = mg_now(gw->opts.clock);
@@ -299,7 +309,7 @@
             add_remote_usage(gw, p, &m.u.load_usage);
         }
         else if (m.type == MG_MSG_LOAD_PAST) {
-            add_past_usage(gw, &m.u.load_past);
+            add_past_use(gw, &m.u.load_past);
         }
         else if (m.type == MG_MSG_LOAD_STRIKE) {
             mg_suspect_receive_strike(gw, &m.u.load_strike);
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -106,6 +106,13 @@
     q->remote_per_slice[q->slice % MG_QUOTA_SLICES] += cost;
 }
 
+bool
+mg_quota_is_half_used(mg_quota *q, int64_t now)
+{
+    advance(q, now);
+    return q->rate > 0 && 2 * q->used_window >= limit_of(q);
+}
+
 double
 mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms)
 {
@@ -113,9 +120,6 @@
     double used = 0;
     advance(q, now);
     *age_ms = (int64_t)part * SLICES * q->slice_ms;
-    if (q->rate <= 0 || 2 * q->used_window < limit_of(q)) {
-        return 0;
-    }
     for (int64_t i = 0; i < SLICES; i++) {
         int64_t slice = q->slice - (int64_t)part * SLICES - i;
         used += slice >= 0 ? *slice_at(q, slice) : 0;
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -49,9 +49,11 @@
 mg_quota_charge(mg_quota *q, double cost, int64_t now);
 /* parts into which mg_quota_past() divides a window */
 #define MG_QUOTA_PARTS 8
+/* Whether more than half of the quota is used. */
+bool
+mg_quota_is_half_used(mg_quota *q, int64_t now);
 /* Use in a part of the last window, part 0 being the last one, and the time
-   since its end. Returns 0 unless more than half of the quota is used: then no
-   entry needs to know. */
+   since its end. */
 double
 mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms);
 /* Counts use of that age, from before this entry's start. */
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -39,8 +39,9 @@
    it doubles with each one */
 #define MG_STRIKE_COPIES 4
 #define MG_STRIKE_GAP_MS 250
-/* parts that are refused at a time; with more, those with the most crashes */
-#define MG_STRIKES_PARTS_MAX 64
+/* parts with enough strikes that are looked at.
+   XXX: further ones are not refused. */
+#define MG_STRIKES_PARTS_MAX 256
 /* strikes that wait to be reported; beyond this, the first one is dropped */
 #define MG_STRIKE_REPORTS_MAX 2048
 
