--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -7,10 +7,11 @@
 #define ROUNDS 6
 
 static unsigned crashes;
-/* written before a crash, may be NULL */
-static const char *last_words;
-/* a request for this path is held until the test crashes its target */
-static const char *held_path;
+/* what targets write before they crash, may be NULL */
+static const char *partial_response;
+/* the first crashing request is held until the test crashes its target; the
+   others that reach this target don't crash it */
+static bool hold_first;
 static int held_by; /* target, -1: none */
 
 static void
@@ -24,13 +25,13 @@
         world_close(c);
         return;
     }
-    if (held_path != NULL && held_by < 0) {
+    if (hold_first && held_by < 0) {
         held_by = c->target;
         return;
     }
     crashes++;
-    if (last_words != NULL) {
-        world_write(c, last_words);
+    if (partial_response != NULL) {
+        world_write(c, partial_response);
     }
     world_crash(c->target);
 }
@@ -46,8 +47,8 @@
         .stream = stream,
     };
     crashes = 0;
-    last_words = NULL;
-    held_path = NULL;
+    partial_response = NULL;
+    hold_first = false;
     held_by = -1;
     world_open(world_routing(&r, 0, 0), WORLD_TARGETS, serve);
 }
@@ -116,7 +117,7 @@
 test_unframed_streams(void)
 {
     open_crash_world(MG_RETRY_NEVER, true);
-    last_words = "HTTP/1.1 200 OK\r\n\r\ndata: ";
+    partial_response = "HTTP/1.1 200 OK\r\n\r\ndata: ";
     CU_ASSERT_EQUAL(run_rounds(true), 503);
     CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX);
     world_shut();
@@ -128,8 +129,8 @@
 test_refused_meanwhile(void)
 {
     open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
-    held_path = "/crash";
-    world_send(held_path);
+    hold_first = true;
+    world_send("/crash");
     while (held_by < 0) {
         uv_run(&world.loop, UV_RUN_NOWAIT);
     }
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -250,8 +250,8 @@
     mg_gateway_dispatch_scheduled(world.gateway);
 }
 
-/* Routing of the only route, which stands in *route: of service "app", with a
-   workspace without a quota. */
+/* Routing with one route, a copy of *route, to service "app", and one workspace
+   with this quota in requests; rate 0: none. */
 static inline mg_routing *
 world_routing(mg_route *route, double rate, double burst)
 {
