--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,8 @@
 SANITIZE_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
 # gateways in tests live as long as the process
 ASAN_OPTIONS = detect_leaks=0
+# some kernels place a program where ASan keeps its shadow memory
+FIXED_ADDRESSES := $(shell setarch -R true 2> /dev/null && echo setarch -R)
 # suites of decoders, run for uninitialised values
 DECODERS = h1 channel fuzz
 .PHONY: all install check check-unit check-sanitize check-platform check-memory check-system demo capacity format lint events clean
@@ -97,9 +99,11 @@
 check-sanitize: $(DECODERS:%=$(BUILD)/unit-%_test)
 	$(MAKE) BUILD=$(BUILD)/sanitized SANITIZE="$(SANITIZE_FLAGS)" \
 		$(SANITIZED:%=$(BUILD)/sanitized/unit-%_test)
-	ASAN_OPTIONS=$(ASAN_OPTIONS) HISTORIES_MAX=300 scripts/unit-tests.sh \
+	ASAN_OPTIONS=$(ASAN_OPTIONS) HISTORIES_MAX=300 \
+		$(FIXED_ADDRESSES) scripts/unit-tests.sh \
 		$(SANITIZED:%=$(BUILD)/sanitized/unit-%_test)
-	ASAN_OPTIONS=$(ASAN_OPTIONS) FUZZ=15000 $(BUILD)/sanitized/unit-fuzz_test
+	ASAN_OPTIONS=$(ASAN_OPTIONS) FUZZ=15000 \
+		$(FIXED_ADDRESSES) $(BUILD)/sanitized/unit-fuzz_test
 	for t in $(DECODERS); do HISTORIES_MAX=100 FUZZ=100 valgrind -q \
 		--error-exitcode=9 $(BUILD)/unit-$${t}_test || exit 1; done
 
