--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -3,10 +3,13 @@
  *
  * When a target crashes, the fingerprint of every request that ran on it gets
  * a strike. A fingerprint covers the workspace and the body but not the
- * request id, so that a retry has the same one. One strike makes a request a
- * crash suspect: it runs only on a target without another suspect, on the one
- * with the fewest running requests. Strikes from two different crashes
- * quarantine it: it is refused until the strikes expire.
+ * request id, so that a retry has the same one.
+ *
+ * At the pool scheduler, one strike makes a request a crash suspect: it runs
+ * only on a target without another suspect, on the one with the fewest running
+ * requests. Strikes from two different crashes quarantine it: it is refused
+ * until the strikes expire. Gateways count strikes of parts of prompts, too,
+ * and have rules of their own (gateway/strikes.h).
  *
  * Two suspects never share a target. Otherwise a harmless request that ran
  * beside a harmful one would get its second strike because of that one.
@@ -17,7 +20,7 @@
 #include "base/check.h"
 
 /* strikes after which the pool scheduler refuses a request; the limit at a
-   gateway is in gateway/suspects.h */
+   gateway is in gateway/strikes.h */
 #define MG_QUARANTINE_STRIKES 2
 #define MG_QUARANTINE_DURATION_MS (3600 * INT64_C(1000))
 /* crashes of a fingerprint that are remembered: the first ones that count, and
@@ -28,13 +31,6 @@
 
 typedef struct mg_quarantine mg_quarantine;
 
-mg_quarantine *
-mg_quarantine_new(void);
-void
-mg_quarantine_free(mg_quarantine *q);
-/* Identifies the crash that ended an epoch of a target. */
-uint64_t
-mg_quarantine_crash(const char *target, uint64_t target_epoch);
 /* a crash under a fingerprint */
 typedef struct mg_quarantine_crash_row {
     uint64_t fingerprint;
@@ -43,6 +39,13 @@
     unsigned rank; /* of the fingerprint, for the caller's use */
 } mg_quarantine_crash_row;
 
+mg_quarantine *
+mg_quarantine_new(void);
+void
+mg_quarantine_free(mg_quarantine *q);
+/* Identifies the crash that ended an epoch of a target. */
+uint64_t
+mg_quarantine_crash(const char *target, uint64_t target_epoch);
 /*
  * Adds a strike for a crash and restarts the expiry of all strikes of the
  * fingerprint, whose highest rank is kept. A crash is counted once. Returns
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -31,7 +31,8 @@
     bool refused[ENTRIES][LETHAL_KEYS]; /* parts, after the last step */
     size_t reports;                     /* messages that entries have sent */
     unsigned serves;                    /* calls of serve_sound_keys() */
-    /* copies lost from one entry to another: of a crash, of a key served */
+    /* copies lost one after the other, from one entry to another: of a crash
+       under a request, under a part, of a request served, of a part */
     unsigned lost[ENTRIES][ENTRIES][4][KEYS * CRASHES_MAX];
 } world;
 
