Suspects: a known cause keeps its position in the prompt

A request that crashed its target under a part which is refused already gave that part a strike with position 0, so an entry that learns of the part from this strike only took it for the first one of the prompt and preferred another part with the same crashes as the cause. Found by reading; suspects_test 'the position of a known cause' failed before (0 in place of 1).

--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -52,17 +52,17 @@
     return f->request.part_count > 0 ? f->request.part_count - 1 : 0;
 }
 
-/* key of the first part that is refused, 0: none */
-static uint64_t
+/* position of the first part that is refused; -1: none */
+static int
 refused_part(const mg_flow *f)
 {
     for (size_t i = 0; i < shared_parts(f); i++) {
-        uint64_t key = part_key(&f->request.parts[i]);
-        if (mg_strikes_refuses(f->gw->strikes, key)) {
-            return key;
+        if (mg_strikes_refuses(f->gw->strikes,
+                               part_key(&f->request.parts[i]))) {
+            return (int)i;
         }
     }
-    return 0;
+    return -1;
 }
 
 bool
@@ -70,23 +70,29 @@
 {
     return !mg_strikes_is_empty(f->gw->strikes) &&
            (mg_strikes_refuses(f->gw->strikes, mg_suspect_fingerprint(f)) ||
-            refused_part(f) != 0);
+            refused_part(f) >= 0);
+}
+
+static void
+add_part(mg_suspect *s, const mg_flow *f, size_t position)
+{
+    s->positions[s->key_count] = (unsigned)position;
+    s->keys[s->key_count++] = part_key(&f->request.parts[position]);
 }
 
 void
 mg_suspect_of(mg_flow *f, mg_suspect *out)
 {
-    uint64_t cause = refused_part(f);
+    int known = refused_part(f);
     *out = (mg_suspect){.id = f->request.id};
-    if (cause != 0) {
-        /* it is known what has crashed the target */
-        out->keys[out->key_count++] = cause;
+    if (known >= 0) {
+        /* the other parts and the request itself are not to blame */
+        add_part(out, f, (size_t)known);
         return;
     }
     out->keys[out->key_count++] = mg_suspect_fingerprint(f);
     for (size_t i = 0; f->event_count <= 1 && i < shared_parts(f); i++) {
-        out->positions[out->key_count] = (unsigned)i;
-        out->keys[out->key_count++] = part_key(&f->request.parts[i]);
+        add_part(out, f, i);
     }
 }
 
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -126,6 +126,32 @@
     mg_buf_free(&loads);
 }
 
+/* When it is known which part crashes its targets, only that part gets a
+   strike, with its position in the prompt: other entries may learn of it from
+   this strike only. */
+static void
+test_position_of_known_cause(void)
+{
+    mg_gateway *gw = new_gateway();
+    mg_flow f = {.gw = gw, .fingerprint = SUSPECT};
+    mg_suspect before;
+    mg_suspect after;
+    f.request.parts[0].id = 1;
+    f.request.parts[1].id = 2;
+    f.request.parts[2].id = 3;
+    f.request.part_count = 3;
+    mg_suspect_of(&f, &before);
+    CU_ASSERT_EQUAL_FATAL(before.key_count, 3);
+    for (uint64_t i = 1; i <= MG_STRIKES_MAX; i++) {
+        mg_strikes_add(gw->strikes, before.keys[2], 1, i);
+        clk.mono += MG_STRIKES_SPAN_MS;
+    }
+    mg_suspect_of(&f, &after);
+    CU_ASSERT_EQUAL(after.key_count, 1);
+    CU_ASSERT_EQUAL(after.keys[0], before.keys[2]);
+    CU_ASSERT_EQUAL(after.positions[0], 1);
+}
+
 static void
 on_connection(uv_stream_t *server, int status)
 {
@@ -168,6 +194,7 @@
         {"the same crashes, reported in turn", test_same_crashes_in_turn},
         {"crashes seen by other entries", test_reported},
         {"an entry that starts", test_entry_that_starts},
+        {"the position of a known cause", test_position_of_known_cause},
         {"a target that still listens", test_listening},
         CU_TEST_INFO_NULL,
     };
