Reading: comments that stand alone, one name a thing, what was written twice

- quota: 'parts' of a window are intervals, parts are of prompts.
- tests: two tests in crash_test and two in answers_test share their body, one callback that frees a handle, a field without a reader is gone, one macro for the same header section; crashing and harmless instead of other words.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -405,7 +405,7 @@
         return MG_CHANNEL_SKIP;
     }
     if (res.not_run && res.id.n == 0 && f->reused_channel) {
-        /* it may belong to the request before this one, which may run */
+        /* it may be the refusal of the request before, written once more */
         mg_log(MG_EV_BAD_INPUT, "id=%.*s target=%s what=refusal_without_id",
                MG_STR_FMT(f->request.id), f->target->instance->info.id);
         return MG_CHANNEL_REJECT;
@@ -712,8 +712,8 @@
     t->instance->refs++;
     mg_versions_count_sent(f->gw->versions, f->pool->service,
                            t->instance->info.version);
-    /* after a refusal, the channel that it came on may bear it once more, with
-       the same id */
+    /* a target that has refused this request may write the refusal a second
+       time on that channel, and its id would match */
     f->channel =
         t != f->previous_target ? mg_gw_idle_channel(t, recent_only) : NULL;
     f->reused_channel = f->channel != NULL;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -104,7 +104,7 @@
 static void
 report_past_use_of(mg_gw_usage *u, int64_t now, mg_buf *loads)
 {
-    for (unsigned i = 0; i < MG_QUOTA_PARTS; i++) {
+    for (unsigned i = 0; i < MG_QUOTA_INTERVALS; i++) {
         mg_msg m = {.type = MG_MSG_LOAD_PAST};
         int64_t age_ms;
         double used = mg_quota_past(&u->quota, i, now, &age_ms);
@@ -118,8 +118,9 @@
     }
 }
 
-/* For entries that have just started; workspaces below half of their quota
-   can't exceed it there before they are known. */
+/* For entries that have just started. Only for workspaces that use at least
+   half of their quota, to keep reports small.
+   XXX: a started entry may grant another one what it had used before. */
 static void
 report_past_use(mg_gateway *gw, mg_buf *loads)
 {
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -3,7 +3,7 @@
  *
  * gateway.c: tables, load reports and pools; admit.c: checks before a request
  * waits; flow.c: one request from then to its end; targets.c: channels to
- * targets, and their load.
+ * targets, and their load; suspects.c: requests that may have crashed them.
  */
 #ifndef MG_GATEWAY_INT_H
 #define MG_GATEWAY_INT_H
@@ -70,7 +70,8 @@
     UT_hash_handle hh;
     char workspace[MG_NAME_SIZE];
     mg_quota quota;
-    /* report from which use before this entry's start was taken, 0: none */
+    /* number of the received report that told what was used before this
+       entry's start, 0: none yet */
     uint64_t past_report;
 } mg_gw_usage;
 
@@ -98,8 +99,9 @@
     size_t open_requests;
     mg_response_memory response_memory;
     int64_t started_ms;
-    int64_t past_until_ms; /* reports bear past use, an entry has started */
-    uint64_t report_count; /* received */
+    int64_t past_until_ms; /* until then reports include past use, since
+                              another entry has just started */
+    uint64_t report_count; /* reports received from other entries */
     int64_t report_age_ms;
     size_t entry_count; /* number of entries that share the slots */
     size_t self_index;  /* index of this entry among them */
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -114,14 +114,14 @@
 }
 
 double
-mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms)
+mg_quota_past(mg_quota *q, unsigned interval, int64_t now, int64_t *age_ms)
 {
-    enum { SLICES = MG_QUOTA_SLICES / MG_QUOTA_PARTS };
+    enum { SLICES = MG_QUOTA_SLICES / MG_QUOTA_INTERVALS };
     double used = 0;
     advance(q, now);
-    *age_ms = (int64_t)part * SLICES * q->slice_ms;
+    *age_ms = (int64_t)interval * SLICES * q->slice_ms;
     for (int64_t i = 0; i < SLICES; i++) {
-        int64_t slice = q->slice - (int64_t)part * SLICES - i;
+        int64_t slice = q->slice - (int64_t)interval * SLICES - i;
         used += slice >= 0 ? *slice_at(q, slice) : 0;
     }
     return used;
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -16,6 +16,8 @@
 #include <stdint.h>
 
 #define MG_QUOTA_SLICES 64
+/* intervals of a window in which past use is reported */
+#define MG_QUOTA_INTERVALS 8
 
 typedef struct mg_quota {
     double rate; /* per second; 0: unlimited */
@@ -47,16 +49,14 @@
 /* Counts another use of a request that has taken cost, whatever the limits. */
 void
 mg_quota_charge(mg_quota *q, double cost, int64_t now);
-/* parts into which mg_quota_past() divides a window */
-#define MG_QUOTA_PARTS 8
-/* Whether more than half of the quota is used. */
+/* Whether at least half of the quota is used. */
 bool
 mg_quota_is_half_used(mg_quota *q, int64_t now);
-/* Use in a part of the last window, part 0 being the last one, and the time
-   since its end. */
+/* Use in one of MG_QUOTA_INTERVALS intervals of the last window, 0 being the
+   newest, and the time since the end of that interval. */
 double
-mg_quota_past(mg_quota *q, unsigned part, int64_t now, int64_t *age_ms);
-/* Counts use of that age, from before this entry's start. */
+mg_quota_past(mg_quota *q, unsigned interval, int64_t now, int64_t *age_ms);
+/* Counts use of this age, by all entries, from before this entry's start. */
 void
 mg_quota_add_past(mg_quota *q, double cost, int64_t age_ms, int64_t now);
 /* Takes back a cost that was counted at taken_ms: the request was not run.
--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -117,7 +117,8 @@
         mg_quarantine_add_strike(s->quarantine, c, mg_now(s->clock));
     s->changed = true;
     if (!refused && strikes >= MG_STRIKES_MAX) {
-        /* an entry that has started meanwhile knows the last one only */
+        /* all of them: an entry that has started since the first crash has
+           got reports of the later ones only */
         mg_quarantine_each_crash(s->quarantine, c->fingerprint, queue_report,
                                  s);
     }
@@ -154,8 +155,8 @@
     return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) > 0;
 }
 
-/* takes the key's strikes back; they are not reported any more, for an entry
-   that starts may know of them only */
+/* Takes the key's strikes back. Their reports are dropped: an entry that has
+   just started could get them without the one that the key was served. */
 static void
 clear_strikes(mg_strikes *s, uint64_t key, int64_t at_ms)
 {
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -59,13 +59,14 @@
 /* Adds a strike that another entry reports; returns the key's strikes. */
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m);
-/* A request with this key has been served now. */
+/* A request that has this key, or a part with it, has been served now: takes
+   back its strikes, here and at the other entries. */
 void
 mg_strikes_served(mg_strikes *s, uint64_t key);
-/* Another entry has served a request with this key. */
+/* The same, as another entry reports it. */
 void
 mg_strikes_receive_served(mg_strikes *s, const mg_load_served_msg *m);
-/* Whether what has this key is refused. */
+/* Whether the request, or all requests with the part, are refused. */
 bool
 mg_strikes_refuses(mg_strikes *s, uint64_t key);
 /* Whether no key has strikes. */
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -169,8 +169,10 @@
                                           p->suspect.positions[i], crash);
         mg_log(mg_strikes_refuses(p->gw->strikes, key) ? MG_EV_QUARANTINE
                                                        : MG_EV_CRASH_SUSPECT,
-               "id=%s kind=%s key=%016" PRIx64 " target=%s marks=%u", p->id,
-               kind_of(key), key, p->target, strikes);
+               "id=%s kind=%s position=%u key=%016" PRIx64
+               " target=%s born=%" PRIu64 " marks=%u",
+               p->id, kind_of(key), p->suspect.positions[i], key, p->target,
+               p->started_ms, strikes);
     }
 }
 
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -3,12 +3,13 @@
  *
  * When a connection breaks while a request runs, the target may have crashed,
  * and the request may be the cause. A probe connection checks this: if it
- * is refused, no process listens any more. Then the request gets a strike
- * (strikes.h), by its fingerprint: path, workspace and body, without the id,
- * so that a retry has the same one. If its target had written no more than one
- * event, so does each part of its prompt but the last one, which no other
- * request shares. Requests are refused that have crashed too many targets, or
- * that have a part which has.
+ * is refused, no process listens any more. Then the request gets a strike,
+ * here and, with the next reports, at all entries (strikes.h). Its key there
+ * is its fingerprint: a hash of path, workspace and body, without the id, so
+ * that a retry has the same one. Each part of its prompt gets a strike, too,
+ * unless the target had written more than one event; but not the last part,
+ * which no other request shares. A request is refused if it or one of these
+ * parts has crashed too many targets.
  */
 #ifndef MG_SUSPECTS_H
 #define MG_SUSPECTS_H
@@ -27,11 +28,11 @@
    never 0. */
 uint64_t
 mg_suspect_fingerprint(mg_flow *f);
-/* Whether the request must not be sent to a target: not for the first time,
-   nor for a retry. */
+/* Whether the request is refused because it, or a part of its prompt, has
+   crashed too many targets; to be checked before each dispatch. */
 bool
 mg_suspect_refuses(mg_flow *f);
-/* The keys that a crash of the request's target gives strikes to. */
+/* Sets the keys that get a strike if the request's target has crashed. */
 void
 mg_suspect_of(mg_flow *f, mg_suspect *out);
 /* Probes t after the connection of a request broke; adds strikes if t is
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -92,8 +92,9 @@
     return false;
 }
 
-/* The place for a crash at at_ms: a free one, else that of the oldest crash
-   that doesn't count, else that of the last one if it is older; -1: none. */
+/* Index in r->crashes where a crash of this time is stored: a free one, else
+   that of the oldest crash that doesn't count any more, else that of the
+   newest crash if this one is newer; -1: this one is not stored. */
 static int
 place_for(const struct strike_record *r, int64_t at_ms)
 {
@@ -115,8 +116,9 @@
     return at_ms > r->crashes[last].at_ms ? last : -1;
 }
 
-/* The first crashes stay and the last one is replaced: others, which are
-   forgotten, don't count when they are reported again. */
+/* Once r->crashes is full, only the newest one is replaced. So the time
+   between the first and the last one grows, and crashes in between, which are
+   not stored, give no further strike each time that they are reported. */
 static void
 add_crash(struct strike_record *r, uint64_t crash, int64_t at_ms)
 {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -31,12 +31,12 @@
 
 typedef struct mg_quarantine mg_quarantine;
 
-/* a crash under a fingerprint */
+/* a crash of a target that ran what the fingerprint stands for */
 typedef struct mg_quarantine_crash_row {
     uint64_t fingerprint;
     uint64_t crash; /* see mg_quarantine_crash() */
     int64_t at_ms;
-    unsigned rank; /* of the fingerprint, for the caller's use */
+    unsigned rank; /* of the fingerprint; kept for the caller, not used here */
 } mg_quarantine_crash_row;
 
 mg_quarantine *
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -201,8 +201,9 @@
 #define MG_FIELDS_ROLLOUT_SAMPLE(F) \
     F(STR, route) F(U64, is_new) F(U64, failed) F(U64, first_ns_per_token) \
     F(U64, gap_us)
-/* a crash that requests with this key are suspected of; such a request was
-   served */
+/* STRIKE: a crash that the request or part of a prompt with this key may have
+   caused; SERVED: a request that has the key was served. Keys and positions:
+   gateway/strikes.h. Number 127 was an earlier form. */
 #define MG_FIELDS_LOAD_STRIKE(F) \
     F(U64, key) F(U64, position) F(U64, crash) F(U64, age_ms)
 #define MG_FIELDS_LOAD_SERVED(F) F(U64, key) F(U64, age_ms)
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -7,7 +7,8 @@
 static unsigned faulty_sent;
 static bool close_after; /* the faulty response ends with its connection */
 
-/* the first request for /faulty gets the faulty response */
+/* The first request for /faulty gets the faulty response; it is served when
+   it is sent again, and so are all other requests. */
 static void
 serve(world_conn *c, mg_str head)
 {
@@ -79,7 +80,6 @@
 
 #define EVENT_1 "id: 1\ndata: a\n\n"
 #define EVENT_2 "id: 2\ndata: b\n\n"
-#define STREAM "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static const char error_chunked[] =
     "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -93,7 +93,7 @@
 {
     (void)head;
     if (faulty_sent++ == 0) {
-        world_write(c, STREAM "f\r\n" EVENT_1 "\r\n");
+        world_write(c, CHUNKED "f\r\n" EVENT_1 "\r\n");
         world_close(c);
         return;
     }
@@ -122,7 +122,7 @@
     }
     open_answers_world(MG_RETRY_RESUME, true, NULL);
     world.serve = serve_broken_stream;
-    second_answer = STREAM "f\r\n" EVENT_2 "\r\n0\r\n\r\n";
+    second_answer = CHUNKED "f\r\n" EVENT_2 "\r\n0\r\n\r\n";
     CU_ASSERT_EQUAL(world_get("/"), 200);
     CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
     CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), EVENT_1 EVENT_2));
@@ -137,7 +137,17 @@
 #define REFUSAL_WITHOUT_ID \
     "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"
 
-static world_conn *refusing;
+static void
+open_single_target(void (*serve_refusal)(world_conn *c, mg_str head))
+{
+    mg_route r = {.retry_policy = MG_RETRY_NEVER,
+                  .timeout_ms = 2000,
+                  .goal_ms = 500,
+                  .attempts_max = 2};
+    world_open(world_routing(&r, 0, 0), 1, serve_refusal);
+}
+
+static world_conn *refusing; /* connection of the first request */
 
 /* refuses a request and writes the refusal again when the next one arrives,
    which runs */
@@ -161,11 +171,7 @@
 static void
 test_repeated_refusal(void)
 {
-    mg_route r = {.retry_policy = MG_RETRY_NEVER,
-                  .timeout_ms = 2000,
-                  .goal_ms = 500,
-                  .attempts_max = 2};
-    world_open(world_routing(&r, 0, 0), 1, serve_repeated_refusal);
+    open_single_target(serve_repeated_refusal);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     CU_ASSERT_EQUAL(world.executed, 2);
     world_shut();
@@ -186,11 +192,7 @@
 static void
 test_refusal_without_id(void)
 {
-    mg_route r = {.retry_policy = MG_RETRY_NEVER,
-                  .timeout_ms = 2000,
-                  .goal_ms = 500,
-                  .attempts_max = 2};
-    world_open(world_routing(&r, 0, 0), 1, serve_refusal_without_id);
+    open_single_target(serve_refusal_without_id);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     CU_ASSERT_EQUAL(world_get("/faulty"), 502);
     CU_ASSERT_EQUAL(world.executed, 2);
--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -54,11 +54,11 @@
 }
 
 static void
-boot_crashed(void)
+restart_crashed(void)
 {
     for (int i = 0; i < WORLD_TARGETS; i++) {
         if (world.targets[i].listener == NULL) {
-            world_boot(i);
+            world_start_target(i);
         }
     }
 }
@@ -74,7 +74,8 @@
     world_run();
 }
 
-/* Sends the crashing request once a round; returns the last status. */
+/* Sends a request that crashes its targets, ROUNDS times, and restarts them
+   each time; returns the status that the client got last. */
 static int
 run_rounds(bool warm)
 {
@@ -85,7 +86,7 @@
         }
         status = world_get("/crash");
         world_pass(20); /* for the probes */
-        boot_crashed();
+        restart_crashed();
     }
     printf("\n  %u crashes, last status %d\n", crashes, status);
     return status;
@@ -93,23 +94,25 @@
 
 /* the last request that is let through may be sent to two targets */
 static void
-test_new_channels(void)
+check_channels(bool reused)
 {
     open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
-    CU_ASSERT_EQUAL(run_rounds(false), 503);
+    CU_ASSERT_EQUAL(run_rounds(reused), 503);
     CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX + 1);
     CU_ASSERT_EQUAL(world_get("/"), 200);
     world_shut();
 }
 
+static void
+test_new_channels(void)
+{
+    check_channels(false);
+}
+
 static void
 test_reused_channels(void)
 {
-    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
-    CU_ASSERT_EQUAL(run_rounds(true), 503);
-    CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX + 1);
-    CU_ASSERT_EQUAL(world_get("/"), 200);
-    world_shut();
+    check_channels(true);
 }
 
 /* the end of an unframed stream inside an event may be a crash */
@@ -137,7 +140,7 @@
     for (int i = 0; i < ROUNDS; i++) {
         world_send("/crash");
         world_pass(20);
-        boot_crashed();
+        restart_crashed();
     }
     CU_ASSERT_TRUE(crashes >= MG_STRIKES_MAX);
     unsigned before = world.executed;
@@ -152,15 +155,16 @@
 
 /* --------------------------------------------------- parts of prompts */
 
-/* requests have three parts: one that all share, one of a few, their own */
+/* parts of the prompts below: the first one, the same in all prompts; then one
+   of these two; then a number that no other prompt has */
 #define SHARED 1
-#define LETHAL 66
-#define SOUND 77
+#define CRASHING 66
+#define HARMLESS 77
 #define PART_ROUNDS 12
-/* between the rounds: restarts of targets take longer than a request */
+/* time for probes, and between crashes: they must not all be at one moment */
 #define ROUND_MS 150
 /* crashes after which no more than three requests may reach targets */
-#define LETHAL_CRASHES 5
+#define PART_CRASHES_MAX 5
 
 static void
 serve_prompts(world_conn *c, mg_str head)
@@ -191,26 +195,27 @@
     world.serve = serve_prompts;
 }
 
-/* a part that crashes its targets, no two requests alike, beside sound ones
-   that share the first part */
+/* requests with one part that crashes targets, no two alike, beside harmless
+   requests with the same first part */
 static void
-test_lethal_part(void)
+test_crashing_part(void)
 {
-    unsigned sound = 0;
+    unsigned served = 0;
     int status = 0;
     open_prompt_world();
     for (int i = 0; i < PART_ROUNDS; i++) {
-        sound += get_prompt(SOUND) == 200;
-        status = get_prompt(LETHAL);
+        served += get_prompt(HARMLESS) == 200;
+        status = get_prompt(CRASHING);
         world_pass(ROUND_MS);
-        boot_crashed();
-        sound += get_prompt(SOUND) == 200;
+        restart_crashed();
+        served += get_prompt(HARMLESS) == 200;
     }
-    printf("\n  %u crashes, last status %d, %u of %d sound requests served\n",
-           crashes, status, sound, 2 * PART_ROUNDS);
+    printf(
+        "\n  %u crashes, last status %d, %u of %d harmless requests served\n",
+        crashes, status, served, 2 * PART_ROUNDS);
     CU_ASSERT_EQUAL(status, 503);
-    CU_ASSERT_TRUE(crashes <= LETHAL_CRASHES);
-    CU_ASSERT_EQUAL(sound, 2 * PART_ROUNDS);
+    CU_ASSERT_TRUE(crashes <= PART_CRASHES_MAX);
+    CU_ASSERT_EQUAL(served, 2 * PART_ROUNDS);
     world_shut();
 }
 
@@ -222,7 +227,7 @@
         {"crashes on reused channels are counted", test_reused_channels},
         {"crashes in unframed streams are counted", test_unframed_streams},
         {"no retry after three crashes", test_refused_meanwhile},
-        {"a prompt part that crashes its targets", test_lethal_part},
+        {"a prompt part that crashes its targets", test_crashing_part},
         CU_TEST_INFO_NULL,
     };
     return run_suite("crash", tests);
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -6,6 +6,7 @@
 
 #define REQUESTS 30
 #define QUOTA 12 /* requests; the rate adds none within the test */
+#define RUN_MAX_MS 5000
 
 static bool targets_fail;
 
@@ -18,7 +19,7 @@
                        : "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
 }
 
-/* Number of requests that targets execute. */
+/* Number of requests that targets execute; fail: they respond with 500. */
 static unsigned
 count_executed(bool fail)
 {
@@ -29,12 +30,14 @@
         .attempts_max = 2,
     };
     targets_fail = fail;
-    /* admitted while some is left */
+    /* a request is admitted while some of the quota is left */
     world_open(world_routing(&r, 1e-6, QUOTA - 0.5), 2, serve);
+    uint64_t end = uv_hrtime() + (uint64_t)RUN_MAX_MS * 1000000;
     for (unsigned i = 0; i < REQUESTS; i++) {
         world_get("/");
         CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
     }
+    CU_ASSERT_TRUE(uv_hrtime() < end);
     printf("\n  %u requests, quota %d: targets executed %u\n", REQUESTS, QUOTA,
            world.executed);
     world_shut();
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -3,9 +3,9 @@
  *
  * The targets are stand-ins that a test scripts byte by byte: its serve()
  * callback gets each complete header section, NUL-terminated, and writes a
- * response, closes the connection or crashes the target. A crash resets all
- * connections of the target and closes its listener, so that new connections
- * are refused until world_boot() starts the next run at the same address.
+ * response, closes the connection or crashes the target. A crash closes all
+ * connections of the target and its listener, so that new connections are
+ * refused until world_start_target() starts the next run at the same address.
  *
  * A request's path is passed on; its prompt parts are the numbers in its
  * query, separated by commas.
@@ -32,8 +32,7 @@
     uv_tcp_t tcp; /* must be first: cast to world_conn */
     struct list_head link;
     int target;
-    unsigned requests; /* received on this connection */
-    size_t n;
+    size_t n; /* bytes in in */
     char in[WORLD_HEADERS_MAX];
 } world_conn;
 
@@ -43,7 +42,7 @@
     unsigned run; /* number of the current run, from 1 */
 } world_target;
 
-/* what the client got for its last request */
+/* what the client has received for its last request */
 typedef struct world_answer {
     int status; /* 0: no header section arrived */
     mg_http_result result;
@@ -109,7 +108,7 @@
 /* ------------------------------------------------------------- targets */
 
 static inline void
-world_on_conn_closed(uv_handle_t *h)
+world_free_handle(uv_handle_t *h)
 {
     free(h);
 }
@@ -119,7 +118,7 @@
 {
     if (!uv_is_closing((uv_handle_t *)&c->tcp)) {
         list_del(&c->link);
-        uv_close((uv_handle_t *)&c->tcp, world_on_conn_closed);
+        uv_close((uv_handle_t *)&c->tcp, world_free_handle);
     }
 }
 
@@ -131,25 +130,19 @@
                     (int)strlen(bytes));
 }
 
-/* an answer of status 200 with a body of two bytes */
+/* Writes a whole response with status 200 and the body "ok". */
 static inline void
 world_write_ok(world_conn *c)
 {
     world_write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
-static inline void
-world_on_listener_closed(uv_handle_t *h)
-{
-    free(h);
-}
-
 static inline void
 world_crash(int target)
 {
     world_target *t = &world.targets[target];
     if (t->listener != NULL) {
-        uv_close((uv_handle_t *)t->listener, world_on_listener_closed);
+        uv_close((uv_handle_t *)t->listener, world_free_handle);
         t->listener = NULL;
     }
     list_for_each_safe(el, el1, &t->conns)
@@ -180,7 +173,6 @@
     if (strstr(c->in, "\r\n\r\n") != NULL) {
         size_t size = c->n;
         c->n = 0;
-        c->requests++;
         world.executed++;
         world.serve(c, (mg_str){c->in, size});
     }
@@ -218,7 +210,7 @@
 /* Starts the next run of a target that has not been started or has crashed,
    and announces it under a new id. */
 static inline void
-world_boot(int target)
+world_start_target(int target)
 {
     world_target *t = &world.targets[target];
     mg_announcement a = {.slots = 10, .seq = 1};
@@ -327,14 +319,14 @@
     for (int i = 0; i < WORLD_TARGETS; i++) {
         init_list_head(&world.targets[i].conns);
         if (i < targets) {
-            world_boot(i);
+            world_start_target(i);
         }
     }
     uv_prepare_init(&world.loop, &world.prepare);
     uv_prepare_start(&world.prepare, world_on_prepare);
 }
 
-/* The gateway stays: it lives as long as its process. */
+/* Closes all but the gateway, which has no function to free it. */
 static inline void
 world_shut(void)
 {
@@ -403,7 +395,8 @@
     CU_ASSERT_EQUAL(world.ended, world.started);
 }
 
-/* Runs for a time, and for some turns of the loop on a busy machine. */
+/* Runs the loop for a time, and at least WORLD_TURNS_MIN times: on a busy
+   machine the time may pass without a turn. */
 static inline void
 world_pass(int64_t ms)
 {
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -11,13 +11,15 @@
 #define REQUEST(k) (2 * ((uint64_t)(k) + 1))
 #define PART(k) (REQUEST(k) | MG_STRIKES_PART)
 #define KEYS 5
-/* keys below this are never served, the others now and then */
-#define LETHAL_KEYS 3
+/* requests and parts number 0 to 2 are never served, the others now and then
+ */
+#define CRASHING_KEYS 3
 #define CRASHES_MAX 64
 #define STEPS 60
 #define STEP_MS 50
 #define LOST_SHARE 0.3
-/* after this time without a loss, all entries know what each one has seen */
+/* time in which all copies of a report are sent: if none is lost, all entries
+   then know what each one has seen */
 #define KNOWN_MS (MG_STRIKE_GAP_MS << MG_STRIKE_COPIES)
 
 static struct {
@@ -28,9 +30,9 @@
     int64_t crashed_ms[KEYS][CRASHES_MAX];
     size_t counts[KEYS];
     uint64_t next_crash;
-    bool refused[ENTRIES][LETHAL_KEYS]; /* parts, after the last step */
-    size_t reports;                     /* messages that entries have sent */
-    unsigned serves;                    /* calls of serve_sound_keys() */
+    bool refused[ENTRIES][CRASHING_KEYS]; /* parts, after the last step */
+    size_t reports;                       /* messages that entries have sent */
+    unsigned serves;                      /* calls of serve_harmless() */
     /* copies lost one after the other, from one entry to another: of a crash
        under a request, under a part, of a request served, of a part */
     unsigned lost[ENTRIES][ENTRIES][4][KEYS * CRASHES_MAX];
@@ -82,7 +84,8 @@
     }
 }
 
-/* a target crashes under one of the first keys; one entry or two see it */
+/* A target crashes that ran a request and a part with the same number, below
+   keys; one entry or two see it. */
 static void
 crash(uint32_t keys)
 {
@@ -118,17 +121,17 @@
 }
 
 static void
-serve_sound_keys(int entry)
+serve_harmless(int entry)
 {
     world.serves++;
-    for (size_t k = LETHAL_KEYS; k < KEYS; k++) {
+    for (size_t k = CRASHING_KEYS; k < KEYS; k++) {
         mg_strikes_served(world.entries[entry], REQUEST(k));
         mg_strikes_served(world.entries[entry], PART(k));
     }
 }
 
-/* whether a part of these crashes should be refused: three, and not all of
-   them at one moment */
+/* whether part number k should be refused: three crashes, not all of them at
+   one moment */
 static bool
 crashed_apart(size_t k)
 {
@@ -138,7 +141,8 @@
                MG_STRIKES_SPAN_MS;
 }
 
-/* whether an entry refuses a key that has crashed fewer targets */
+/* whether an entry refuses a request or part that has not crashed enough
+   targets for it */
 static bool
 refuses_harmless(void)
 {
@@ -166,7 +170,7 @@
         refusing += mg_strikes_refuses(world.entries[i], REQUEST(k));
         parts += mg_strikes_refuses(world.entries[i], PART(k));
     }
-    if (k >= LETHAL_KEYS) {
+    if (k >= CRASHING_KEYS) {
         return refusing + parts > 0 ? "refused after it was served" : NULL;
     }
     if (refusing != 0 && refusing != ENTRIES) {
@@ -183,9 +187,13 @@
     return NULL;
 }
 
-/* without restarts: each crash of a request and a part, reported by two
-   entries, all remembered ones again by all entries when a key is refused,
-   which may be once after each time that it was served; all to all others */
+/*
+ * Messages that a history without restarts may need at most. For a request and
+ * a part each, times the copies, to each of the other entries: a message for
+ * each crash from the two entries that see it; the remembered crashes from
+ * each entry when it first refuses the key; and a message for each time that a
+ * harmless one is served.
+ */
 static size_t
 reports_max(void)
 {
@@ -205,14 +213,14 @@
     return violation;
 }
 
-/* remembers what is refused; returns whether an entry that has not restarted
-   lets through again what has never been served */
+/* Whether an entry, other than one that has just restarted, no longer refuses
+   a part that it refused after the step before and that was never served. */
 static bool
 refuses_no_longer(int restarted)
 {
     bool violated = false;
     for (int i = 0; i < ENTRIES; i++) {
-        for (size_t k = 0; k < LETHAL_KEYS; k++) {
+        for (size_t k = 0; k < CRASHING_KEYS; k++) {
             bool now = mg_strikes_refuses(world.entries[i], PART(k));
             violated |= world.refused[i][k] && !now && i != restarted;
             world.refused[i][k] = now;
@@ -242,7 +250,7 @@
             crash(many ? 1 : KEYS);
         }
         else if (what == 6) {
-            serve_sound_keys((int)mg_rng_below(&world.rng, ENTRIES));
+            serve_harmless((int)mg_rng_below(&world.rng, ENTRIES));
         }
         else if (what == 5 && seed % 2 == 0) {
             restarted_now = restart();
@@ -258,7 +266,7 @@
     }
     step(0);
     for (int i = 0; i < ENTRIES; i++) {
-        serve_sound_keys(i);
+        serve_harmless(i);
     }
     for (int i = 0; i < KNOWN_MS / STEP_MS; i++) {
         step(0);
@@ -280,22 +288,23 @@
 #define CAUSE_CRASHES 8
 #define CAUSE_MS 400
 
-/* crashes a target under requests with one lethal part; a sound request ran
-   on it, too */
+/* crashes a target that ran a prompt with the crashing part and a harmless
+   prompt, of two shared parts each */
 static void
-crash_prompts(mg_strikes *s, const uint64_t lethal[2], const uint64_t sound[2])
+crash_prompts(mg_strikes *s, const uint64_t crashing[2],
+              const uint64_t harmless[2])
 {
     uint64_t c = ++world.next_crash;
     for (unsigned i = 0; i < 2; i++) {
-        mg_strikes_add(s, PART(lethal[i]), i, c);
-        mg_strikes_add(s, PART(sound[i]), i, c);
+        mg_strikes_add(s, PART(crashing[i]), i, c);
+        mg_strikes_add(s, PART(harmless[i]), i, c);
     }
 }
 
 /*
  * Prompts of two shared parts, one of few fronts and one of more backs. One
- * front or back is lethal. It ends up refused; a part that has been in some of
- * the lethal requests only does not.
+ * front or back crashes its targets. It ends up refused; a part that was not
+ * there at all of the crashes is not refused.
  */
 static const char *
 find_cause(uint64_t seed)
@@ -311,17 +320,17 @@
     bool always[FRONT_PARTS + BACK_PARTS];
     memset(always, 1, sizeof(always));
     for (int i = 0; i < CAUSE_CRASHES; i++) {
-        uint64_t lethal[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
-                              FRONT_PARTS +
-                                  mg_rng_below(&world.rng, BACK_PARTS)};
-        uint64_t sound[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
-                             FRONT_PARTS +
-                                 mg_rng_below(&world.rng, BACK_PARTS)};
-        lethal[front ? 0 : 1] = part;
-        crash_prompts(s, lethal, sound);
+        uint64_t crashing[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
+                                FRONT_PARTS +
+                                    mg_rng_below(&world.rng, BACK_PARTS)};
+        uint64_t harmless[2] = {mg_rng_below(&world.rng, FRONT_PARTS),
+                                FRONT_PARTS +
+                                    mg_rng_below(&world.rng, BACK_PARTS)};
+        crashing[front ? 0 : 1] = part;
+        crash_prompts(s, crashing, harmless);
         for (uint64_t k = 0; k < FRONT_PARTS + BACK_PARTS; k++) {
-            always[k] &= k == lethal[0] || k == lethal[1] || k == sound[0] ||
-                         k == sound[1];
+            always[k] &= k == crashing[0] || k == crashing[1] ||
+                         k == harmless[0] || k == harmless[1];
         }
         world.clk.mono += CAUSE_MS;
     }
@@ -335,7 +344,7 @@
             violation = "a part is refused that was not always there";
         }
         if (k == part && !refused && candidates == 1) {
-            violation = "the lethal part is not refused";
+            violation = "the crashing part is not refused";
         }
     }
     mg_strikes_free(s);
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -108,8 +108,8 @@
     mg_buf_free(&loads);
 }
 
-/* an entry that starts later learns which requests are refused, although it
-   has got no report that was sent before, and though another one found it */
+/* An entry that starts late learns which requests are refused: another entry,
+   which has learnt of the crashes from reports itself, reports them again. */
 static void
 test_entry_that_starts(void)
 {
