--- a/src/base/event.h
+++ b/src/base/event.h
@@ -60,6 +60,7 @@
     X(330, INFO, TARGET_UP, "target announced itself")                        \
     X(331, WARN, TARGET_DOWN, "target removed: lease expired or crashed")     \
     X(332, INFO, TARGET_LEAVING, "target is draining, gets no new requests")  \
+    X(333, INFO, TARGET_CAPACITY, "target states another capacity")           \
     X(340, INFO, MOVE_STATE, "rollout changed state; evidence")               \
     X(341, WARN, QUARANTINE, "refused: has crashed too many targets")         \
     X(342, INFO, CRASH_SUSPECT, "request or prompt part of a crashed target") \
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -410,6 +410,7 @@
                MG_STR_FMT(f->request.id), f->target->instance->info.id);
         return MG_CHANNEL_REJECT;
     }
+    mg_gw_target_states(f->target, &res.capacity);
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -437,15 +437,18 @@
 }
 
 void
-mg_gateway_set_entries(mg_gateway *gw, const char *const *domains, size_t n,
-                       size_t self)
+mg_gateway_set_entries(mg_gateway *gw, const mg_gateway_entry *entries,
+                       size_t n, size_t self)
 {
     bool same = gw->entry_count == n && gw->self_index == self;
     n = n < MG_GW_ENTRIES_MAX ? n : MG_GW_ENTRIES_MAX;
     for (size_t i = 0; i < n; i++) {
-        uint32_t number = mg_gw_domain_number(domains[i]);
-        same = same && gw->entry_domains[i] == number;
+        uint32_t number = mg_gw_domain_number(entries[i].domain);
+        uint64_t key = mg_hash(mg_str_of(entries[i].node));
+        same =
+            same && gw->entry_domains[i] == number && gw->entry_keys[i] == key;
         gw->entry_domains[i] = number;
+        gw->entry_keys[i] = key;
     }
     if (!same) {
         gw->entry_count = n;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,11 +53,21 @@
     uint64_t resume_after;
 } mg_dispatch;
 
+/* what a target states about its capacity, in every response while it lasts */
+typedef struct mg_capacity_statement {
+    bool limited;
+    double rate_max; /* if limited: requests per second, of all entries */
+    bool brittle;
+    /* if brittle: it fails when it has to reject more requests in a second */
+    uint32_t rejections_max;
+} mg_capacity_statement;
+
 /* the header section of a target's response, decoded */
 typedef struct mg_response_head {
     int status;
     mg_str id;    /* attempt id of the request; empty: not given */
     bool not_run; /* the target reports that it did not run the request */
+    mg_capacity_statement capacity;
 } mg_response_head;
 
 typedef struct mg_dialect mg_dialect;
@@ -135,14 +145,20 @@
 double
 mg_gateway_running_on_other_versions(const mg_gateway *gw, const char *service,
                                      const char *version);
+/* an entry that shares the targets' slots */
+typedef struct mg_gateway_entry {
+    const char *node;
+    const char *domain; /* failure domain */
+} mg_gateway_entry;
+
 /*
- * Sets the failure domains of the entries that share the targets' slots, in
- * the same order on all entries. self: index of this entry, or n when it is
- * not among them and can only borrow slots.
+ * Sets the entries that share the targets' slots, in the same order on all
+ * entries. self: index of this entry, or n when it is not among them and can
+ * only borrow slots.
  */
 void
-mg_gateway_set_entries(mg_gateway *gw, const char *const *domains, size_t n,
-                       size_t self);
+mg_gateway_set_entries(mg_gateway *gw, const mg_gateway_entry *entries,
+                       size_t n, size_t self);
 /* Appends this entry's load report to loads, as LOAD_* messages. */
 void
 mg_gateway_append_report(mg_gateway *gw, mg_buf *loads);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -45,7 +45,8 @@
     int64_t decayed_at_ms;
     uint32_t allocated;  /* slots allocated to this entry */
     uint32_t borrowable; /* other slots usable until the next report */
-    uint32_t failures;   /* consecutive */
+    mg_capacity_statement capacity; /* in its last response */
+    uint32_t failures;              /* consecutive */
     int64_t avoid_until_ms;
 } mg_gw_target;
 
@@ -106,6 +107,7 @@
     size_t entry_count; /* number of entries that share the slots */
     size_t self_index;  /* index of this entry among them */
     uint32_t entry_domains[MG_GW_ENTRIES_MAX];
+    uint64_t entry_keys[MG_GW_ENTRIES_MAX]; /* hashes of their names */
     uint64_t gen; /* incremented when entries or targets change */
     bool draining;
     uint64_t next_ticket;
@@ -256,6 +258,9 @@
 mg_gw_target_failed(mg_gw_target *t, bool error_response);
 void
 mg_gw_target_served(mg_gw_target *t);
+/* Takes note of what a response of the target states. */
+void
+mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s);
 /*
  * Adds a local sample: time to the first event or the complete response.
  * nominal_ms: time that was predicted for it at slowdown 1.
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "gateway/gateway_int.h"
 #include "gateway/pick.h"
 #include "gateway/slots.h"
@@ -385,6 +386,23 @@
     return mg_channel_new(&opts, cb);
 }
 
+void
+mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s)
+{
+    const mg_capacity_statement *old = &t->capacity;
+    if (s->limited != old->limited || s->rate_max != old->rate_max ||
+        s->brittle != old->brittle ||
+        s->rejections_max != old->rejections_max) {
+        mg_log(MG_EV_TARGET_CAPACITY,
+               "id=%s service=%s limited=%d rate_max=%.2f brittle=%d "
+               "rejections_max=%u running=%u others=%.0f",
+               t->instance->info.id, t->instance->info.service, s->limited,
+               s->rate_max, s->brittle, s->rejections_max, t->running,
+               t->reported_running);
+        t->capacity = *s;
+    }
+}
+
 void
 mg_gw_target_failed(mg_gw_target *t, bool error_response)
 {
--- a/src/node/node_entries.c
+++ b/src/node/node_entries.c
@@ -66,7 +66,7 @@
 mg_node_update_entries(mg_node *n, int64_t now)
 {
     const mg_mesh_node *nodes[MG_NODE_ENTRIES_MAX];
-    const char *domains[MG_NODE_ENTRIES_MAX];
+    mg_gateway_entry entries[MG_NODE_ENTRIES_MAX];
     size_t self;
     if (now < n->entries_at) {
         return;
@@ -77,13 +77,14 @@
     select_advertised(n, nodes, count);
     self = n->advertised_count;
     for (size_t i = 0; i < n->advertised_count; i++) {
-        domains[i] = n->advertised[i]->domain;
+        entries[i] = (mg_gateway_entry){n->advertised[i]->node,
+                                        n->advertised[i]->domain};
         if (strcmp(n->advertised[i]->node, n->settings.ip) == 0) {
             self = i;
         }
     }
     if (n->advertised_count > 0) {
-        mg_gateway_set_entries(n->gateway, domains, n->advertised_count, self);
+        mg_gateway_set_entries(n->gateway, entries, n->advertised_count, self);
     }
 }
 
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -59,7 +59,8 @@
     world_target targets[WORLD_TARGETS];
     void (*serve)(world_conn *c, mg_str head);
     unsigned executed; /* requests that reached targets */
-    unsigned ended;    /* requests of the client */
+    unsigned executed_by[WORLD_TARGETS];
+    unsigned ended; /* requests of the client */
     unsigned started;
     world_answer answer;
     char addrs[WORLD_TARGETS + 1][MG_ADDR_SIZE];
@@ -103,6 +104,9 @@
     out->status = headers->status;
     out->id = mg_h1_get(headers, "x-id");
     out->not_run = mg_h1_get(headers, "x-not-run").n > 0;
+    mg_str limit = mg_h1_get(headers, "x-limit");
+    out->capacity.limited = limit.n > 0;
+    out->capacity.rate_max = limit.n > 0 ? atof(limit.p) : 0;
 }
 
 /* ------------------------------------------------------------- targets */
@@ -174,6 +178,7 @@
         size_t size = c->n;
         c->n = 0;
         world.executed++;
+        world.executed_by[c->target]++;
         world.serve(c, (mg_str){c->in, size});
     }
 }
@@ -276,7 +281,7 @@
 world_open(mg_routing *routing, int targets,
            void (*serve)(world_conn *c, mg_str head))
 {
-    static const char *const domains[] = {"d"};
+    static const mg_gateway_entry entries[] = {{"e0", "d"}};
     unsigned pid = (unsigned)getpid();
     mg_error err;
     signal(SIGPIPE, SIG_IGN);
@@ -299,7 +304,7 @@
                    .quota_window_ms = 8000},
     });
     mg_gateway_set_routing(world.gateway, routing);
-    mg_gateway_set_entries(world.gateway, domains, 1, 0);
+    mg_gateway_set_entries(world.gateway, entries, 1, 0);
     for (int i = 0; i <= WORLD_TARGETS; i++) {
         /* an address of this process: the test may run several times at once
          */
