--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,6 +55,12 @@
 strikes|src/gateway/strikes.c|a strike stands in several reports|s/r->copies = MG_STRIKE_COPIES;/r->copies = 1;/
 strikes|src/gateway/strikes.c|the fewest parts that explain the crashes are refused|s/explain(&all.parts\[i\], &found);/if (all.parts[i].key == found.key) { explain(\&all.parts[i], \&found); }/
 strikes|src/policy/quarantine.c|what is served loses its strikes|s/r->cleared_ms = at_ms;/(void)at_ms;/
+capacity|src/gateway/capacity.c|only some entries own a share of a limit|s/return before < shares;/return true;/
+capacity|src/gateway/capacity.c|a share is handed over after a pause|s/define HANDOVER_MS 1000/define HANDOVER_MS 0/
+capacity|src/gateway/capacity.c|a share can't be saved up|s/c->allowance = c->allowance < max ? c->allowance : max;//
+capacity|src/gateway/capacity.c|a statement ends with a later request only|s/m->lacking_ms = max_time(m->lacking_ms, sent_ms);/m->lacking_ms = heard_ms;/
+capacity|src/gateway/capacity.c|an entry passes on what it only knows from others|s/    c->relayed_ms = now;/    return false;/
+capacity|src/gateway/pick.c|what a target states is kept|s/c->held_back/false/g
 answers|src/gateway/flow.c|a request is sent again on a channel of its own|s/t != f->previous_target ?/true ?/
 answers|src/gateway/flow.c|a refusal without an id counts on a new channel only|s/res.not_run \&\& res.id.n == 0 \&\& f->reused_channel/false/
 h1|src/wire/h1.c|outputs are set for malformed chunks|s/\*data = (mg_str){p, 0};/(void)0;/
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -410,7 +410,7 @@
                MG_STR_FMT(f->request.id), f->target->instance->info.id);
         return MG_CHANNEL_REJECT;
     }
-    mg_gw_target_states(f->target, &res.capacity);
+    mg_gw_target_states(f->target, &res.capacity, f->sent_ms);
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
@@ -555,6 +555,7 @@
         mg_log(MG_EV_REQ_CONNECT_FAILED, "id=%.*s target=%s why=not_run_%d",
                MG_STR_FMT(f->request.id), f->target->instance->info.id,
                f->status);
+        mg_capacity_rejected(&f->target->capacity, now_of(f));
         release_target(f);
         after_rejection(f);
         return;
@@ -711,6 +712,7 @@
     f->pool->running++;
     t->running++;
     t->instance->refs++;
+    mg_capacity_take(&t->capacity, now_of(f));
     mg_versions_count_sent(f->gw->versions, f->pool->service,
                            t->instance->info.version);
     /* a target that has refused this request may write the refusal a second
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -101,6 +101,14 @@
     mg_msg_encode(&m, user);
 }
 
+static void
+report_capacity(void *user, mg_instance *i)
+{
+    if (i->owner_data != NULL) {
+        mg_gw_target_report_capacity(i->owner_data, user);
+    }
+}
+
 static void
 report_past_use_of(mg_gw_usage *u, int64_t now, mg_buf *loads)
 {
@@ -156,6 +164,7 @@
     }
     report_past_use(gw, loads);
     mg_strikes_report(gw->strikes, loads);
+    mg_registry_each(gw->opts.registry, report_capacity, loads);
 }
 
 /* a workspace's total in the previous report of entry p, 0 if it has none */
@@ -265,6 +274,17 @@
     }
 }
 
+static void
+receive_capacity(mg_gateway *gw, const mg_load_capacity_msg *l)
+{
+    char id[MG_NAME_SIZE];
+    mg_str_copy(id, sizeof(id), l->id);
+    mg_instance *i = mg_registry_find(gw->opts.registry, id);
+    if (i != NULL) {
+        mg_gw_target_receive_capacity(mg_gw_target_of(gw, i), l);
+    }
+}
+
 static mg_gw_peer *
 peer_of(mg_gateway *gw, const char *node)
 {
@@ -318,6 +338,9 @@
         else if (m.type == MG_MSG_LOAD_SERVED) {
             mg_suspect_receive_served(gw, &m.u.load_served);
         }
+        else if (m.type == MG_MSG_LOAD_CAPACITY) {
+            receive_capacity(gw, &m.u.load_capacity);
+        }
     }
     p->loads.n = 0;
     mg_buf_put(&p->loads, loads.p, loads.n);
@@ -499,6 +522,7 @@
     (void)user;
     if (i->owner_data != NULL) {
         mg_gw_close_idle(i->owner_data);
+        mg_gw_target_expire_capacity(i->owner_data);
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <uv.h>
 
 #include "base/clock.h"
+#include "gateway/capacity.h"
 #include "topology/registry.h"
 #include "topology/routing.h"
 #include "wire/http.h"
@@ -53,15 +54,6 @@
     uint64_t resume_after;
 } mg_dispatch;
 
-/* what a target states about its capacity, in every response while it lasts */
-typedef struct mg_capacity_statement {
-    bool limited;
-    double rate_max; /* if limited: requests per second, of all entries */
-    bool brittle;
-    /* if brittle: it fails when it has to reject more requests in a second */
-    uint32_t rejections_max;
-} mg_capacity_statement;
-
 /* the header section of a target's response, decoded */
 typedef struct mg_response_head {
     int status;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -45,8 +45,9 @@
     int64_t decayed_at_ms;
     uint32_t allocated;  /* slots allocated to this entry */
     uint32_t borrowable; /* other slots usable until the next report */
-    mg_capacity_statement capacity; /* in its last response */
-    uint32_t failures;              /* consecutive */
+    mg_capacity capacity;
+    uint64_t capacity_run; /* start of the run that capacity belongs to */
+    uint32_t failures;     /* consecutive */
     int64_t avoid_until_ms;
 } mg_gw_target;
 
@@ -258,9 +259,21 @@
 mg_gw_target_failed(mg_gw_target *t, bool error_response);
 void
 mg_gw_target_served(mg_gw_target *t);
-/* Takes note of what a response of the target states. */
+/* Takes note of what a response states; sent_ms: time of its request. */
 void
-mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s);
+mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s,
+                    int64_t sent_ms);
+/* Takes note of what another entry reports about the target. */
+void
+mg_gw_target_receive_capacity(mg_gw_target *t, const mg_load_capacity_msg *m);
+/* Appends to loads what this entry has heard from the target, if others must
+   know it. */
+void
+mg_gw_target_report_capacity(mg_gw_target *t, mg_buf *loads);
+/* Forgets statements of former runs and those that nobody has heard for
+   long. */
+void
+mg_gw_target_expire_capacity(mg_gw_target *t);
 /*
  * Adds a local sample: time to the first event or the complete response.
  * nominal_ms: time that was predicted for it at slowdown 1.
--- a/src/gateway/pick.c
+++ b/src/gateway/pick.c
@@ -29,14 +29,15 @@
 static bool
 has_allocated_slot(const mg_pick_request *r, const mg_candidate *c)
 {
-    return r->may_use_allocated && c->local_running < c->allocated;
+    return r->may_use_allocated && !c->held_back &&
+           c->local_running < c->allocated;
 }
 
 bool
 mg_pick_has_room(const mg_pick_request *r, const mg_candidate *c)
 {
-    return has_allocated_slot(r, c) ||
-           (c->borrowable > 0 && c->running + 1 <= (double)c->slots);
+    return has_allocated_slot(r, c) || (c->borrowable > 0 && !c->held_back &&
+                                        c->running + 1 <= (double)c->slots);
 }
 
 static double
--- a/src/gateway/pick.h
+++ b/src/gateway/pick.h
@@ -29,6 +29,7 @@
     double cached_fraction; /* part of the prompt in its cache, 0 to 1 */
     bool same_domain;       /* in the entry's failure domain */
     bool unhealthy;         /* failed recently, or silent */
+    bool held_back;         /* by what it states, see gateway/capacity.h */
 } mg_candidate;
 
 typedef struct mg_pick_request {
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -28,6 +28,8 @@
 /* time constant of the exponential decay of learned samples, ms */
 #define DECAY_MS 8000.0
 #define DECAY_STEP_MS 100
+/* requests per second are sent as a whole number of thousandths */
+#define MILLI 1000.0
 /* weight of the initial assumption that a target's slowdown is 1, ms */
 #define PRIOR_MS 100.0
 
@@ -115,6 +117,7 @@
         .slowdown = mg_gw_target_slowdown(t, now),
         .same_domain = strcmp(info->domain, t->gw->domain) == 0,
         .unhealthy = is_unhealthy(t, now),
+        .held_back = !mg_capacity_admits(&t->capacity, now),
     };
 }
 
@@ -191,6 +194,112 @@
     return strcmp(x->instance->info.id, y->instance->info.id);
 }
 
+/* ------------------------------------------------------------- capacity */
+
+/* divides a limit that the target states among the entries */
+static void
+divide_limit(mg_gw_target *t)
+{
+    const mg_gateway *gw = t->gw;
+    if (t->capacity.stated.limited) {
+        uint32_t shares =
+            mg_capacity_shares(t->capacity.stated.rate_max, gw->entry_count);
+        bool owner = mg_capacity_owns(mg_hash(mg_str_of(t->instance->info.id)),
+                                      gw->entry_keys, gw->entry_count,
+                                      gw->self_index, shares);
+        mg_capacity_divide(&t->capacity, owner, shares,
+                           mg_now(gw->opts.clock));
+    }
+}
+
+static void
+log_capacity(const mg_gw_target *t, const char *why)
+{
+    const mg_capacity *c = &t->capacity;
+    mg_log(MG_EV_TARGET_CAPACITY,
+           "id=%s service=%s why=%s limited=%d rate_max=%.2f brittle=%d "
+           "rejections_max=%u owner=%d shares=%u running=%u others=%.0f",
+           t->instance->info.id, t->instance->info.service, why,
+           c->stated.limited, c->stated.rate_max, c->stated.brittle,
+           c->stated.rejections_max, c->owner, c->shares, t->running,
+           t->reported_running);
+}
+
+static void
+forget_former_run(mg_gw_target *t)
+{
+    if (t->capacity_run != t->instance->info.started_ms) {
+        t->capacity_run = t->instance->info.started_ms;
+        t->capacity = (mg_capacity){0};
+    }
+}
+
+void
+mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s,
+                    int64_t sent_ms)
+{
+    forget_former_run(t);
+    if (mg_capacity_heard(&t->capacity, s, sent_ms,
+                          mg_now(t->gw->opts.clock))) {
+        divide_limit(t);
+        log_capacity(t, "stated");
+    }
+}
+
+void
+mg_gw_target_receive_capacity(mg_gw_target *t, const mg_load_capacity_msg *m)
+{
+    mg_capacity_report r = {
+        .said = {.limited = m->limited != 0,
+                 .rate_max = (double)m->rate_max_milli / MILLI,
+                 .brittle = m->brittle != 0,
+                 .rejections_max = (uint32_t)m->rejections_max},
+        .age_ms = (int64_t)m->age_ms,
+        .sent_age_ms = (int64_t)m->sent_age_ms,
+    };
+    forget_former_run(t);
+    if (m->run != t->capacity_run || m->age_ms > INT32_MAX ||
+        m->sent_age_ms > INT64_MAX / 2) {
+        return;
+    }
+    if (mg_capacity_reported(&t->capacity, &r, mg_now(t->gw->opts.clock))) {
+        divide_limit(t);
+        log_capacity(t, "reported");
+    }
+}
+
+void
+mg_gw_target_report_capacity(mg_gw_target *t, mg_buf *loads)
+{
+    mg_capacity_report r;
+    mg_msg m = {.type = MG_MSG_LOAD_CAPACITY};
+    forget_former_run(t);
+    if (!mg_capacity_next_report(&t->capacity, mg_now(t->gw->opts.clock),
+                                 &r)) {
+        return;
+    }
+    m.u.load_capacity.id = mg_str_of(t->instance->info.id);
+    m.u.load_capacity.run = t->capacity_run;
+    m.u.load_capacity.limited = r.said.limited;
+    m.u.load_capacity.rate_max_milli = (uint64_t)(r.said.rate_max * MILLI);
+    m.u.load_capacity.brittle = r.said.brittle;
+    m.u.load_capacity.rejections_max = r.said.rejections_max;
+    m.u.load_capacity.age_ms = (uint64_t)r.age_ms;
+    m.u.load_capacity.sent_age_ms = (uint64_t)r.sent_age_ms;
+    mg_msg_encode(&m, loads);
+}
+
+void
+mg_gw_target_expire_capacity(mg_gw_target *t)
+{
+    forget_former_run(t);
+    if (mg_capacity_expire(&t->capacity, mg_now(t->gw->opts.clock))) {
+        log_capacity(t, "silent");
+    }
+}
+
+/* ---------------------------------------------------------------- slots */
+
 /* reallocates the slots of the pool when entries or targets have changed */
 static void
 allocate_slots(mg_gateway *gw, mg_gw_pool *p, const mg_instance_group *g)
@@ -209,6 +318,7 @@
         mg_instance *i = list_entry(el, mg_instance, link);
         mg_gw_target *t = mg_gw_target_of(gw, i);
         t->allocated = 0;
+        divide_limit(t);
         if (i->info.state == MG_INSTANCE_READY && n < CANDIDATES_MAX) {
             targets[n++] = t;
         }
@@ -386,23 +496,6 @@
     return mg_channel_new(&opts, cb);
 }
 
-void
-mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s)
-{
-    const mg_capacity_statement *old = &t->capacity;
-    if (s->limited != old->limited || s->rate_max != old->rate_max ||
-        s->brittle != old->brittle ||
-        s->rejections_max != old->rejections_max) {
-        mg_log(MG_EV_TARGET_CAPACITY,
-               "id=%s service=%s limited=%d rate_max=%.2f brittle=%d "
-               "rejections_max=%u running=%u others=%.0f",
-               t->instance->info.id, t->instance->info.service, s->limited,
-               s->rate_max, s->brittle, s->rejections_max, t->running,
-               t->reported_running);
-        t->capacity = *s;
-    }
-}
-
 void
 mg_gw_target_failed(mg_gw_target *t, bool error_response)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -194,6 +194,13 @@
 #define MG_FIELDS_LOAD_PAST(F) F(STR, workspace) F(U64, used) F(U64, age_ms)
 #define MG_FIELDS_LOAD_POOL(F) F(STR, service) F(U64, waiting)
 
+/* the last response that the entry has received from this run of a target:
+   what the target states in it, its age and that of its request, see
+   gateway/capacity.h */
+#define MG_FIELDS_LOAD_CAPACITY(F) \
+    F(STR, id) F(U64, run) F(U64, limited) F(U64, rate_max_milli) \
+    F(U64, brittle) F(U64, rejections_max) F(U64, age_ms) F(U64, sent_age_ms)
+
 /* rollout: requests sent and results measured since the last message */
 #define MG_FIELDS_ROLLOUT_SAMPLES(F) \
     F(STR, service) F(STR, version) F(U64, sent_old) F(U64, sent_new) \
@@ -284,7 +291,8 @@
     M(126, ROLLOUT_SAMPLE, rollout_sample) \
     M(128, LOAD_STRIKE, load_strike) \
     M(129, LOAD_SERVED, load_served) \
-    M(130, LOAD_PAST, load_past)
+    M(130, LOAD_PAST, load_past) \
+    M(131, LOAD_CAPACITY, load_capacity)
 
 /* clang-format on */
 
--- a/tests/unit/capacity_test.c
+++ b/tests/unit/capacity_test.c
@@ -105,10 +105,398 @@
     world_shut();
 }
 
+/* ------------------------------------------------------------ statements */
+
+#define RESPONSES 40
+
+/* a response, and whether it states a limit */
+struct response {
+    int64_t sent_ms;
+    int64_t received_ms;
+    bool limited;
+};
+
+/* A statement holds from its last mention on unless a later response lacks it
+   whose request was sent after that mention. */
+static bool
+holds(const struct response *r, int count)
+{
+    int last = count - 1;
+    while (last >= 0 && !r[last].limited) {
+        last--;
+    }
+    for (int i = last + 1; i < count; i++) {
+        if (last >= 0 && r[i].sent_ms > r[last].received_ms) {
+            return false;
+        }
+    }
+    return last >= 0;
+}
+
+static const char *
+statement_history(uint64_t seed)
+{
+    struct response r[RESPONSES];
+    mg_capacity c = {0};
+    mg_rng rng;
+    int64_t now = 1;
+    bool limited = false;
+    mg_rng_init(&rng, seed);
+    for (int i = 0; i < RESPONSES; i++) {
+        now += mg_rng_below(&rng, 200);
+        limited = mg_rng_below(&rng, 5) == 0 ? !limited : limited;
+        int64_t sent_ms = now - mg_rng_below(&rng, 400);
+        r[i] = (struct response){sent_ms, now,
+                                 limited ^ (mg_rng_below(&rng, 9) == 0)};
+        mg_capacity_statement s = {.limited = r[i].limited, .rate_max = 3};
+        bool before = c.stated.limited;
+        if (mg_capacity_heard(&c, &s, sent_ms, now) !=
+            (before != c.stated.limited)) {
+            return "wrong result";
+        }
+        if (c.stated.limited != holds(r, i + 1)) {
+            return "the statement in force differs";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_statements(void)
+{
+    run_histories(statement_history, HISTORIES);
+}
+
+static void
+test_silent_statements_expire(void)
+{
+    mg_capacity c = {0};
+    mg_capacity_statement s = {.limited = true, .rate_max = 0.2};
+    mg_capacity_heard(&c, &s, 1, 1);
+    CU_ASSERT_FALSE(mg_capacity_expire(&c, 15000));
+    CU_ASSERT_TRUE(mg_capacity_expire(&c, 25000));
+    CU_ASSERT_TRUE(mg_capacity_admits(&c, 25000));
+}
+
+/* ---------------------------------------------------------------- shares */
+
+#define ENTRIES_MAX 24
+
+static uint64_t
+random_key(mg_rng *rng)
+{
+    uint64_t high = mg_rng_below(rng, UINT32_MAX);
+    return high << 32 | mg_rng_below(rng, UINT32_MAX);
+}
+
+/* Every entry that knows the same entries agrees who owns the shares; when one
+   leaves, all others keep what they own. */
+static const char *
+share_history(uint64_t seed)
+{
+    uint64_t keys[ENTRIES_MAX];
+    mg_rng rng;
+    mg_rng_init(&rng, seed);
+    size_t n = 1 + mg_rng_below(&rng, ENTRIES_MAX);
+    uint64_t target = random_key(&rng);
+    double rate = 30 * mg_rng_unit(&rng);
+    uint32_t shares = mg_capacity_shares(rate, n);
+    bool owns[ENTRIES_MAX];
+    size_t owners = 0;
+    for (size_t i = 0; i < n; i++) {
+        keys[i] = random_key(&rng);
+    }
+    for (size_t i = 0; i < n; i++) {
+        owns[i] = mg_capacity_owns(target, keys, n, i, shares);
+        owners += owns[i];
+    }
+    if (owners != shares || shares < 1 || shares > n ||
+        (shares > 1 && rate / shares < 1)) {
+        return "wrong number of owners";
+    }
+    if (mg_capacity_owns(target, keys, n, n, shares)) {
+        return "an entry that is none of them owns a share";
+    }
+    size_t gone = mg_rng_below(&rng, (uint32_t)n);
+    keys[gone] = keys[n - 1];
+    uint32_t left = mg_capacity_shares(rate, n - 1);
+    for (size_t i = 0; i + 1 < n; i++) {
+        size_t was = i == gone ? n - 1 : i;
+        if (owns[was] && left == shares &&
+            !mg_capacity_owns(target, keys, n - 1, i, left)) {
+            return "an entry has lost its share to another";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_shares(void)
+{
+    run_histories(share_history, HISTORIES);
+}
+
+/* sends all that c admits from from_ms to to_ms, exclusive */
+static unsigned
+send_all(mg_capacity *c, int64_t from_ms, int64_t to_ms)
+{
+    unsigned n = 0;
+    for (int64_t now = from_ms; now < to_ms; now++) {
+        for (; mg_capacity_admits(c, now); n++) {
+            mg_capacity_take(c, now);
+        }
+    }
+    return n;
+}
+
+static void
+test_allowances(void)
+{
+    mg_capacity c = {0};
+    mg_capacity_statement s = {.limited = true, .rate_max = 3};
+    mg_capacity_heard(&c, &s, 1, 1);
+    CU_ASSERT_FALSE(mg_capacity_admits(&c, 1000));
+    mg_capacity_divide(&c, true, 2, 1000);
+    CU_ASSERT_EQUAL(send_all(&c, 1000, 9000), 12);
+    /* a pause isn't made up for */
+    CU_ASSERT_EQUAL(send_all(&c, 60000, 60001), 1);
+    /* the share of another entry: not before that one has noticed */
+    mg_capacity_divide(&c, false, 2, 61000);
+    CU_ASSERT_EQUAL(send_all(&c, 61000, 70000), 0);
+    mg_capacity_divide(&c, true, 2, 70000);
+    CU_ASSERT_EQUAL(send_all(&c, 70000, 71000), 0);
+    CU_ASSERT_EQUAL(send_all(&c, 71000, 75010), 6);
+    /* larger shares, since there are fewer entries */
+    mg_capacity_divide(&c, true, 1, 75010);
+    CU_ASSERT_EQUAL(send_all(&c, 75010, 76010), 0);
+    CU_ASSERT_EQUAL(send_all(&c, 76010, 80020), 12);
+}
+
+static void
+test_brittle_targets(void)
+{
+    mg_capacity c = {0};
+    mg_capacity_statement s = {.brittle = true, .rejections_max = 2};
+    mg_capacity_rejected(&c, 1);
+    CU_ASSERT_TRUE(mg_capacity_admits(&c, 1));
+    mg_capacity_heard(&c, &s, 1, 1);
+    CU_ASSERT_FALSE(mg_capacity_admits(&c, 1000));
+    CU_ASSERT_TRUE(mg_capacity_admits(&c, 1001));
+}
+
+/* ----------------------------------------------------- entries and target */
+
+/* A target that states a limit, entries that are always pressed, leave and
+   come back; who is there, and what the target states, is known late. */
+#define STEP_MS 10
+#define STEPS 2400
+#define STATED_AT 100     /* step */
+#define SEEN_STEPS_MAX 60 /* until another entry is known to come or leave */
+#define REPORT_STEPS 40
+#define REPORT_DELAY_STEPS 30
+#define CONTACT_STEPS 300
+#define WINDOW_STEPS 400
+
+struct sim_entry {
+    bool there;
+    int changed; /* step at which it came or left last */
+    mg_capacity c;
+    int told;              /* step at which it heard the limit, 0: not yet */
+    int seen[ENTRIES_MAX]; /* steps until it notices each entry's change */
+    bool view[ENTRIES_MAX];
+    mg_capacity_report reported;
+    int reported_step;
+    int response_step; /* of the last request; 0: none under way */
+    int sent_step;
+};
+
+static struct sim_entry sim[ENTRIES_MAX];
+
+static void
+divide(size_t self, size_t n, double rate, uint64_t target,
+       const uint64_t *names, int64_t now)
+{
+    uint64_t keys[ENTRIES_MAX];
+    size_t count = 0;
+    size_t at = n;
+    for (size_t i = 0; i < n; i++) {
+        if (i == self) {
+            at = count;
+        }
+        if (sim[self].view[i]) {
+            keys[count++] = names[i];
+        }
+    }
+    uint32_t shares = mg_capacity_shares(rate, count);
+    mg_capacity_divide(&sim[self].c,
+                       mg_capacity_owns(target, keys, count, at, shares),
+                       shares, now);
+}
+
+/* lets e notice who has come or left */
+static void
+look_around(size_t e, size_t n, int step, double rate, uint64_t target,
+            const uint64_t *names)
+{
+    bool changed = sim[e].c.shares == 0;
+    for (size_t i = 0; i < n; i++) {
+        bool there = i == e || sim[i].there;
+        if (sim[e].view[i] != there &&
+            step - sim[i].changed >= sim[e].seen[i]) {
+            sim[e].view[i] = there;
+            changed = true;
+        }
+    }
+    if (changed) {
+        divide(e, n, rate, target, names, (int64_t)step * STEP_MS);
+    }
+}
+
+static void
+exchange_reports(size_t n, int step, int64_t now)
+{
+    for (size_t from = 0; from < n; from++) {
+        struct sim_entry *s = &sim[from];
+        if (step % REPORT_STEPS == (int)from % REPORT_STEPS && s->there &&
+            mg_capacity_next_report(&s->c, now, &s->reported)) {
+            s->reported_step = step;
+        }
+        for (size_t to = 0;
+             s->reported_step != 0 &&
+             step == s->reported_step + REPORT_DELAY_STEPS && to < n;
+             to++) {
+            if (to != from && sim[to].there) {
+                mg_capacity_reported(&sim[to].c, &s->reported, now);
+            }
+        }
+    }
+}
+
+static void
+come_or_leave(struct sim_entry *s, int step, mg_rng *rng)
+{
+    s->there = !s->there;
+    s->changed = step;
+    for (size_t i = 0; i < ENTRIES_MAX; i++) {
+        sim[i].seen[s - sim] = (int)mg_rng_below(rng, SEEN_STEPS_MAX);
+    }
+    if (s->there) {
+        /* it starts anew */
+        s->c = (mg_capacity){0};
+        s->told = 0;
+        s->response_step = 0;
+    }
+}
+
+/* Requests that the target gets from entries in touch that have been told. */
+static const char *
+check_windows(const unsigned *counted, double rate, int end)
+{
+    for (int from = STATED_AT + CONTACT_STEPS; from + WINDOW_STEPS < end;
+         from++) {
+        unsigned sum = 0;
+        for (int i = 0; i < WINDOW_STEPS; i++) {
+            sum += counted[from + i];
+        }
+        if (sum > 1.5 * rate * WINDOW_STEPS * STEP_MS / 1000 + 5) {
+            return "the target gets more than it states";
+        }
+    }
+    return NULL;
+}
+
+static const char *
+limit_history(uint64_t seed)
+{
+    static unsigned counted[STEPS];
+    uint64_t names[ENTRIES_MAX];
+    mg_rng rng;
+    mg_rng_init(&rng, seed);
+    memset(sim, 0, sizeof(sim));
+    memset(counted, 0, sizeof(counted));
+    size_t n = 2 + mg_rng_below(&rng, ENTRIES_MAX - 1);
+    double rate = 0.5 + (mg_rng_below(&rng, 2) ? 2 : 20) * mg_rng_unit(&rng);
+    uint64_t target = random_key(&rng);
+    int end = STEPS * 3 / 4;
+    int calm = (int)mg_rng_below(&rng, 3); /* 0: nobody leaves */
+    unsigned sum = 0;
+    for (size_t i = 0; i < n; i++) {
+        names[i] = random_key(&rng);
+        sim[i].there = true;
+        for (size_t k = 0; k < n; k++) {
+            sim[i].view[k] = true;
+        }
+    }
+    for (int step = 1; step < STEPS; step++) {
+        int64_t now = (int64_t)step * STEP_MS;
+        if (calm > 0 && step % 300 == 0) {
+            for (uint32_t k = mg_rng_below(&rng, 3); k > 0; k--) {
+                come_or_leave(&sim[mg_rng_below(&rng, (uint32_t)n)], step,
+                              &rng);
+            }
+        }
+        exchange_reports(n, step, now);
+        for (size_t i = 0; i < n; i++) {
+            struct sim_entry *s = &sim[i];
+            if (!s->there) {
+                continue;
+            }
+            look_around(i, n, step, rate, target, names);
+            if (s->response_step == step) {
+                mg_capacity_statement st = {.limited = step >= STATED_AT &&
+                                                       step < end,
+                                            .rate_max = rate};
+                s->response_step = 0;
+                s->told = st.limited && s->told == 0 ? step : s->told;
+                mg_capacity_heard(&s->c, &st, (int64_t)s->sent_step * STEP_MS,
+                                  now);
+            }
+            mg_capacity_expire(&s->c, now);
+            if (!mg_capacity_admits(&s->c, now)) {
+                continue;
+            }
+            mg_capacity_take(&s->c, now);
+            sum += step >= STATED_AT + CONTACT_STEPS && step < end;
+            if (s->told != 0 && step - s->told > 50 && step < end &&
+                step - s->changed > CONTACT_STEPS) {
+                counted[step]++;
+            }
+            if (s->response_step == 0) {
+                s->sent_step = step;
+                s->response_step = step + 5 + (int)mg_rng_below(&rng, 30);
+            }
+        }
+    }
+    double stated =
+        rate * (end - STATED_AT - CONTACT_STEPS) * STEP_MS / 1000.0;
+    if (calm == 0 && sum < 0.7 * stated - 2) {
+        return "much of the limit isn't used";
+    }
+    for (size_t i = 0; i < n; i++) {
+        if (sim[i].there && sim[i].c.stated.limited) {
+            return "the limit's end isn't known";
+        }
+    }
+    return check_windows(counted, rate, end);
+}
+
+static void
+test_limits_of_entries_that_come_and_leave(void)
+{
+    run_histories(limit_history, 1000);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
+        {"when a statement holds", test_statements},
+        {"silent statements expire", test_silent_statements_expire},
+        {"who owns a share", test_shares},
+        {"allowances", test_allowances},
+        {"brittle targets", test_brittle_targets},
+        {"a limit while entries come and leave",
+         test_limits_of_entries_that_come_and_leave},
         {"entries share the limit of a target", test_entries_share_a_limit},
         {"the rest goes elsewhere", test_the_rest_goes_elsewhere},
         CU_TEST_INFO_NULL,
