--- /dev/null
+++ b/tests/unit/reach_test.c
@@ -0,0 +1,254 @@
+/*
+ * Guards against entries that serve nobody while they are cut off from targets
+ * that other entries reach.
+ */
+#include "flow_world.h"
+
+
+#define WORLD_RELAY_PORT 24790
+#define SERVICE "app"
+/* the entry that clients use is that of the world; the other one is at this
+   name, which is its address */
+static char other_node[16]; /* "127.a.b.c" */
+
+static struct {
+    mg_registry *registry;
+    mg_gateway *gateway;
+    mg_http_server *relay;
+    uv_prepare_t prepare;
+    uint64_t reports;
+    bool silent; /* sends no reports */
+    bool stream;
+} other;
+
+static void
+serve(world_conn *c, mg_str head)
+{
+    if (strstr(head.p, "break") != NULL) {
+        world_close(c);
+        return;
+    }
+    world_write(c, other.stream
+                       ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n"
+                       : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+static void
+on_other_request(void *user, mg_http_req *r)
+{
+    (void)user;
+    mg_gateway_handle(other.gateway, r);
+}
+
+static void
+on_other_prepare(uv_prepare_t *h)
+{
+    mg_buf loads = {0};
+    (void)h;
+    mg_gateway_tick(other.gateway);
+    mg_gateway_dispatch_scheduled(other.gateway);
+    if (!other.silent) {
+        mg_gateway_append_report(other.gateway, &loads);
+        mg_gateway_receive_report(world.gateway, other_node, 1,
+                                  mg_str_buf(&loads));
+    }
+    mg_buf_free(&loads);
+}
+
+/* Announces a target to one of the entries; reachable: at the address of the
+   world's target, else at one that refuses connections. */
+static void
+announce(mg_gateway *gw, mg_registry *registry, int target, bool reachable)
+{
+    mg_announcement a = {.slots = 10, .seq = 1, .started_ms = 1};
+    snprintf(a.id, sizeof(a.id), "t-%d", target);
+    strcpy(a.service, SERVICE);
+    strcpy(a.domain, "d");
+    strcpy(a.version, "v1");
+    strcpy(a.addr, world.addrs[target]);
+    if (!reachable) {
+        /* one digit more in the port's place: nobody listens there */
+        snprintf(a.addr, sizeof(a.addr), "%s:%d", other_node,
+                 WORLD_PORT + 20 + target);
+    }
+    mg_registry_announce(registry, &a);
+    mg_gateway_instance_changed(gw, mg_registry_find(registry, a.id));
+}
+
+static void
+open_entries(mg_retry_policy policy, bool first_reaches, bool other_reaches)
+{
+    static const mg_gateway_entry self[] = {{"e0", "d"}};
+    mg_route r = {
+        .retry_policy = policy,
+        .timeout_ms = 2000,
+        .goal_ms = 100,
+        .attempts_max = 2,
+        .stream = other.stream,
+    };
+    mg_error err;
+    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
+    mg_str rest;
+    world_open(world_routing(&r, 0, 0), 0, serve);
+    mg_str ip = mg_str_split(mg_str_of(world.addrs[0]), ':', &rest);
+    mg_str_copy(other_node, sizeof(other_node), ip);
+    other.registry = mg_registry_new(mg_system_clock());
+    other.gateway = mg_gateway_new(&(mg_gateway_options){
+        .loop = &world.loop,
+        .clock = mg_system_clock(),
+        .registry = other.registry,
+        .dialect = &world.dialect,
+        .domain = "d",
+        .seed = 2,
+        .limits = {.retry_ratio = 2,
+                   .retry_slack = 1000,
+                   .retry_window_ms = 8000,
+                   .quota_window_ms = 8000},
+    });
+    mg_gateway_set_routing(other.gateway, world_routing(&r, 0, 0));
+    mg_gateway_set_entries(other.gateway, self, 1, 0);
+    snprintf(addr, sizeof(addr), "%s:%d", other_node, WORLD_RELAY_PORT);
+    CU_ASSERT_EQUAL_FATAL(
+        mg_http_open(&other.relay,
+                     &(mg_http_options){
+                         .loop = &world.loop,
+                         .listen_addr = addr,
+                         .limits = {.body_max = 1000},
+                         .on_request = on_other_request,
+                     },
+                     &err),
+        MG_OK);
+    for (int i = 0; i < WORLD_TARGETS; i++) {
+        world_listen(i);
+        announce(world.gateway, world.registry, i, first_reaches);
+        announce(other.gateway, other.registry, i, other_reaches);
+    }
+    other.silent = false;
+    uv_prepare_init(&world.loop, &other.prepare);
+    uv_prepare_start(&other.prepare, on_other_prepare);
+}
+
+static void
+close_entries(void)
+{
+    uv_prepare_stop(&other.prepare);
+    mg_http_stop_listening(other.relay);
+    world_shut();
+}
+
+/* lets the other entry reach the service */
+static void
+use_other(void)
+{
+    char addr[sizeof(world.addrs[0])];
+    memcpy(addr, world.addrs[WORLD_TARGETS], sizeof(addr));
+    snprintf(world.addrs[WORLD_TARGETS], sizeof(addr), "%s:%d", other_node,
+             WORLD_RELAY_PORT);
+    world_get("/");
+    memcpy(world.addrs[WORLD_TARGETS], addr, sizeof(addr));
+}
+
+/* first requests, from which the entry may learn that it is cut off */
+#define LEARNING 10
+#define REQUESTS 40
+
+/* Sends requests for about two seconds; returns how many of the last REQUESTS
+   were served. */
+static unsigned
+serve_requests(const char *path)
+{
+    unsigned served = 0;
+    for (int i = 0; i < LEARNING + REQUESTS; i++) {
+        served += world_get(path) == 200 && i >= LEARNING;
+        use_other();
+        world_pass(30);
+    }
+    return served;
+}
+
+static void
+check_relay(mg_retry_policy policy, bool stream)
+{
+    other.stream = stream;
+    open_entries(policy, false, true);
+    use_other();
+    unsigned served = serve_requests("/");
+    printf("\n  %u of %d requests served\n", served, REQUESTS);
+    CU_ASSERT_EQUAL(served, REQUESTS);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_EQUAL(world.answer.body.n, stream ? 18u : 2u);
+    close_entries();
+}
+
+static void
+test_requests_go_through_another_entry(void)
+{
+    check_relay(MG_RETRY_BEFORE_RESPONSE, false);
+}
+
+static void
+test_streams_go_through_another_entry(void)
+{
+    check_relay(MG_RETRY_RESUME, true);
+}
+
+/* a request that must not be repeated reaches targets once, whatever fails */
+static void
+test_at_most_once(void)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_NEVER, false, true);
+    use_other();
+    serve_requests("/");
+    unsigned before = world.executed;
+    for (int i = 0; i < REQUESTS; i++) {
+        int status = world_get("/break");
+        CU_ASSERT_TRUE(status == 502 || status == 503);
+        use_other();
+    }
+    /* use_other() sends one, too */
+    CU_ASSERT_TRUE(world.executed - before <= 2 * REQUESTS);
+    close_entries();
+}
+
+/* no entry reaches the service: the client is told so, and soon */
+static void
+test_no_loops(void)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_BEFORE_RESPONSE, false, false);
+    use_other();
+    CU_ASSERT_EQUAL(serve_requests("/"), 0);
+    CU_ASSERT_EQUAL(world.answer.status, 503);
+    CU_ASSERT_EQUAL(world.executed, 0);
+    close_entries();
+}
+
+/* an entry that reaches its targets doesn't pass on */
+static void
+test_entries_that_reach_their_targets(void)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_BEFORE_RESPONSE, true, true);
+    use_other();
+    CU_ASSERT_EQUAL(serve_requests("/"), REQUESTS);
+    close_entries();
+}
+
+int
+main(void)
+{
+    static const CU_TestInfo tests[] = {
+        {"requests go through another entry",
+         test_requests_go_through_another_entry},
+        {"streams go through another entry",
+         test_streams_go_through_another_entry},
+        {"requests that are passed on run once", test_at_most_once},
+        {"no loops between entries", test_no_loops},
+        {"entries that reach their targets",
+         test_entries_that_reach_their_targets},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("reach", tests);
+}
