--- a/src/base/event.h
+++ b/src/base/event.h
@@ -52,6 +52,7 @@
     X(308, WARN, REQ_CONNECT_FAILED, "connection failed, not dispatched")     \
     X(309, WARN, GRANT_STALE, "grant dropped before dispatch; reason")        \
     X(310, INFO, QUOTA, "workspace is over its quota; figures")               \
+    X(311, INFO, REQ_RELAYED, "request passed on through another entry")      \
     X(320, INFO, ROUTE_GRANT, "slot granted: target and figures")             \
     X(321, INFO, ROUTE_SHED, "ticket shed: reason and figures")               \
     X(322, INFO, SCHED_START, "pool scheduler started; epoch")                \
@@ -61,6 +62,7 @@
     X(331, WARN, TARGET_DOWN, "target removed: lease expired or crashed")     \
     X(332, INFO, TARGET_LEAVING, "target is draining, gets no new requests")  \
     X(333, INFO, TARGET_CAPACITY, "target states another capacity")           \
+    X(334, WARN, POOL_CUT, "cut off from a service that other entries reach") \
     X(340, INFO, MOVE_STATE, "rollout changed state; evidence")               \
     X(341, WARN, QUARANTINE, "refused: has crashed too many targets")         \
     X(342, INFO, CRASH_SUSPECT, "request or prompt part of a crashed target") \
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -6,6 +6,7 @@
 #include "base/event.h"
 #include "gateway/gateway_int.h"
 #include "gateway/pick.h"
+#include "gateway/relay.h"
 #include "gateway/suspects.h"
 
 /* a time measured with mg_now() exceeds the true one by less than this */
@@ -79,6 +80,9 @@
 static void
 target_failed(mg_flow *f, bool error_response)
 {
+    if (!error_response) {
+        mg_reach_failed(&f->pool->reach);
+    }
     mg_gw_target_failed(f->target, error_response);
     sample_version(f, true);
 }
@@ -114,8 +118,8 @@
     }
 }
 
-static void
-close_channel(mg_flow *f)
+void
+mg_flow_close_channel(mg_flow *f)
 {
     mg_channel *c = f->channel;
     f->channel = NULL;
@@ -134,8 +138,8 @@
 }
 
 /* the response is complete or aborted, or the client has disconnected */
-static void
-finish(mg_flow *f)
+void
+mg_flow_finish(mg_flow *f)
 {
     if (f->state == MG_FLOW_DONE) {
         return;
@@ -144,7 +148,7 @@
         mg_tierq_remove(f->pool->waiting, &f->ticket);
     }
     f->state = MG_FLOW_DONE;
-    close_channel(f);
+    mg_flow_close_channel(f);
     release_target(f);
     drop_held(f);
     f->gw->open_requests--;
@@ -176,7 +180,7 @@
                         now_of(f));
     }
     mg_http_reply(f->request.http, status, NULL, extra, (mg_str){"", 0});
-    finish(f);
+    mg_flow_finish(f);
 }
 
 static void
@@ -187,12 +191,12 @@
            now_of(f) - f->arrived_ms);
     mg_count(MG_C_TRUNCATED, 1);
     mg_http_abort(f->request.http);
-    finish(f);
+    mg_flow_finish(f);
 }
 
 /* ends a request that is not retried any more */
-static void
-fail_request(mg_flow *f, const char *why)
+void
+mg_flow_fail(mg_flow *f, const char *why)
 {
     if (f->response_started) {
         abort_response(f, why);
@@ -209,7 +213,7 @@
 mg_flow_refuse_suspect(mg_flow *f)
 {
     if (f->response_started || f->possible_runs > 0) {
-        fail_request(f, "ended_its_targets");
+        mg_flow_fail(f, "ended_its_targets");
     }
     else {
         mg_flow_refuse(f, 503, SUSPECT_RETRY_MS, "ended_its_targets");
@@ -223,26 +227,26 @@
     mg_log(MG_EV_REQ_CANCELLED, "id=%.*s sends=%u ms=%" PRId64,
            MG_STR_FMT(f->request.id), f->sends, now_of(f) - f->arrived_ms);
     mg_count(MG_C_CANCELLED, 1);
-    finish(f);
+    mg_flow_finish(f);
 }
 
-static void
-log_response(mg_flow *f)
+void
+mg_flow_log_response(mg_flow *f, const char *from)
 {
     mg_log(MG_EV_REQ_ANSWERED,
            "id=%.*s status=%d target=%s sends=%u sent_ms=%" PRId64
            " first_ms=%" PRId64 " ms=%" PRId64,
-           MG_STR_FMT(f->request.id), f->status, f->target->instance->info.id,
-           f->sends, f->sent_ms - f->arrived_ms,
-           f->first_byte_ms - f->arrived_ms, now_of(f) - f->arrived_ms);
+           MG_STR_FMT(f->request.id), f->status, from, f->sends,
+           f->sent_ms - f->arrived_ms, f->first_byte_ms - f->arrived_ms,
+           now_of(f) - f->arrived_ms);
     mg_count(MG_C_COMPLETED, 1);
     mg_observe(MG_H_FIRST_BYTE, (f->first_byte_ms - f->arrived_ms) * 1000);
 }
 
 /* ------------------------------------------------------------- retries */
 
-static void
-set_timer(mg_flow *f, int64_t at)
+void
+mg_flow_set_timer(mg_flow *f, int64_t at)
 {
     int64_t now = now_of(f);
     uv_timer_start(&f->timer, on_timer, (uint64_t)(at > now ? at - now : 1),
@@ -297,8 +301,8 @@
     drop_held(f);
     mg_tierq_add(f->pool->waiting, &f->ticket);
     mg_gw_pool_schedule(f->gw, f->pool);
-    set_timer(f,
-              may_have_run(f) ? f->deadline_ms : f->wait_limit.dispatch_by_ms);
+    mg_flow_set_timer(f, may_have_run(f) ? f->deadline_ms
+                                         : f->wait_limit.dispatch_by_ms);
 }
 
 /* moves f, which is late, behind the requests of its tier that are not late */
@@ -308,7 +312,7 @@
     mg_tierq_remove(f->pool->waiting, &f->ticket);
     f->ticket.tier = 2 * f->tier + 1;
     mg_tierq_add(f->pool->waiting, &f->ticket);
-    set_timer(f, f->wait_limit.refuse_at_ms);
+    mg_flow_set_timer(f, f->wait_limit.refuse_at_ms);
 }
 
 static bool
@@ -331,7 +335,7 @@
         mg_flow_wait_for_target(f);
     }
     else {
-        fail_request(f, "rejected");
+        mg_flow_fail(f, "rejected");
     }
 }
 
@@ -357,6 +361,12 @@
     return true;
 }
 
+bool
+mg_flow_take_retry(mg_flow *f)
+{
+    return may_retry(f) && !f->response_started && take_retry(f);
+}
+
 /* how long a target may be silent: factor * goal_ms, at least SILENT_MIN_MS */
 static int64_t
 silence_limit_ms(int64_t goal_ms, int64_t factor)
@@ -371,13 +381,13 @@
 {
     int64_t at = now_of(f) + ms;
     bool retriable = may_retry(f) && at < f->deadline_ms;
-    set_timer(f, retriable ? at : f->deadline_ms);
+    mg_flow_set_timer(f, retriable ? at : f->deadline_ms);
 }
 
 /* ----------------------------------------------------------- responses */
 
-static void
-save_headers(mg_flow *f, const mg_h1_headers *headers)
+void
+mg_flow_save_headers(mg_flow *f, const mg_h1_headers *headers)
 {
     f->headers.n = 0;
     for (size_t i = 0; i < headers->header_count; i++) {
@@ -411,6 +421,7 @@
         return MG_CHANNEL_REJECT;
     }
     mg_gw_target_states(f->target, &res.capacity, f->sent_ms);
+    mg_reach_ok(&f->pool->reach, now_of(f));
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
@@ -418,7 +429,7 @@
                          res.status != 204 && res.status != 304;
     f->streaming = f->route->stream && res.status == 200 && !res.not_run;
     if (!f->response_started) {
-        save_headers(f, headers);
+        mg_flow_save_headers(f, headers);
     }
     return MG_CHANNEL_ACCEPT;
 }
@@ -462,14 +473,14 @@
 static void
 reject_response(mg_flow *f, const char *why)
 {
-    close_channel(f);
+    mg_flow_close_channel(f);
     release_target(f);
-    fail_request(f, why);
+    mg_flow_fail(f, why);
 }
 
 /* Counts what is held of the response; ends the request if it is too much. */
-static void
-hold_response(mg_flow *f)
+void
+mg_flow_hold_response(mg_flow *f)
 {
     size_t event = f->sse_parser.pending.n - f->sse_parser.consumed;
     size_t bytes = f->body.n + event;
@@ -492,7 +503,7 @@
     mg_sse_event ev;
     if (!f->streaming) {
         mg_buf_put(&f->body, data.p, data.n);
-        hold_response(f);
+        mg_flow_hold_response(f);
         return;
     }
     mg_sse_parser_feed(&f->sse_parser, data);
@@ -507,7 +518,7 @@
         }
         forward_event(f, &ev);
     }
-    hold_response(f);
+    mg_flow_hold_response(f);
 }
 
 static bool
@@ -523,18 +534,18 @@
         target_failed(f, false);
         suspect(f);
         if (!retry(f)) {
-            fail_request(f, "stream_ended_early");
+            mg_flow_fail(f, "stream_ended_early");
         }
         return;
     }
     target_served(f);
-    log_response(f);
+    mg_flow_log_response(f, f->target->instance->info.id);
     mg_http_finish(f->request.http);
-    finish(f);
+    mg_flow_finish(f);
 }
 
-static void
-send_buffered(mg_flow *f)
+void
+mg_flow_send_buffered(mg_flow *f)
 {
     mg_str body = mg_str_buf(&f->body);
     if (!f->close_delimited) {
@@ -566,7 +577,7 @@
             return;
         }
         if (f->response_started) {
-            fail_request(f, "resumption_failed");
+            mg_flow_fail(f, "resumption_failed");
             return;
         }
     }
@@ -576,13 +587,13 @@
                                 f->nominal_ms);
     }
     if (f->response_started) {
-        fail_request(f, "resumption_refused");
+        mg_flow_fail(f, "resumption_refused");
         return;
     }
     f->first_byte_ms = now_of(f);
-    log_response(f);
-    send_buffered(f);
-    finish(f);
+    mg_flow_log_response(f, f->target->instance->info.id);
+    mg_flow_send_buffered(f);
+    mg_flow_finish(f);
 }
 
 static const char *
@@ -618,6 +629,7 @@
            MG_STR_FMT(f->request.id), f->target->instance->info.id,
            result_name(result), f->reused_channel, now_of(f) - f->arrived_ms);
     if (result == MG_CHANNEL_CONNECT_FAILED) {
+        mg_reach_failed(&f->pool->reach);
         mg_gw_target_failed(f->target, false);
     }
     else {
@@ -635,11 +647,11 @@
             mg_flow_wait_for_target(f);
         }
         else {
-            fail_request(f, "unreached");
+            mg_flow_fail(f, "unreached");
         }
     }
     else if (!retry(f)) {
-        fail_request(f, result_name(result));
+        mg_flow_fail(f, result_name(result));
     }
 }
 
@@ -693,12 +705,16 @@
 static void
 on_connected(mg_channel_callbacks *cb)
 {
-    send_request((mg_flow *)cb);
+    mg_flow *f = (mg_flow *)cb;
+    mg_reach_ok(&f->pool->reach, now_of(f));
+    send_request(f);
 }
 
 void
 mg_flow_dispatch(mg_flow *f, mg_gw_target *t)
 {
+    f->callbacks =
+        (mg_channel_callbacks){on_connected, on_headers, on_data, on_end};
     bool recent_only = f->route->retry_policy == MG_RETRY_NEVER;
     mg_observe(MG_H_GRANT_WAIT, (now_of(f) - f->arrived_ms) * 1000);
     f->target = t;
@@ -727,7 +743,7 @@
     }
     f->state = MG_FLOW_CONNECTING;
     int64_t until = now_of(f) + CONNECT_MS;
-    set_timer(f, until < f->deadline_ms ? until : f->deadline_ms);
+    mg_flow_set_timer(f, until < f->deadline_ms ? until : f->deadline_ms);
     f->channel = mg_gw_new_channel(t, &f->callbacks);
 }
 
@@ -742,14 +758,14 @@
     }
     if (!may_retry(f) || !take_retry(f)) {
         /* the response may still arrive: wait until the deadline */
-        set_timer(f, f->deadline_ms);
+        mg_flow_set_timer(f, f->deadline_ms);
         return;
     }
     mg_log(MG_EV_REQ_CONNECT_FAILED,
            "id=%.*s target=%s why=silent last=%" PRIu64 " ms=%" PRId64,
            MG_STR_FMT(f->request.id), f->target->instance->info.id, f->last_id,
            now_of(f) - f->arrived_ms);
-    close_channel(f);
+    mg_flow_close_channel(f);
     target_failed(f, false);
     release_target(f);
     mg_flow_wait_for_target(f);
@@ -766,7 +782,7 @@
         mg_flow_refuse_busy(f, "waited");
         break;
     case MG_WAIT_CONTINUE:
-        set_timer(f, f->deadline_ms);
+        mg_flow_set_timer(f, f->deadline_ms);
         break;
     }
 }
@@ -777,7 +793,7 @@
     mg_flow *f = t->data;
     bool late = now_of(f) >= f->deadline_ms;
     if (f->state == MG_FLOW_CONNECTING && !late) {
-        close_channel(f);
+        mg_flow_close_channel(f);
         on_end(&f->callbacks, MG_CHANNEL_CONNECT_FAILED);
         return;
     }
@@ -789,10 +805,17 @@
         on_wait_timer(f);
         return;
     }
-    close_channel(f);
+    if (f->state == MG_FLOW_RELAYED && !late) {
+        mg_relay_timeout(f);
+        return;
+    }
+    if (f->state == MG_FLOW_SENT) {
+        mg_reach_failed(&f->pool->reach);
+    }
+    mg_flow_close_channel(f);
     release_target(f);
     if (f->response_started || f->possible_runs == 0) {
-        fail_request(f, "deadline");
+        mg_flow_fail(f, "deadline");
     }
     else {
         mg_flow_refuse(f, 504, -1, "deadline");
@@ -800,13 +823,12 @@
 }
 
 void
-mg_flow_start(mg_gateway *gw, mg_http_req *r)
+mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed)
 {
     mg_error err;
     mg_flow *f = mg_alloc(sizeof(*f));
-    f->callbacks =
-        (mg_channel_callbacks){on_connected, on_headers, on_data, on_end};
     f->gw = gw;
+    f->is_relayed = is_relayed;
     f->request.http = r;
     f->arrived_ms = now_of(f);
     uv_timer_init(gw->opts.loop, &f->timer);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -7,6 +7,7 @@
 #include "base/counter.h"
 #include "base/event.h"
 #include "gateway/gateway_int.h"
+#include "gateway/relay.h"
 #include "gateway/suspects.h"
 
 #define SWEEP_MS 500
@@ -27,6 +28,7 @@
     HASH_FIND_STR(gw->pools, service, p);
     if (p == NULL) {
         p = mg_alloc(sizeof(*p));
+        p->gw = gw;
         mg_str_copy(p->service, sizeof(p->service), mg_str_of(service));
         p->waiting = mg_tierq_new();
         mg_retry_budget_init(&p->retry_budget,
@@ -56,13 +58,19 @@
             mg_flow_refuse_suspect(f);
             continue;
         }
-        mg_gw_target *t = mg_gw_choose_target(gw, f);
-        if (t == NULL) {
+        bool relayed = mg_relay_wanted(f);
+        mg_gw_target *t = relayed ? NULL : mg_gw_choose_target(gw, f);
+        if (t == NULL && !relayed) {
             return;
         }
         mg_tierq_serve(p->waiting, ticket);
         mg_dequeue_rate_count(&p->dequeue_rate, mg_now(gw->opts.clock));
-        mg_flow_dispatch(f, t);
+        if (relayed) {
+            mg_relay_start(f);
+        }
+        else {
+            mg_flow_dispatch(f, t);
+        }
     }
 }
 
@@ -109,6 +117,21 @@
     }
 }
 
+static void
+report_reach(const mg_gateway *gw, mg_buf *loads)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    for (const mg_gw_pool *p = gw->pools; p != NULL; p = p->hh.next) {
+        int64_t age_ms = mg_reach_report_age(&p->reach, now);
+        mg_msg m = {.type = MG_MSG_LOAD_REACH};
+        if (age_ms >= 0) {
+            m.u.load_reach.service = mg_str_of(p->service);
+            m.u.load_reach.age_ms = (uint64_t)age_ms;
+            mg_msg_encode(&m, loads);
+        }
+    }
+}
+
 static void
 report_past_use_of(mg_gw_usage *u, int64_t now, mg_buf *loads)
 {
@@ -153,6 +176,7 @@
             mg_msg_encode(&m, loads);
         }
     }
+    report_reach(gw, loads);
     for (mg_gw_usage *u = gw->usage; u != NULL; u = u->hh.next) {
         mg_msg m = {.type = MG_MSG_LOAD_USAGE};
         if (u->quota.used_total == 0) {
@@ -285,6 +309,20 @@
     }
 }
 
+static void
+receive_reach(mg_gateway *gw, mg_gw_peer *p, const mg_load_reach_msg *l)
+{
+    char service[MG_NAME_SIZE];
+    mg_str_copy(service, sizeof(service), l->service);
+    if (l->age_ms < INT32_MAX) {
+        mg_reach_reported(&mg_gw_pool_of(gw, service)->reach,
+                          (int64_t)l->age_ms, mg_now(gw->opts.clock));
+    }
+    if (p->reached_count < MG_GW_REACHED_MAX) {
+        p->reached[p->reached_count++] = mg_hash(l->service);
+    }
+}
+
 static mg_gw_peer *
 peer_of(mg_gateway *gw, const char *node)
 {
@@ -324,6 +362,7 @@
         gw->past_until_ms = mg_now(gw->opts.clock) + PAST_REPORTS_MS;
     }
     gw->report_count++;
+    p->reached_count = 0;
     mg_str rest = loads;
     while (mg_msg_next(&rest, &m) == MG_OK) {
         if (m.type == MG_MSG_LOAD_USAGE) {
@@ -338,6 +377,9 @@
         else if (m.type == MG_MSG_LOAD_SERVED) {
             mg_suspect_receive_served(gw, &m.u.load_served);
         }
+        else if (m.type == MG_MSG_LOAD_REACH) {
+            receive_reach(gw, p, &m.u.load_reach);
+        }
         else if (m.type == MG_MSG_LOAD_CAPACITY) {
             receive_capacity(gw, &m.u.load_capacity);
         }
@@ -412,7 +454,24 @@
 void
 mg_gateway_handle(mg_gateway *gw, mg_http_req *r)
 {
-    mg_flow_start(gw, r);
+    mg_flow_start(gw, r, false);
+}
+
+void
+mg_gateway_handle_relayed(mg_gateway *gw, mg_http_req *r)
+{
+    mg_flow_start(gw, r, true);
+}
+
+bool
+mg_gateway_is_cut(const mg_gateway *gw)
+{
+    for (const mg_gw_pool *p = gw->pools; p != NULL; p = p->hh.next) {
+        if (p->cut) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
@@ -530,6 +589,7 @@
 mg_gateway_tick(mg_gateway *gw)
 {
     int64_t now = mg_now(gw->opts.clock);
+    mg_relay_probe(gw);
     schedule_waiting_pools(gw);
     if (now >= gw->next_sweep_ms) {
         gw->next_sweep_ms = now + SWEEP_MS;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,10 @@
     /* MG_E_INPUT: the request is malformed, err describes how */
     mg_rc (*read_request)(mg_dialect *d, mg_http_req *r,
                           mg_client_request *out, mg_error *err);
+    /* appends to out the header section of a request that is passed on through
+       another entry, with the time that is left; -1: no deadline */
+    void (*put_relayed)(mg_dialect *d, const mg_client_request *req,
+                        int64_t remaining_ms, mg_buf *out);
     /* appends to out the complete header section of the request that is sent
        to the target */
     void (*put_request)(mg_dialect *d, const mg_client_request *req,
@@ -92,6 +96,9 @@
     mg_dialect *dialect;
     const char *domain; /* local failure domain, copied */
     uint64_t seed;
+    /* on which entries take requests of other entries, at the address that is
+       their name; 0: requests aren't relayed */
+    uint16_t relay_port;
     mg_gateway_limits limits;
 } mg_gateway_options;
 
@@ -111,6 +118,13 @@
 /* Accepts a request; the gateway sends the response or aborts it. */
 void
 mg_gateway_handle(mg_gateway *gw, mg_http_req *r);
+/* Accepts a request that another entry passes on. */
+void
+mg_gateway_handle_relayed(mg_gateway *gw, mg_http_req *r);
+/* Whether this entry is cut off from a service that other entries reach, so
+   that clients are better sent to those. */
+bool
+mg_gateway_is_cut(const mg_gateway *gw);
 /* Must be called when an instance is new or its state has changed. */
 void
 mg_gateway_instance_changed(mg_gateway *gw, mg_instance *i);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -11,6 +11,7 @@
 #include "gateway/gateway.h"
 #include "gateway/queue_wait.h"
 #include "gateway/quota.h"
+#include "gateway/reach.h"
 #include "gateway/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/sse.h"
@@ -54,11 +55,18 @@
 /* the requests of one service */
 typedef struct mg_gw_pool {
     UT_hash_handle hh;
+    mg_gateway *gw;
     char service[MG_NAME_SIZE];
     mg_tierq *waiting;
     mg_retry_budget retry_budget;
     mg_dequeue_rate dequeue_rate;
     int64_t tier_last_arrival_ms[MG_GW_TIERS]; /* per tier, 0: none yet */
+    mg_reach reach;
+    bool cut;          /* mg_reach_is_cut() at the last tick */
+    mg_channel *probe; /* connection that checks whether the cut has ended */
+    mg_channel_callbacks probe_callbacks;
+    int64_t probe_until_ms;
+    int64_t next_probe_ms;
     double waiting_entries;  /* other entries with waiting requests */
     uint64_t allocation_gen; /* mg_gateway.gen at the last allocation */
     uint32_t allocated; /* slots allocated to this entry, of all targets */
@@ -77,6 +85,9 @@
     uint64_t past_report;
 } mg_gw_usage;
 
+/* services that an entry reports to reach; further ones are ignored */
+#define MG_GW_REACHED_MAX 16
+
 /* the last load report of another entry */
 typedef struct mg_gw_peer {
     UT_hash_handle hh;
@@ -85,6 +96,8 @@
     int64_t received_ms;
     bool counted; /* its requests are included in the load of targets */
     mg_buf loads;
+    uint64_t reached[MG_GW_REACHED_MAX]; /* hashes of services */
+    size_t reached_count;
 } mg_gw_peer;
 
 struct mg_gateway {
@@ -120,6 +133,7 @@
     MG_FLOW_CONNECTING,
     MG_FLOW_SENT,      /* written to a target, no response yet */
     MG_FLOW_RECEIVING, /* receiving the response */
+    MG_FLOW_RELAYED,   /* passed on through another entry */
     MG_FLOW_DONE,
 } mg_flow_state;
 
@@ -142,6 +156,9 @@
     /* avoided by a retry; never dereferenced, as it may be freed */
     const mg_gw_target *previous_target;
     bool reused_channel;
+    bool is_relayed; /* came from another entry, must not be relayed again */
+    char relay[MG_NAME_SIZE]; /* entry that it is passed on through */
+    uint32_t relay_attempts;
     double backlog;    /* prompt tokens included in target->backlog */
     double nominal_ms; /* predicted time to the first event at slowdown 1 */
     uint32_t sends;    /* requests written to targets */
@@ -204,6 +221,33 @@
    has gone. */
 void
 mg_flow_refuse_busy(mg_flow *f, const char *why);
+/* Ends a request that is not retried any more: aborts its response, or refuses
+   it with the status that tells whether it may have run. */
+void
+mg_flow_fail(mg_flow *f, const char *why);
+/* The response is complete or aborted. */
+void
+mg_flow_finish(mg_flow *f);
+/* Logs and counts a complete response; from: the target or entry. */
+void
+mg_flow_log_response(mg_flow *f, const char *from);
+void
+mg_flow_close_channel(mg_flow *f);
+/* Keeps the header lines for the client. */
+void
+mg_flow_save_headers(mg_flow *f, const mg_h1_headers *headers);
+/* Counts what is held of the response; ends the request if it is too much. */
+void
+mg_flow_hold_response(mg_flow *f);
+/* Sends the response that is held as a whole. */
+void
+mg_flow_send_buffered(mg_flow *f);
+/* Starts the timer, to fire at that time. */
+void
+mg_flow_set_timer(mg_flow *f, int64_t at);
+/* Whether f may be sent once more although it may have run; counts it. */
+bool
+mg_flow_take_retry(mg_flow *f);
 /* Ends a request that has crashed its targets. */
 void
 mg_flow_refuse_suspect(mg_flow *f);
@@ -213,9 +257,10 @@
 /* Number of waiting requests that would be dequeued before this one. */
 uint64_t
 mg_flow_queued_ahead(const mg_flow *f);
-/* Decodes and admits a request, or refuses it. */
+/* Decodes and admits a request, or refuses it; is_relayed: from another
+   entry. */
 void
-mg_flow_start(mg_gateway *gw, mg_http_req *r);
+mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed);
 /* Sends a request, which was taken out of the queue, to a target. */
 void
 mg_flow_dispatch(mg_flow *f, mg_gw_target *t);
@@ -227,6 +272,10 @@
 /* Picks a target for a waiting request; NULL when none has room. */
 mg_gw_target *
 mg_gw_choose_target(mg_gateway *gw, mg_flow *f);
+/* A usable target of the pool, drawn at random, if possible from the healthy
+   ones, but not the one with this id; NULL if there is none. */
+mg_gw_target *
+mg_gw_random_target(mg_gateway *gw, mg_gw_pool *p, const char *except);
 /* Shortest predicted time to the first event over the pool's targets if they
    had no backlog, ms; 0 when none is usable. */
 int64_t
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -300,6 +300,35 @@
 
 /* ---------------------------------------------------------------- slots */
 
+mg_gw_target *
+mg_gw_random_target(mg_gateway *gw, mg_gw_pool *p, const char *except)
+{
+    mg_instance_group *g = mg_registry_service(gw->opts.registry, p->service);
+    int64_t now = mg_now(gw->opts.clock);
+    mg_gw_target *chosen = NULL;
+    bool is_healthy = false;
+    uint32_t count = 0;
+    if (g == NULL) {
+        return NULL;
+    }
+    list_for_each(el, &g->instances)
+    {
+        mg_instance *i = list_entry(el, mg_instance, link);
+        mg_gw_target *t = mg_gw_target_of(gw, i);
+        bool healthy = !is_unhealthy(t, now);
+        if (!mg_instance_is_usable(i, now) ||
+            strcmp(i->info.id, except) == 0 || (is_healthy && !healthy)) {
+            continue;
+        }
+        count = healthy && !is_healthy ? 0 : count;
+        is_healthy = healthy;
+        if (mg_rng_below(&gw->rng, ++count) == 0) {
+            chosen = t;
+        }
+    }
+    return chosen;
+}
+
 /* reallocates the slots of the pool when entries or targets have changed */
 static void
 allocate_slots(mg_gateway *gw, mg_gw_pool *p, const mg_instance_group *g)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -267,7 +267,8 @@
     mg_node *n = t->data;
     int64_t now = mg_now(n->clock);
     mg_group_client_tick(n->client);
-    mg_mesh_set_ready(n->mesh, mg_node_ready(n));
+    mg_mesh_set_ready(n->mesh,
+                      mg_node_ready(n) && !mg_gateway_is_cut(n->gateway));
     mg_mesh_tick(n->mesh);
     mg_node_update_entries(n, now);
     if (now >= n->report_at) {
@@ -318,6 +319,13 @@
     mg_gateway_handle(n->gateway, r);
 }
 
+static void
+on_relayed_request(void *user, mg_http_req *r)
+{
+    mg_node *n = user;
+    mg_gateway_handle_relayed(n->gateway, r);
+}
+
 static mg_voters
 voters_of_seeds(const mg_node_settings *s)
 {
@@ -478,6 +486,30 @@
                         err);
 }
 
+static uint16_t
+relay_port_of(const mg_node_settings *s)
+{
+    return (uint16_t)(s->link_port + 2);
+}
+
+/* Listens for requests that other entries pass on. */
+static mg_rc
+open_relay_server(mg_node *n, mg_error *err)
+{
+    char addr[MG_ADDR_SIZE * 2];
+    snprintf(addr, sizeof(addr), "%s:%u", n->settings.ip,
+             relay_port_of(&n->settings));
+    return mg_http_open(&n->relay_server,
+                        &(mg_http_options){
+                            .loop = n->loop,
+                            .listen_addr = addr,
+                            .limits = {.body_max = BODY_MAX},
+                            .on_request = on_relayed_request,
+                            .user = n,
+                        },
+                        err);
+}
+
 static void
 restore_target(void *user, const mg_announcement *a)
 {
@@ -549,6 +581,7 @@
         .dialect = opts->dialect,
         .domain = n->settings.domain,
         .seed = mg_random_id(),
+        .relay_port = relay_port_of(&n->settings),
         .limits = limits_of(&n->settings),
     });
     n->voters = voters_of_seeds(&n->settings);
@@ -559,6 +592,9 @@
     if (rc == MG_OK) {
         rc = open_client_server(n, err);
     }
+    if (rc == MG_OK) {
+        rc = open_relay_server(n, err);
+    }
     if (rc == MG_OK) {
         open_target_file(n);
         start_timers(n);
@@ -616,4 +652,5 @@
     if (n->client_server != NULL) {
         mg_http_drain(n->client_server);
     }
+    mg_http_drain(n->relay_server);
 }
--- a/src/node/node_int.h
+++ b/src/node/node_int.h
@@ -27,6 +27,7 @@
     mg_gateway *gateway;
     mg_rollout_manager *rollouts;
     mg_http_server *client_server;
+    mg_http_server *relay_server;
     uv_timer_t timer;
     uv_prepare_t prepare;
     int64_t report_at;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -25,7 +25,8 @@
     int64_t faults;
     int64_t fault_domains;
     int64_t fault_regions;
-    int64_t link_port; /* of the replicated log; the mesh uses the next */
+    int64_t link_port; /* of the replicated log; the next two are the mesh's
+                          and that of requests from other entries */
     /* limit of what waits to be sent to other hosts, MB; the mesh and the
        replicated log get half each */
     int64_t unsent_max_mb;
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -201,6 +201,9 @@
     F(STR, id) F(U64, run) F(U64, limited) F(U64, rate_max_milli) \
     F(U64, brittle) F(U64, rejections_max) F(U64, age_ms) F(U64, sent_age_ms)
 
+/* the entry has reached a target of the service age_ms ago */
+#define MG_FIELDS_LOAD_REACH(F) F(STR, service) F(U64, age_ms)
+
 /* rollout: requests sent and results measured since the last message */
 #define MG_FIELDS_ROLLOUT_SAMPLES(F) \
     F(STR, service) F(STR, version) F(U64, sent_old) F(U64, sent_new) \
@@ -292,7 +295,8 @@
     M(128, LOAD_STRIKE, load_strike) \
     M(129, LOAD_SERVED, load_served) \
     M(130, LOAD_PAST, load_past) \
-    M(131, LOAD_CAPACITY, load_capacity)
+    M(131, LOAD_CAPACITY, load_capacity) \
+    M(132, LOAD_REACH, load_reach)
 
 /* clang-format on */
 
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -23,6 +23,7 @@
 
 /* of the first target; the others and the gateway follow */
 #define WORLD_PORT 24760
+#define WORLD_RELAY_PORT 24790
 #define WORLD_TARGETS 3
 #define WORLD_RUN_MAX_MS 5000
 #define WORLD_HEADERS_MAX 4096
@@ -96,6 +97,14 @@
                   MG_STR_FMT(mg_http_headers(req->http)->target));
 }
 
+static inline void
+world_put_relayed(mg_dialect *d, const mg_client_request *req,
+                  int64_t remaining_ms, mg_buf *out)
+{
+    (void)remaining_ms;
+    world_put_request(d, req, NULL, out);
+}
+
 static inline void
 world_read_response(mg_dialect *d, const mg_h1_headers *headers,
                     mg_response_head *out)
@@ -288,8 +297,8 @@
     memset(&world, 0, sizeof(world));
     uv_loop_init(&world.loop);
     world.serve = serve;
-    world.dialect = (mg_dialect){world_read_request, world_put_request,
-                                 world_read_response};
+    world.dialect = (mg_dialect){world_read_request, world_put_relayed,
+                                 world_put_request, world_read_response};
     world.registry = mg_registry_new(mg_system_clock());
     world.gateway = mg_gateway_new(&(mg_gateway_options){
         .loop = &world.loop,
@@ -298,6 +307,7 @@
         .dialect = &world.dialect,
         .domain = "d",
         .seed = 1,
+        .relay_port = WORLD_RELAY_PORT,
         .limits = {.retry_ratio = 2,
                    .retry_slack = 1000,
                    .retry_window_ms = 8000,
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -4,8 +4,8 @@
  */
 #include "flow_world.h"
 
+#include "gateway/reach.h"
 
-#define WORLD_RELAY_PORT 24790
 #define SERVICE "app"
 /* the entry that clients use is that of the world; the other one is at this
    name, which is its address */
@@ -28,17 +28,18 @@
         world_close(c);
         return;
     }
-    world_write(c, other.stream
-                       ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                         "9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n"
-                       : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    world_write(c,
+                other.stream
+                    ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "9\r\ndata: a\n\n\r\n9\r\ndata: b\n\n\r\n0\r\n\r\n"
+                    : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
 static void
 on_other_request(void *user, mg_http_req *r)
 {
     (void)user;
-    mg_gateway_handle(other.gateway, r);
+    mg_gateway_handle_relayed(other.gateway, r);
 }
 
 static void
@@ -101,6 +102,7 @@
         .dialect = &world.dialect,
         .domain = "d",
         .seed = 2,
+        .relay_port = WORLD_RELAY_PORT,
         .limits = {.retry_ratio = 2,
                    .retry_slack = 1000,
                    .retry_window_ms = 8000,
@@ -109,16 +111,15 @@
     mg_gateway_set_routing(other.gateway, world_routing(&r, 0, 0));
     mg_gateway_set_entries(other.gateway, self, 1, 0);
     snprintf(addr, sizeof(addr), "%s:%d", other_node, WORLD_RELAY_PORT);
-    CU_ASSERT_EQUAL_FATAL(
-        mg_http_open(&other.relay,
-                     &(mg_http_options){
-                         .loop = &world.loop,
-                         .listen_addr = addr,
-                         .limits = {.body_max = 1000},
-                         .on_request = on_other_request,
-                     },
-                     &err),
-        MG_OK);
+    CU_ASSERT_EQUAL_FATAL(mg_http_open(&other.relay,
+                                       &(mg_http_options){
+                                           .loop = &world.loop,
+                                           .listen_addr = addr,
+                                           .limits = {.body_max = 1000},
+                                           .on_request = on_other_request,
+                                       },
+                                       &err),
+                          MG_OK);
     for (int i = 0; i < WORLD_TARGETS; i++) {
         world_listen(i);
         announce(world.gateway, world.registry, i, first_reaches);
@@ -233,9 +234,92 @@
     open_entries(MG_RETRY_BEFORE_RESPONSE, true, true);
     use_other();
     CU_ASSERT_EQUAL(serve_requests("/"), REQUESTS);
+    CU_ASSERT_FALSE(mg_gateway_is_cut(world.gateway));
     close_entries();
 }
 
+/* ------------------------------------------------------------ decisions */
+
+#define STEPS 400
+
+struct step {
+    int kind; /* 0: nothing, 1: success, 2: failure, 3: report */
+    int64_t at_ms;
+    int64_t age_ms;
+};
+
+/* time of the last step of a kind before s[count], less its age; 0: none */
+static int64_t
+last_of(const struct step *s, int count, int kind)
+{
+    int64_t last = 0;
+    for (int i = 0; i < count; i++) {
+        if (s[i].kind == kind && s[i].at_ms - s[i].age_ms > last) {
+            last = s[i].at_ms - s[i].age_ms;
+        }
+    }
+    return last;
+}
+
+/* Cut off: nothing but failures since the last success, enough of them, and
+   another entry has had a success clearly later, which is recent. */
+static bool
+is_cut(const struct step *s, int count, int64_t now)
+{
+    int64_t ok = last_of(s, count, 1);
+    int64_t others = last_of(s, count, 3);
+    unsigned failures = 0;
+    for (int i = 0; i < count; i++) {
+        failures = s[i].kind == 1 ? 0 : failures + (s[i].kind == 2);
+    }
+    return failures >= 3 && now > ok + 400 && others > ok + 301 &&
+           now < others + 2000;
+}
+
+static const char *
+reach_history(uint64_t seed)
+{
+    struct step s[STEPS];
+    mg_reach r = {0};
+    mg_rng rng;
+    int64_t now = 1000;
+    mg_rng_init(&rng, seed);
+    uint32_t spread = 2 + mg_rng_below(&rng, 300);
+    bool cut = false;
+    for (int i = 0; i < STEPS; i++) {
+        now += mg_rng_below(&rng, spread);
+        cut = mg_rng_below(&rng, 40) == 0 ? !cut : cut;
+        uint32_t draw = mg_rng_below(&rng, 4);
+        s[i] = (struct step){.at_ms = now};
+        if (draw == 1) {
+            s[i].kind = cut ? 2 : 1;
+        }
+        else if (draw >= 2) {
+            s[i].kind = (int)draw;
+            s[i].age_ms = draw == 3 ? mg_rng_below(&rng, 500) : 0;
+        }
+        if (s[i].kind == 1) {
+            mg_reach_ok(&r, now);
+        }
+        else if (s[i].kind == 2) {
+            mg_reach_failed(&r);
+        }
+        else if (s[i].kind == 3) {
+            mg_reach_reported(&r, s[i].age_ms, now);
+        }
+        if (mg_reach_is_cut(&r, now) != is_cut(s, i + 1, now)) {
+            return "cut off or not: differs";
+        }
+    }
+    return NULL;
+}
+
+static void
+test_decisions(void)
+{
+    run_histories(reach_history, 1000);
+}
+
 int
 main(void)
 {
@@ -248,6 +332,7 @@
         {"no loops between entries", test_no_loops},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
+        {"when an entry is cut off", test_decisions},
         CU_TEST_INFO_NULL,
     };
     return run_suite("reach", tests);
