--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -24,6 +24,9 @@
 static void
 serve(world_conn *c, mg_str head)
 {
+    if (strstr(head.p, "hold") != NULL) {
+        return;
+    }
     if (strstr(head.p, "break") != NULL) {
         world_close(c);
         return;
@@ -238,6 +241,49 @@
     close_entries();
 }
 
+/* Whether a request is suspected after it was under way while the entry lost
+   all its targets, which refuse connections since; the other entry has one of
+   its own, and reaches it if others_reach. */
+static bool
+is_suspected_after_loss(bool others_reach)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_NEVER, true, true);
+    world_crash(2);
+    mg_registry_find(other.registry, "t-0")->info.state = MG_INSTANCE_ENDED;
+    mg_registry_find(other.registry, "t-1")->info.state = MG_INSTANCE_ENDED;
+    mg_registry_find(world.registry, "t-2")->info.state = MG_INSTANCE_ENDED;
+    if (others_reach) {
+        world_listen(2);
+    }
+    world_get("/");
+    world_send("/hold");
+    world_pass(20);
+    world_crash(0);
+    world_crash(1);
+    for (int i = 0; i < 30; i++) {
+        use_other();
+        world_pass(40);
+    }
+    world_run();
+    bool suspected = !mg_strikes_is_empty(world.gateway->strikes);
+    close_entries();
+    return suspected;
+}
+
+/* connections break since the entry is cut off, not by what it has sent */
+static void
+test_cut_off_entries_suspect_nobody(void)
+{
+    CU_ASSERT_FALSE(is_suspected_after_loss(true));
+}
+
+static void
+test_crashes_of_all_targets_count(void)
+{
+    CU_ASSERT_TRUE(is_suspected_after_loss(false));
+}
+
 /* ------------------------------------------------------------ decisions */
 
 #define STEPS 400
@@ -332,6 +378,9 @@
         {"no loops between entries", test_no_loops},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
+        {"entries that are cut off suspect nobody",
+         test_cut_off_entries_suspect_nobody},
+        {"crashes of all targets count", test_crashes_of_all_targets_count},
         {"when an entry is cut off", test_decisions},
         CU_TEST_INFO_NULL,
     };
