--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -135,7 +135,7 @@
     hold_first = true;
     world_send("/crash");
     while (held_by < 0) {
-        uv_run(&world.loop, UV_RUN_NOWAIT);
+        uv_run(&world_loop, UV_RUN_NOWAIT);
     }
     for (int i = 0; i < ROUNDS; i++) {
         world_send("/crash");
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -50,8 +50,11 @@
     mg_buf body;
 } world_answer;
 
+/* one for all worlds: the HTTP client keeps handles in the loop that it was
+   first used with */
+static uv_loop_t world_loop;
+
 static struct {
-    uv_loop_t loop;
     uv_prepare_t prepare;
     mg_dialect dialect;
     mg_registry *registry;
@@ -199,7 +202,7 @@
     world_conn *c = mg_alloc(sizeof(*c));
     (void)status;
     c->target = (int)(t - world.targets);
-    uv_tcp_init(&world.loop, &c->tcp);
+    uv_tcp_init(&world_loop, &c->tcp);
     list_add_tail(&c->link, &t->conns);
     if (uv_accept(listener, (uv_stream_t *)&c->tcp) == 0) {
         uv_read_start((uv_stream_t *)&c->tcp, world_alloc, world_on_read);
@@ -212,7 +215,7 @@
     world_target *t = &world.targets[target];
     struct sockaddr_in addr;
     t->listener = mg_alloc(sizeof(*t->listener));
-    uv_tcp_init(&world.loop, t->listener);
+    uv_tcp_init(&world_loop, t->listener);
     t->listener->data = t;
     mg_addr_parse(world.addrs[target], &addr);
     CU_ASSERT_EQUAL_FATAL(
@@ -295,13 +298,16 @@
     mg_error err;
     signal(SIGPIPE, SIG_IGN);
     memset(&world, 0, sizeof(world));
-    uv_loop_init(&world.loop);
+    if (world_loop.data == NULL) {
+        uv_loop_init(&world_loop);
+        world_loop.data = &world;
+    }
     world.serve = serve;
     world.dialect = (mg_dialect){world_read_request, world_put_relayed,
                                  world_put_request, world_read_response};
     world.registry = mg_registry_new(mg_system_clock());
     world.gateway = mg_gateway_new(&(mg_gateway_options){
-        .loop = &world.loop,
+        .loop = &world_loop,
         .clock = mg_system_clock(),
         .registry = world.registry,
         .dialect = &world.dialect,
@@ -324,7 +330,7 @@
     CU_ASSERT_EQUAL_FATAL(
         mg_http_open(&world.front,
                      &(mg_http_options){
-                         .loop = &world.loop,
+                         .loop = &world_loop,
                          .listen_addr = world.addrs[WORLD_TARGETS],
                          .limits = {.body_max = 1000},
                          .on_request = world_on_client_request,
@@ -337,7 +343,7 @@
             world_start_target(i);
         }
     }
-    uv_prepare_init(&world.loop, &world.prepare);
+    uv_prepare_init(&world_loop, &world.prepare);
     uv_prepare_start(&world.prepare, world_on_prepare);
 }
 
@@ -350,7 +356,7 @@
         world_crash(i);
     }
     uv_prepare_stop(&world.prepare);
-    uv_run(&world.loop, UV_RUN_NOWAIT);
+    uv_run(&world_loop, UV_RUN_NOWAIT);
     mg_buf_free(&world.answer.body);
 }
 
@@ -387,7 +393,7 @@
 {
     world.started++;
     mg_http_client_req_new(&(mg_http_client_req_options){
-        .loop = &world.loop,
+        .loop = &world_loop,
         .addr = world.addrs[WORLD_TARGETS],
         .method = "GET",
         .path = path,
@@ -405,7 +411,7 @@
 {
     uint64_t end = uv_hrtime() + (uint64_t)WORLD_RUN_MAX_MS * 1000000;
     while (world.ended < world.started && uv_hrtime() < end) {
-        uv_run(&world.loop, UV_RUN_NOWAIT);
+        uv_run(&world_loop, UV_RUN_NOWAIT);
     }
     CU_ASSERT_EQUAL(world.ended, world.started);
 }
@@ -417,7 +423,7 @@
 {
     uint64_t end = uv_hrtime() + (uint64_t)ms * 1000000;
     for (int i = 0; i < WORLD_TURNS_MIN || uv_hrtime() < end; i++) {
-        uv_run(&world.loop, UV_RUN_NOWAIT);
+        uv_run(&world_loop, UV_RUN_NOWAIT);
     }
 }
 
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -99,7 +99,7 @@
     mg_str_copy(other_node, sizeof(other_node), ip);
     other.registry = mg_registry_new(mg_system_clock());
     other.gateway = mg_gateway_new(&(mg_gateway_options){
-        .loop = &world.loop,
+        .loop = &world_loop,
         .clock = mg_system_clock(),
         .registry = other.registry,
         .dialect = &world.dialect,
@@ -116,7 +116,7 @@
     snprintf(addr, sizeof(addr), "%s:%d", other_node, WORLD_RELAY_PORT);
     CU_ASSERT_EQUAL_FATAL(mg_http_open(&other.relay,
                                        &(mg_http_options){
-                                           .loop = &world.loop,
+                                           .loop = &world_loop,
                                            .listen_addr = addr,
                                            .limits = {.body_max = 1000},
                                            .on_request = on_other_request,
@@ -129,7 +129,7 @@
         announce(other.gateway, other.registry, i, other_reaches);
     }
     other.silent = false;
-    uv_prepare_init(&world.loop, &other.prepare);
+    uv_prepare_init(&world_loop, &other.prepare);
     uv_prepare_start(&other.prepare, on_other_prepare);
 }
 
