--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -6,11 +6,27 @@
 #include "base/event.h"
 
 #define PROBE_MS 500
+/* time in which other entries report whether they reach the service, ms */
+#define CONFIRM_MS 800
+
+/* other targets that are probed until one listens */
+#define OTHERS_MAX 3
+
+typedef enum probe_stage {
+    PROBE_TARGET,  /* connects to the target, which must listen */
+    PROBE_ANOTHER, /* it doesn't; connects to another target of the service */
+    PROBE_CONFIRM, /* nor does that one: waits for reports of other entries */
+} probe_stage;
 
 /* a connection that only checks whether the target still listens */
 typedef struct probe {
     mg_channel_callbacks callbacks; /* must be first: cast to probe */
     mg_gateway *gw;
+    mg_gw_pool *pool;
+    probe_stage stage;
+    int64_t down_ms;          /* when the target refused the connection */
+    char other[MG_NAME_SIZE]; /* the other target that is probed */
+    unsigned others;
     mg_channel *channel;
     uv_timer_t timer;
     mg_suspect suspect; /* id points to the one below */
@@ -195,30 +211,93 @@
 }
 
 static void
-on_probe_connected(mg_channel_callbacks *cb)
+on_probe_timer(uv_timer_t *t);
+
+static void
+start_stage(probe *p, probe_stage stage, int64_t ms)
 {
-    stop_probe((probe *)cb, "listens");
+    p->stage = stage;
+    uv_timer_start(&p->timer, on_probe_timer, (uint64_t)ms, 0);
 }
 
+/* The target refuses connections: it has crashed, or this entry is cut off
+   from all targets, or all have crashed. */
 static void
-on_probe_end(mg_channel_callbacks *cb, mg_channel_result result)
+probe_another(probe *p)
+{
+    mg_gw_target *t = mg_gw_random_target(p->gw, p->pool, p->target);
+    if (t == NULL || p->others++ == OTHERS_MAX) {
+        start_stage(p, PROBE_CONFIRM, CONFIRM_MS);
+        return;
+    }
+    mg_str_copy(p->other, sizeof(p->other), mg_str_of(t->instance->info.id));
+    start_stage(p, PROBE_ANOTHER, PROBE_MS);
+    p->channel = mg_gw_new_channel(t, &p->callbacks);
+}
+
+/* so that it isn't drawn again */
+static void
+other_failed(const probe *p)
+{
+    mg_instance *i = mg_registry_find(p->gw->opts.registry, p->other);
+    if (i != NULL) {
+        mg_gw_target_failed(mg_gw_target_of(p->gw, i), false);
+    }
+}
+
+static void
+on_probe_connected(mg_channel_callbacks *cb)
 {
     probe *p = (probe *)cb;
-    p->channel = NULL;
-    if (result == MG_CHANNEL_CONNECT_FAILED) {
+    if (p->stage == PROBE_ANOTHER) {
         report_crash(p);
         stop_probe(p, "down");
         return;
     }
-    stop_probe(p, "unknown");
+    stop_probe(p, "listens");
+}
+
+static void
+on_probe_end(mg_channel_callbacks *cb, mg_channel_result result)
+{
+    probe *p = (probe *)cb;
+    p->channel = NULL;
+    if (p->stage == PROBE_ANOTHER) {
+        other_failed(p);
+        probe_another(p);
+    }
+    else if (result == MG_CHANNEL_CONNECT_FAILED) {
+        p->down_ms = mg_now(p->gw->opts.clock);
+        probe_another(p);
+    }
+    else {
+        stop_probe(p, "unknown");
+    }
 }
 
-/* Adds no strike: the host may be unreachable or the target busy, so a timeout
-   proves no crash. */
 static void
 on_probe_timer(uv_timer_t *t)
 {
-    stop_probe(t->data, "timeout");
+    probe *p = t->data;
+    switch (p->stage) {
+    case PROBE_TARGET:
+        /* the host may be unreachable or the target busy: no proof */
+        stop_probe(p, "timeout");
+        break;
+    case PROBE_ANOTHER:
+        mg_channel_close(p->channel);
+        p->channel = NULL;
+        start_stage(p, PROBE_CONFIRM, CONFIRM_MS);
+        break;
+    case PROBE_CONFIRM:
+        if (mg_reach_only_others_since(&p->pool->reach, p->down_ms)) {
+            stop_probe(p, "cut_off");
+            break;
+        }
+        report_crash(p);
+        stop_probe(p, "down");
+        break;
+    }
 }
 
 void
@@ -230,6 +309,7 @@
     p->callbacks = (mg_channel_callbacks){.on_connected = on_probe_connected,
                                           .on_end = on_probe_end};
     p->gw = gw;
+    p->pool = mg_gw_pool_of(gw, info->service);
     p->suspect = *suspect;
     p->started_ms = info->started_ms;
     mg_str_copy(p->id, sizeof(p->id), suspect->id);
@@ -237,6 +317,6 @@
     mg_str_copy(p->target, sizeof(p->target), mg_str_of(info->id));
     uv_timer_init(gw->opts.loop, &p->timer);
     p->timer.data = p;
-    uv_timer_start(&p->timer, on_probe_timer, PROBE_MS, 0);
+    start_stage(p, PROBE_TARGET, PROBE_MS);
     p->channel = mg_gw_new_channel(t, &p->callbacks);
 }
