--- a/src/topology/registry.c
+++ b/src/topology/registry.c
@@ -219,11 +219,24 @@
     };
 }
 
+mg_rc
+mg_announcement_check(const mg_announcement *a)
+{
+    struct sockaddr_in sin;
+    bool valid = a->id[0] != '\0' && a->service[0] != '\0' &&
+                 a->slots <= MG_INSTANCE_SLOTS_MAX &&
+                 a->started_ms <= MG_INSTANCE_STARTED_MAX_MS &&
+                 a->seq <= MG_INSTANCE_SEQ_MAX &&
+                 a->state <= MG_INSTANCE_ENDED;
+    return valid ? mg_addr_parse(a->addr, &sin) : MG_E_INPUT;
+}
+
 mg_rc
 mg_announcement_from_msg(const mg_instance_msg *m, mg_announcement *a)
 {
     if (m->id.n >= MG_NAME_SIZE || m->service.n >= MG_NAME_SIZE ||
-        m->addr.n >= MG_ADDR_SIZE || m->state > MG_INSTANCE_ENDED) {
+        m->addr.n >= MG_ADDR_SIZE || m->state > MG_INSTANCE_ENDED ||
+        m->slots > MG_INSTANCE_SLOTS_MAX) {
         return MG_E_INPUT;
     }
     *a = (mg_announcement){
@@ -239,6 +252,5 @@
     mg_str_copy(a->addr, sizeof(a->addr), m->addr);
     mg_str_copy(a->domain, sizeof(a->domain), m->domain);
     mg_str_copy(a->version, sizeof(a->version), m->version);
-    struct sockaddr_in sin;
-    return a->id[0] == '\0' ? MG_E_INPUT : mg_addr_parse(a->addr, &sin);
+    return mg_announcement_check(a);
 }
--- a/src/topology/registry.h
+++ b/src/topology/registry.h
@@ -31,6 +31,12 @@
 /* an instance is removed this long after its last announcement */
 #define MG_INSTANCE_RETENTION_MS 60000
 
+/* highest values that an instance may state: its slots are divided one by one
+   among the entries; times are ms since 1970, this one is in 2100 */
+#define MG_INSTANCE_SLOTS_MAX 4096
+#define MG_INSTANCE_STARTED_MAX_MS UINT64_C(4102444800000)
+#define MG_INSTANCE_SEQ_MAX (UINT64_C(1) << 48)
+
 typedef enum mg_instance_state {
     MG_INSTANCE_READY,
     MG_INSTANCE_DRAINING, /* gets no new requests */
@@ -109,7 +115,10 @@
 /* m points into a. */
 void
 mg_announcement_to_msg(const mg_announcement *a, mg_instance_msg *m);
-/* MG_E_INPUT if the id, service, address or state is not valid. */
+/* MG_E_INPUT if the id, service, address, state or a number is not valid. */
+mg_rc
+mg_announcement_check(const mg_announcement *a);
+/* Errors as in mg_announcement_check(). */
 mg_rc
 mg_announcement_from_msg(const mg_instance_msg *m, mg_announcement *a);
 
--- a/tests/fakes/site.c
+++ b/tests/fakes/site.c
@@ -336,9 +336,41 @@
                     "/marigoldgw/config/replace", NULL, config);
 }
 
+/* Heartbeats of another writer: nested deeply, with a number that is too
+   large, with a port out of range. */
+static void
+send_odd_heartbeats(const char *ip)
+{
+    static const char *const odd[] = {
+        "\"slots\":4294967295,\"seq\":1,\"address\":\"127.0.0.1:1\"",
+        "\"slots\":1e300,\"seq\":1,\"address\":\"127.0.0.1:1\"",
+        "\"slots\":1,\"seq\":99999999999999999999,"
+        "\"address\":\"127.0.0.1:1\"",
+        "\"slots\":1,\"seq\":1,\"address\":\"127.0.0.1:70000\"",
+    };
+    static char nested[100000];
+    char body[256];
+    for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+        struct client_req *c = new_client_req("odd heartbeat", 400);
+        c->may_fail = true;
+        snprintf(body, sizeof(body),
+                 "{\"service\":\"app\",\"zone\":\"z1\",\"version\":\"v\","
+                 "\"state\":\"ready\",%s}",
+                 odd[i]);
+        send_client_req(c, ip, control_port, "POST",
+                        "/marigoldgw/instances/i-odd/heartbeat", NULL, body);
+    }
+    memset(nested, '[', sizeof(nested) - 1);
+    struct client_req *c = new_client_req("nested heartbeat", 400);
+    c->may_fail = true;
+    send_client_req(c, ip, control_port, "POST",
+                    "/marigoldgw/instances/i-odd/heartbeat", NULL, nested);
+}
+
 static void
 check_operator_api(const char *ip)
 {
+    send_odd_heartbeats(ip);
     struct client_req *c = new_client_req("malformed configuration", 400);
     c->may_fail = true;
     send_client_req(c, ip, control_port, "POST", "/marigoldgw/config/replace",
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -239,6 +239,41 @@
     mg_registry_free(r);
 }
 
+/* entries of another writer: what no target of this system would state */
+static void
+test_odd_announcements(void)
+{
+    mg_announcement a =
+        announcement("i", "10.0.0.1:80", 5, 1, MG_INSTANCE_READY);
+    CU_ASSERT_EQUAL(mg_announcement_check(&a), MG_OK);
+    static const char *const addrs[] = {
+        "10.0.0.1:70000", "10.0.0.1:-1", "10.0.0.1:99999999999999999999", "",
+        "10.0.0.1",       "[::1]:80"};
+    for (size_t i = 0; i < sizeof(addrs) / sizeof(addrs[0]); i++) {
+        mg_announcement odd = a;
+        snprintf(odd.addr, sizeof(odd.addr), "%s", addrs[i]);
+        CU_ASSERT_EQUAL(mg_announcement_check(&odd), MG_E_INPUT);
+    }
+    mg_announcement odd = a;
+    odd.slots = UINT32_MAX;
+    CU_ASSERT_EQUAL(mg_announcement_check(&odd), MG_E_INPUT);
+    odd = a;
+    odd.started_ms = INT64_MAX;
+    CU_ASSERT_EQUAL(mg_announcement_check(&odd), MG_E_INPUT);
+    odd = a;
+    odd.seq = INT64_MAX;
+    CU_ASSERT_EQUAL(mg_announcement_check(&odd), MG_E_INPUT);
+    odd = a;
+    odd.state = (mg_instance_state)7;
+    CU_ASSERT_EQUAL(mg_announcement_check(&odd), MG_E_INPUT);
+    /* the same from another host */
+    mg_instance_msg m;
+    mg_announcement_to_msg(&a, &m);
+    CU_ASSERT_EQUAL(mg_announcement_from_msg(&m, &odd), MG_OK);
+    m.slots = UINT64_C(1) << 32;
+    CU_ASSERT_EQUAL(mg_announcement_from_msg(&m, &odd), MG_E_INPUT);
+}
+
 int
 main(void)
 {
@@ -249,6 +284,7 @@
         {"random addresses", test_addresses},
         {"restored after a restart", test_restored},
         {"restored, but never announced", test_restored_is_removed},
+        {"odd announcements", test_odd_announcements},
         CU_TEST_INFO_NULL,
     };
     return run_suite("registry", tests);
