--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -121,7 +121,9 @@
 report_reach(const mg_gateway *gw, mg_buf *loads)
 {
     int64_t now = mg_now(gw->opts.clock);
-    for (const mg_gw_pool *p = gw->pools; p != NULL; p = p->hh.next) {
+    /* a draining entry takes no requests of others */
+    const mg_gw_pool *p = gw->draining ? NULL : gw->pools;
+    for (; p != NULL; p = p->hh.next) {
         int64_t age_ms = mg_reach_report_age(&p->reach, now);
         mg_msg m = {.type = MG_MSG_LOAD_REACH};
         if (age_ms >= 0) {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -13,6 +13,11 @@
 #define CONNECT_FAILURES_MAX 2
 /* entries that are tried for a request until one accepts the connection */
 #define ATTEMPTS_MAX 3
+/* likewise, until one doesn't refuse it: the first may drain, or be cut off
+   since its last report */
+#define REFUSED_ATTEMPTS_MAX 2
+/* an entry's refusal that states that the request was not run */
+#define STATUS_NOT_RUN 503
 #define CONNECT_MS 300
 #define PROBE_MS 400
 #define PROBE_INTERVAL_MS 500
@@ -177,6 +182,13 @@
         mg_flow_fail(f, "relay_broke_off");
         return;
     }
+    if (f->status == STATUS_NOT_RUN && !f->response_started &&
+        f->relay_attempts < REFUSED_ATTEMPTS_MAX && choose_entry(f) != NULL) {
+        f->possible_runs--;
+        f->body.n = 0;
+        try_entry(f);
+        return;
+    }
     if (f->response_started) {
         mg_flow_log_response(f, f->relay);
         mg_http_finish(f->request.http);
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -59,12 +59,59 @@
     CU_ASSERT_TRUE(executed <= QUOTA + 1);
 }
 
+static world_conn *held;
+
+static void
+serve_held(world_conn *c, mg_str head)
+{
+    if (strstr(head.p, "hold") != NULL) {
+        held = c;
+        return;
+    }
+    world_write_ok(c);
+}
+
+/* Guards against requests that are taken late in a planned stop: they would be
+   cut at its end. What was taken before is finished. */
+static void
+test_draining(void)
+{
+    mg_route r = {
+        .retry_policy = MG_RETRY_NEVER,
+        .timeout_ms = 2000,
+        .goal_ms = 500,
+        .attempts_max = 1,
+    };
+    held = NULL;
+    world_open(world_routing(&r, 0, 0), 1, serve_held);
+    world_send("/hold");
+    while (held == NULL) {
+        uv_run(&world_loop, UV_RUN_NOWAIT);
+    }
+    mg_gateway_drain(world.gateway);
+    unsigned before = world.executed;
+    world_send("/");
+    while (world.ended == 0) {
+        uv_run(&world_loop, UV_RUN_NOWAIT);
+    }
+    CU_ASSERT_EQUAL(world.answer.status, 503);
+    CU_ASSERT_EQUAL(world.executed, before);
+    CU_ASSERT_EQUAL(mg_gateway_open_requests(world.gateway), 1);
+    world_write_ok(held);
+    world_run();
+    CU_ASSERT_EQUAL(world.answer.status, 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_EQUAL(mg_gateway_open_requests(world.gateway), 0);
+    world_shut();
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"a quota, targets that respond", test_quota_of_good_targets},
         {"a quota, targets that fail", test_quota_of_failing_targets},
+        {"a draining entry takes no requests", test_draining},
         CU_TEST_INFO_NULL,
     };
     return run_suite("flow", tests);
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -241,6 +241,23 @@
     close_entries();
 }
 
+/* an entry that drains takes nothing from others, and tells nobody to send */
+static void
+test_draining_entries_take_nothing(void)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_BEFORE_RESPONSE, false, true);
+    use_other();
+    mg_gateway_drain(other.gateway);
+    unsigned before = world.executed;
+    use_other();
+    CU_ASSERT_EQUAL(world.answer.status, 503);
+    world_pass(20);
+    CU_ASSERT_EQUAL(world_get("/"), 503);
+    CU_ASSERT_EQUAL(world.executed, before);
+    close_entries();
+}
+
 /* Whether a request is suspected after it was under way while the entry lost
    all its targets, which refuse connections since; the other entry has one of
    its own, and reaches it if others_reach. */
@@ -378,6 +395,7 @@
         {"no loops between entries", test_no_loops},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
+        {"draining entries take nothing", test_draining_entries_take_nothing},
         {"entries that are cut off suspect nobody",
          test_cut_off_entries_suspect_nobody},
         {"crashes of all targets count", test_crashes_of_all_targets_count},
