--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -7,6 +7,8 @@
 #include <dirent.h>
 #include <fcntl.h>
 #include <pthread.h>
+#include <signal.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
@@ -305,6 +307,49 @@
     remove_dir();
 }
 
+/* highest size that a file may have; RLIM_INFINITY: no limit */
+static void
+limit_files(rlim_t bytes)
+{
+    struct rlimit l;
+    getrlimit(RLIMIT_FSIZE, &l);
+    l.rlim_cur = bytes;
+    setrlimit(RLIMIT_FSIZE, &l);
+}
+
+/* Guards against a member that refuses entries long after its disk has room
+   again: opened again, the directory holds all that was synced, and takes
+   more. The disk is full at each byte of the next record. */
+static void
+test_full_disk(void)
+{
+    struct stat st;
+    char path[256];
+    bool torn;
+    signal(SIGXFSZ, SIG_IGN);
+    new_dir();
+    write_entries(1, 5);
+    path_of(path, sizeof(path), "log");
+    CU_ASSERT_EQUAL_FATAL(stat(path, &st), 0);
+    for (int room = 0; room < 40; room++) {
+        mg_store_image image;
+        mg_store *s = open_store(&image);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+        mg_raft_entry e = {1, 6, {"another entry", 13}};
+        limit_files((rlim_t)(st.st_size + room));
+        mg_rc rc = mg_store_append(s, &e, 5);
+        rc = rc == MG_OK ? mg_store_sync(s) : rc;
+        limit_files(RLIM_INFINITY);
+        CU_ASSERT_EQUAL(rc, MG_E_IO);
+        mg_store_image_free(&image);
+        mg_store_close(s);
+        CU_ASSERT_EQUAL(reopen(&torn), 5);
+    }
+    write_entries(6, 8);
+    CU_ASSERT_EQUAL(reopen(&torn), 8);
+    remove_dir();
+}
+
 int
 main(void)
 {
@@ -315,6 +360,7 @@
         {"syncs on another thread", test_sync_on_thread},
         {"identity", test_identity},
         {"in memory", test_in_memory},
+        {"a full disk has room again", test_full_disk},
         CU_TEST_INFO_NULL,
     };
     return run_suite("store", tests);
