--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -50,7 +50,7 @@
 rollout|src/policy/rollout.c|a rollout ends at its deadline|s/if (wall >= r->deadline_wall_ms) {/if (false) {/
 base|src/wire/http_client.c|a missing last chunk is detected|s/bool last_chunk_missing = .*/bool last_chunk_missing = false;/
 crash|src/gateway/flow.c|a target is probed when a reused channel breaks|s/    mg_suspect_connection_lost(f->gw, f->target, &s);/    if (!f->reused_channel) { mg_suspect_connection_lost(f->gw, f->target, \&s); }/
-crash|src/gateway/gateway.c|strikes are checked before each dispatch|s/if (mg_suspect_refuses(f)) {/if (false) {/
+crash|src/gateway/dispatch.c|strikes are checked before each dispatch|s/if (mg_suspect_refuses(f)) {/if (false) {/
 crash|src/gateway/suspects.c|parts of prompts get strikes|s/f->event_count <= 1 \&\& i < shared_parts(f)/i < 0/
 strikes|src/gateway/strikes.c|a strike stands in several reports|s/r->copies = MG_STRIKE_COPIES;/r->copies = 1;/
 strikes|src/gateway/strikes.c|the fewest parts that explain the crashes are refused|s/explain(&all.parts\[i\], &found);/if (all.parts[i].key == found.key) { explain(\&all.parts[i], \&found); }/
@@ -68,7 +68,7 @@
 answers|src/gateway/flow.c|a request is sent again on a channel of its own|s/t != f->previous_target ?/true ?/
 answers|src/gateway/flow.c|a refusal without an id counts on a new channel only|s/res.not_run \&\& res.id.n == 0 \&\& f->reused_channel/false/
 h1|src/wire/h1.c|outputs are set for malformed chunks|s/\*data = (mg_str){p, 0};/(void)0;/
-usage|src/gateway/gateway.c|an entry that starts learns past use|s/mg_quota_add_past(&u->quota/if (false) mg_quota_add_past(\&u->quota/
+usage|src/gateway/reports.c|an entry that starts learns past use|s/mg_quota_add_past(&u->quota/if (false) mg_quota_add_past(\&u->quota/
 EOF
 }
 
--- a/src/gateway/admit.c
+++ b/src/gateway/admit.c
@@ -100,8 +100,8 @@
                      (ms > DEADLINE_MARGIN_MS ? ms - DEADLINE_MARGIN_MS : 1);
 }
 
-void
-mg_flow_admit(mg_flow *f)
+static void
+admit(mg_flow *f)
 {
     mg_gateway *gw = f->gw;
     if (gw->draining) {
@@ -154,3 +154,16 @@
         mg_flow_refuse_busy(f, "queue");
     }
 }
+
+void
+mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed)
+{
+    mg_error err;
+    mg_dialect *d = gw->opts.dialect;
+    mg_flow *f = mg_flow_new(gw, r, is_relayed);
+    if (d->read_request(d, r, &f->request, &err) != MG_OK) {
+        mg_flow_refuse(f, 400, -1, err.text);
+        return;
+    }
+    admit(f);
+}
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -6,7 +6,6 @@
 #include "base/event.h"
 #include "gateway/gateway_int.h"
 #include "gateway/pick.h"
-#include "gateway/relay.h"
 #include "gateway/suspects.h"
 
 /* a time measured with mg_now() exceeds the true one by less than this */
@@ -806,7 +805,7 @@
         return;
     }
     if (f->state == MG_FLOW_RELAYED && !late) {
-        mg_relay_timeout(f);
+        f->on_relay_timeout(f);
         return;
     }
     if (f->state == MG_FLOW_SENT) {
@@ -822,10 +821,9 @@
     }
 }
 
-void
-mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed)
+mg_flow *
+mg_flow_new(mg_gateway *gw, mg_http_req *r, bool is_relayed)
 {
-    mg_error err;
     mg_flow *f = mg_alloc(sizeof(*f));
     f->gw = gw;
     f->is_relayed = is_relayed;
@@ -836,10 +834,5 @@
     gw->open_requests++;
     mg_count(MG_C_REQUESTS, 1);
     mg_http_on_disconnect(r, on_client_disconnect, f);
-    if (gw->opts.dialect->read_request(gw->opts.dialect, r, &f->request,
-                                       &err) != MG_OK) {
-        mg_flow_refuse(f, 400, -1, err.text);
-        return;
-    }
-    mg_flow_admit(f);
+    return f;
 }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -1,9 +1,12 @@
 /*
  * gateway_int - declarations shared by the source files of the gateway
  *
- * gateway.c: tables, load reports and pools; admit.c: checks before a request
- * waits; flow.c: one request from then to its end; targets.c: channels to
- * targets, and their load; suspects.c: requests that may have crashed them.
+ * Each file calls only those before it: pools.c: pools and other tables;
+ * targets.c: targets, channels to them, and their load; suspects.c: requests
+ * that may have crashed targets; flow.c: one request from the queue to its
+ * end; relay.c: the way through another entry; dispatch.c: from the queue to a
+ * target or an entry; admit.c: checks before a request waits; reports.c:
+ * between entries; gateway.c: the functions of gateway.h.
  */
 #ifndef MG_GATEWAY_INT_H
 #define MG_GATEWAY_INT_H
@@ -138,7 +141,8 @@
 } mg_flow_state;
 
 /* a client's request from admission to the end of its response */
-typedef struct mg_flow {
+typedef struct mg_flow mg_flow;
+struct mg_flow {
     mg_channel_callbacks callbacks; /* must be first: cast to mg_flow */
     mg_gateway *gw;
     mg_client_request request;
@@ -159,6 +163,7 @@
     bool is_relayed; /* came from another entry, must not be relayed again */
     char relay[MG_NAME_SIZE]; /* entry that it is passed on through */
     uint32_t relay_attempts;
+    void (*on_relay_timeout)(mg_flow *f); /* no connection to that entry */
     double backlog;    /* prompt tokens included in target->backlog */
     double nominal_ms; /* predicted time to the first event at slowdown 1 */
     uint32_t sends;    /* requests written to targets */
@@ -185,33 +190,43 @@
     bool has_last_id;
     uint64_t last_id; /* of the last event that the client has */
     uv_timer_t timer;
-} mg_flow;
+};
 
-/* gateway.c */
-/* Dispatches waiting requests of the pool until no target has room. */
-void
-mg_gw_pool_dispatch(mg_gateway *gw, mg_gw_pool *p);
+/* pools.c */
 /* The pool of a service; created on first use. */
 mg_gw_pool *
 mg_gw_pool_of(mg_gateway *gw, const char *service);
 /* Schedules the pool's dispatch for the end of this event loop iteration. */
 void
 mg_gw_pool_schedule(mg_gateway *gw, mg_gw_pool *p);
-
-/* Maps a failure domain's name to a number, the same on all entries. */
-uint32_t
-mg_gw_domain_number(const char *domain);
+/* Schedules all pools with waiting requests. */
+void
+mg_gw_schedule_waiting(mg_gateway *gw);
 /* Usage of a workspace; created on first use. */
 mg_gw_usage *
 mg_gw_usage_of(mg_gateway *gw, const char *workspace);
+/* Maps a failure domain's name to a number, the same on all entries. */
+uint32_t
+mg_gw_domain_number(const char *domain);
+
+/* dispatch.c */
+/* Dispatches waiting requests of the pool until no target has room. */
+void
+mg_gw_pool_dispatch(mg_gateway *gw, mg_gw_pool *p);
+
+/* reports.c */
+/* Stops counting the loads of entries that no longer report. */
+void
+mg_gw_drop_stale_reports(mg_gateway *gw);
 
 /* retry-after of a refusal that does not depend on the load, ms */
 #define MG_FLOW_RETRY_AFTER_MS 250
 
 /* admit.c */
-/* Checks a decoded request and adds it to its pool's queue, or refuses it. */
+/* Decodes and checks a request, and adds it to its pool's queue, or refuses
+   it; is_relayed: from another entry. */
 void
-mg_flow_admit(mg_flow *f);
+mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed);
 
 /* flow.c */
 /* Responds without a target; retry_ms < 0: no retry-after header. */
@@ -257,10 +272,9 @@
 /* Number of waiting requests that would be dequeued before this one. */
 uint64_t
 mg_flow_queued_ahead(const mg_flow *f);
-/* Decodes and admits a request, or refuses it; is_relayed: from another
-   entry. */
-void
-mg_flow_start(mg_gateway *gw, mg_http_req *r, bool is_relayed);
+/* A request that has just arrived; is_relayed: from another entry. */
+mg_flow *
+mg_flow_new(mg_gateway *gw, mg_http_req *r, bool is_relayed);
 /* Sends a request, which was taken out of the queue, to a target. */
 void
 mg_flow_dispatch(mg_flow *f, mg_gw_target *t);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -220,12 +220,21 @@
     }
 }
 
+/* a connection to another entry takes too long: tries one more */
+static void
+on_timeout(mg_flow *f)
+{
+    mg_flow_close_channel(f);
+    try_entry(f);
+}
+
 void
 mg_relay_start(mg_flow *f)
 {
     f->callbacks =
         (mg_channel_callbacks){on_connected, on_headers, on_data, on_end};
     f->state = MG_FLOW_RELAYED;
+    f->on_relay_timeout = on_timeout;
     f->reused_channel = false;
     if (f->usage != NULL) {
         mg_quota_refund(&f->usage->quota, f->quota_cost, f->arrived_ms,
@@ -235,13 +244,6 @@
     try_entry(f);
 }
 
-void
-mg_relay_timeout(mg_flow *f)
-{
-    mg_flow_close_channel(f);
-    try_entry(f);
-}
-
 /* -------------------------------------------------------------- probes */
 
 static void
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -19,9 +19,6 @@
 /* Sends f, which has left the queue, to another entry. */
 void
 mg_relay_start(mg_flow *f);
-/* A connection to another entry takes too long: tries one more. */
-void
-mg_relay_timeout(mg_flow *f);
 /* Probes a target of each pool that is cut off; call it every 50 ms. */
 void
 mg_relay_probe(mg_gateway *gw);
