--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -16,8 +16,7 @@
 /* likewise, until one doesn't refuse it: the first may drain, or be cut off
    since its last report */
 #define REFUSED_ATTEMPTS_MAX 2
-/* an entry's refusal that states that the request was not run */
-#define STATUS_NOT_RUN 503
+#define STATUS_UNAVAILABLE 503
 #define CONNECT_MS 300
 #define PROBE_MS 400
 #define PROBE_INTERVAL_MS 500
@@ -130,11 +129,24 @@
     mg_buf_free(&headers);
 }
 
+/* whether an entry that refuses with this status states that it has not run
+   the request */
+static bool
+states_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static mg_channel_action
 on_headers(mg_channel_callbacks *cb, const mg_h1_headers *headers)
 {
     mg_flow *f = (mg_flow *)cb;
+    mg_dialect *d = f->gw->opts.dialect;
+    mg_response_head res = {0};
+    d->read_response(d, headers, &res);
     f->status = headers->status;
+    /* responses of targets bear the attempt id, those of entries don't */
+    f->not_run = states_not_run(res.status) && res.id.n == 0;
     f->streaming = headers->chunked;
     f->close_delimited = !headers->has_content_length && !headers->chunked &&
                          headers->status != 204 && headers->status != 304;
@@ -166,9 +178,37 @@
     mg_flow_hold_response(f);
 }
 
+/* sends a response that was held */
+static void
+send_whole(mg_flow *f)
+{
+    f->first_byte_ms = now_of(f);
+    mg_flow_log_response(f, f->relay);
+    mg_flow_send_buffered(f);
+    mg_flow_finish(f);
+}
+
 static void
 try_entry(mg_flow *f);
 
+/* the other entry has not run the request */
+static void
+after_refusal(mg_flow *f)
+{
+    f->possible_runs--;
+    if (f->status == STATUS_UNAVAILABLE &&
+        f->relay_attempts < REFUSED_ATTEMPTS_MAX && choose_entry(f) != NULL) {
+        f->body.n = 0;
+        try_entry(f);
+    }
+    else if (f->possible_runs > 0) {
+        mg_flow_fail(f, "relay_refused");
+    }
+    else {
+        send_whole(f);
+    }
+}
+
 static void
 on_end(mg_channel_callbacks *cb, mg_channel_result result)
 {
@@ -182,22 +222,16 @@
         mg_flow_fail(f, "relay_broke_off");
         return;
     }
-    if (f->status == STATUS_NOT_RUN && !f->response_started &&
-        f->relay_attempts < REFUSED_ATTEMPTS_MAX && choose_entry(f) != NULL) {
-        f->possible_runs--;
-        f->body.n = 0;
-        try_entry(f);
+    if (f->not_run && !f->response_started) {
+        after_refusal(f);
         return;
     }
-    if (f->response_started) {
-        mg_flow_log_response(f, f->relay);
-        mg_http_finish(f->request.http);
-    }
-    else {
-        f->first_byte_ms = now_of(f);
-        mg_flow_log_response(f, f->relay);
-        mg_flow_send_buffered(f);
+    if (!f->response_started) {
+        send_whole(f);
+        return;
     }
+    mg_flow_log_response(f, f->relay);
+    mg_http_finish(f->request.http);
     mg_flow_finish(f);
 }
 
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -258,6 +258,36 @@
     close_entries();
 }
 
+/* An entry that refuses what was passed on states that it has not run there;
+   here it may have run before. */
+static void
+test_refusals_after_a_run(void)
+{
+    unsigned unknown = 0;
+    other.stream = false;
+    open_entries(MG_RETRY_BEFORE_RESPONSE, true, true);
+    use_other();
+    for (int i = 0; i < WORLD_TARGETS; i++) {
+        char id[8];
+        snprintf(id, sizeof(id), "t-%d", i);
+        mg_registry_find(other.registry, id)->info.state = MG_INSTANCE_ENDED;
+        if (i > 0) {
+            mg_instance *dead = mg_registry_find(world.registry, id);
+            snprintf(dead->info.addr, sizeof(dead->info.addr), "%s:%d",
+                     other_node, WORLD_PORT + 20 + i);
+        }
+    }
+    for (int i = 0; i < REQUESTS / 4; i++) {
+        unsigned before = world.executed;
+        int status = world_get("/break");
+        CU_ASSERT_TRUE(status == 503 || world.executed > before);
+        CU_ASSERT_TRUE(status == 502 || world.executed == before);
+        unknown += status == 502;
+    }
+    CU_ASSERT_TRUE(unknown > 0);
+    close_entries();
+}
+
 /* Whether a request is suspected after it was under way while the entry lost
    all its targets, which refuse connections since; the other entry has one of
    its own, and reaches it if others_reach. */
@@ -395,6 +425,7 @@
         {"no loops between entries", test_no_loops},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
+        {"refusals of a request that may have run", test_refusals_after_a_run},
         {"draining entries take nothing", test_draining_entries_take_nothing},
         {"entries that are cut off suspect nobody",
          test_cut_off_entries_suspect_nobody},
