--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -8,6 +8,9 @@
 /* the number of advertised hosts is reduced only if it exceeds the needed
    number by more than this factor */
 #define KEEP_FACTOR 1.5
+/* one part in this many of the live hosts must be ready for one more to be
+   withdrawn */
+#define READY_PARTS 3
 
 /* hosts with their failure domain and the hash that ranks them in it */
 struct host_table {
@@ -68,6 +71,16 @@
     return keep_current ? demand->advertised : needed;
 }
 
+bool
+mg_directory_withdraw(bool withdrawn, bool cut, size_t others_ready,
+                      size_t live)
+{
+    if (!cut || others_ready == 0) {
+        return false;
+    }
+    return withdrawn || others_ready * READY_PARTS >= live;
+}
+
 /* Returns the unchosen host of a domain with the lowest hash, or t->n. */
 static size_t
 next_of_domain(const struct host_table *t, size_t domain, bool voters,
--- a/src/node/directory.h
+++ b/src/node/directory.h
@@ -43,6 +43,15 @@
     size_t advertised;
 } mg_directory_demand;
 
+/*
+ * Whether an entry that is cut off from a service is withdrawn, so that it is
+ * not advertised: when at least a third of the live hosts are ready without
+ * it, until it is no longer cut off or no other host is ready. withdrawn:
+ * whether it is now; others_ready: ready hosts but this one.
+ */
+bool
+mg_directory_withdraw(bool withdrawn, bool cut, size_t others_ready,
+                      size_t live);
 /*
  * Sets chosen[i] for each selected host and returns their number. chosen[]
  * has n elements; hosts beyond MG_DIRECTORY_HOSTS_MAX are ignored, and their
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -267,8 +267,8 @@
     mg_node *n = t->data;
     int64_t now = mg_now(n->clock);
     mg_group_client_tick(n->client);
-    mg_mesh_set_ready(n->mesh,
-                      mg_node_ready(n) && !mg_gateway_is_cut(n->gateway));
+    mg_node_update_withdrawn(n);
+    mg_mesh_set_ready(n->mesh, mg_node_ready(n) && !n->withdrawn);
     mg_mesh_tick(n->mesh);
     mg_node_update_entries(n, now);
     if (now >= n->report_at) {
--- a/src/node/node_entries.c
+++ b/src/node/node_entries.c
@@ -88,6 +88,23 @@
     }
 }
 
+void
+mg_node_update_withdrawn(mg_node *n)
+{
+    const mg_mesh_node *nodes[MG_NODE_ENTRIES_MAX];
+    bool cut = mg_gateway_is_cut(n->gateway);
+    size_t others = 0;
+    if (!cut && !n->withdrawn) {
+        return;
+    }
+    size_t count = mg_mesh_ready_nodes(n->mesh, nodes, MG_NODE_ENTRIES_MAX);
+    for (size_t i = 0; i < count; i++) {
+        others += strcmp(nodes[i]->node, n->settings.ip) != 0;
+    }
+    n->withdrawn = mg_directory_withdraw(n->withdrawn, cut, others,
+                                         mg_mesh_live_count(n->mesh));
+}
+
 void
 mg_node_measure_rate(mg_node *n, int64_t now)
 {
--- a/src/node/node_int.h
+++ b/src/node/node_int.h
@@ -21,6 +21,7 @@
     uint64_t incarnation;
     mg_net *net;
     mg_mesh *mesh;
+    bool withdrawn;  /* see mg_directory_withdraw() */
     mg_group *group; /* local replica of the log; NULL: none */
     mg_group_client *client;
     mg_registry *registry;
@@ -66,6 +67,10 @@
    the target slots among them. Runs at most every 200 ms. */
 void
 mg_node_update_entries(mg_node *n, int64_t now);
+/* Withdraws this host, or ends that, as it is cut off from a service or not.
+ */
+void
+mg_node_update_withdrawn(mg_node *n);
 /* Updates the moving average of the request rate. */
 void
 mg_node_measure_rate(mg_node *n, int64_t now);
--- a/tests/unit/directory_test.c
+++ b/tests/unit/directory_test.c
@@ -139,11 +139,53 @@
     run_histories(check_seed, HISTORIES);
 }
 
+/* Entries that are cut off leave the directory one after the other, as far as
+   enough others are left; it never stays empty, whoever is cut off. */
+static const char *
+withdraw_history(uint64_t seed)
+{
+    bool withdrawn[HOSTS] = {false};
+    bool cut[HOSTS] = {false};
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    size_t n = 1 + mg_rng_below(&r, HOSTS);
+    for (int step = 0; step < 200; step++) {
+        size_t i = mg_rng_below(&r, (uint32_t)n);
+        size_t others = 0;
+        cut[i] = mg_rng_below(&r, 4) == 0 ? !cut[i] : cut[i];
+        for (size_t k = 0; k < n; k++) {
+            others += k != i && !withdrawn[k];
+        }
+        bool now = mg_directory_withdraw(withdrawn[i], cut[i], others, n);
+        if (now && !cut[i]) {
+            return "an entry that isn't cut off is withdrawn";
+        }
+        if (now && others == 0) {
+            return "the directory is empty";
+        }
+        if (now && !withdrawn[i] && 3 * others < n) {
+            return "too few entries are left";
+        }
+        if (!now && cut[i] && 3 * others >= n && others > 0) {
+            return "an entry that is cut off stays";
+        }
+        withdrawn[i] = now;
+    }
+    return NULL;
+}
+
+static void
+test_withdrawn_entries(void)
+{
+    run_histories(withdraw_history, HISTORIES);
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"selection of advertised hosts", test_histories},
+        {"entries that are withdrawn", test_withdrawn_entries},
         CU_TEST_INFO_NULL,
     };
     return run_suite("directory", tests);
