--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -4,26 +4,35 @@
  */
 #include "flow_world.h"
 
+#include "base/counter.h"
 #include "gateway/reach.h"
 
 #define SERVICE "app"
 /* the entry that clients use is that of the world; the other one is at this
    name, which is its address */
+static char second_node[16];
 static char other_node[16]; /* "127.a.b.c" */
 
 static struct {
     mg_registry *registry;
     mg_gateway *gateway;
     mg_http_server *relay;
+    mg_http_server *second; /* makes it look like two entries */
     uv_prepare_t prepare;
     uint64_t reports;
-    bool silent; /* sends no reports */
+    bool claims; /* reports to both entries that it reaches the service */
     bool stream;
 } other;
 
 static void
 serve(world_conn *c, mg_str head)
 {
+    if (strstr(head.p, "cut") != NULL) {
+        world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "9\r\ndata: a\n\n\r\n");
+        world_close(c);
+        return;
+    }
     if (strstr(head.p, "hold") != NULL) {
         return;
     }
@@ -52,9 +61,18 @@
     (void)h;
     mg_gateway_tick(other.gateway);
     mg_gateway_dispatch_scheduled(other.gateway);
-    if (!other.silent) {
-        mg_gateway_append_report(other.gateway, &loads);
-        mg_gateway_receive_report(world.gateway, other_node, 1,
+    mg_gateway_append_report(other.gateway, &loads);
+    if (other.claims) {
+        mg_msg m = {.type = MG_MSG_LOAD_REACH};
+        m.u.load_reach.service = mg_str_of(SERVICE);
+        mg_msg_encode(&m, &loads);
+        mg_gateway_receive_report(other.gateway, other_node, 1,
+                                  mg_str_buf(&loads));
+    }
+    mg_gateway_receive_report(world.gateway, other_node, 1,
+                              mg_str_buf(&loads));
+    if (other.second != NULL) {
+        mg_gateway_receive_report(world.gateway, second_node, 1,
                                   mg_str_buf(&loads));
     }
     mg_buf_free(&loads);
@@ -80,6 +98,25 @@
     mg_gateway_instance_changed(gw, mg_registry_find(registry, a.id));
 }
 
+static mg_http_server *
+listen_for_relayed(const char *ip)
+{
+    mg_http_server *s = NULL;
+    mg_error err;
+    char addr[MG_ADDR_SIZE];
+    snprintf(addr, sizeof(addr), "%s:%d", ip, WORLD_RELAY_PORT);
+    CU_ASSERT_EQUAL_FATAL(mg_http_open(&s,
+                                       &(mg_http_options){
+                                           .loop = &world_loop,
+                                           .listen_addr = addr,
+                                           .limits = {.body_max = 1000},
+                                           .on_request = on_other_request,
+                                       },
+                                       &err),
+                          MG_OK);
+    return s;
+}
+
 static void
 open_entries(mg_retry_policy policy, bool first_reaches, bool other_reaches)
 {
@@ -91,8 +128,6 @@
         .attempts_max = 2,
         .stream = other.stream,
     };
-    mg_error err;
-    char addr[MG_ADDR_SIZE + MG_NAME_SIZE];
     mg_str rest;
     world_open(world_routing(&r, 0, 0), 0, serve);
     mg_str ip = mg_str_split(mg_str_of(world.addrs[0]), ':', &rest);
@@ -113,22 +148,14 @@
     });
     mg_gateway_set_routing(other.gateway, world_routing(&r, 0, 0));
     mg_gateway_set_entries(other.gateway, self, 1, 0);
-    snprintf(addr, sizeof(addr), "%s:%d", other_node, WORLD_RELAY_PORT);
-    CU_ASSERT_EQUAL_FATAL(mg_http_open(&other.relay,
-                                       &(mg_http_options){
-                                           .loop = &world_loop,
-                                           .listen_addr = addr,
-                                           .limits = {.body_max = 1000},
-                                           .on_request = on_other_request,
-                                       },
-                                       &err),
-                          MG_OK);
+    other.relay = listen_for_relayed(other_node);
+    other.second = NULL;
     for (int i = 0; i < WORLD_TARGETS; i++) {
         world_listen(i);
         announce(world.gateway, world.registry, i, first_reaches);
         announce(other.gateway, other.registry, i, other_reaches);
     }
-    other.silent = false;
+    other.claims = false;
     uv_prepare_init(&world_loop, &other.prepare);
     uv_prepare_start(&other.prepare, on_other_prepare);
 }
@@ -138,6 +165,9 @@
 {
     uv_prepare_stop(&other.prepare);
     mg_http_stop_listening(other.relay);
+    if (other.second != NULL) {
+        mg_http_stop_listening(other.second);
+    }
     world_shut();
 }
 
@@ -216,16 +246,43 @@
     close_entries();
 }
 
-/* no entry reaches the service: the client is told so, and soon */
+/* likewise a stream that breaks off at the other entry, while a third one
+   reaches the service */
+static void
+test_streams_at_most_once(void)
+{
+    other.stream = true;
+    open_entries(MG_RETRY_NEVER, false, true);
+    snprintf(second_node, sizeof(second_node), "127.255.%s",
+             strchr(strchr(other_node, '.') + 1, '.') + 1);
+    other.second = listen_for_relayed(second_node);
+    use_other();
+    serve_requests("/");
+    for (int i = 0; i < REQUESTS / 4; i++) {
+        unsigned before = world.executed;
+        world_get("/cut");
+        CU_ASSERT_EQUAL(world.executed, before + 1);
+        CU_ASSERT_NOT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+        use_other();
+    }
+    close_entries();
+}
+
+/* No entry reaches the service, although one claims to: the client is told so,
+   and what was passed on is not passed on again, to that entry either. */
 static void
 test_no_loops(void)
 {
     other.stream = false;
     open_entries(MG_RETRY_BEFORE_RESPONSE, false, false);
-    use_other();
+    other.claims = true;
+    uint64_t before = mg_counter_value(MG_C_REQUESTS);
     CU_ASSERT_EQUAL(serve_requests("/"), 0);
     CU_ASSERT_EQUAL(world.answer.status, 503);
     CU_ASSERT_EQUAL(world.executed, 0);
+    /* at the first entry, at the other one, and those of use_other() */
+    uint64_t passed = mg_counter_value(MG_C_REQUESTS) - before;
+    CU_ASSERT_TRUE(passed <= 3 * (LEARNING + REQUESTS));
     close_entries();
 }
 
@@ -422,6 +479,7 @@
         {"streams go through another entry",
          test_streams_go_through_another_entry},
         {"requests that are passed on run once", test_at_most_once},
+        {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
