--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -61,8 +61,9 @@
 capacity|src/gateway/capacity.c|a statement ends with a later request only|s/m->lacking_ms = max_time(m->lacking_ms, sent_ms);/m->lacking_ms = heard_ms;/
 capacity|src/gateway/capacity.c|an entry passes on what it only knows from others|s/    c->relayed_ms = now;/    return false;/
 capacity|src/gateway/pick.c|what a target states is kept|s/c->held_back/false/g
-reach|src/gateway/relay.c|requests are passed on when the entry is cut off|s/!(f->pool->cut || f->connect_failures >= CONNECT_FAILURES_MAX)/true/
-reach|src/gateway/relay.c|a request that was passed on isn't passed on again|s/f->is_relayed || f->response_started/f->response_started/
+reach|src/gateway/relay.c|requests are passed on when the entry is cut off|s/(f->pool->cut || f->connect_failures >= CONNECT_FAILURES_MAX)/false/
+reach|src/gateway/relay.c|a request that was passed on isn't passed on again|s/ \&\& !f->is_relayed//
+reach|src/gateway/relay.c|attempts used here aren't allowed once more|s/f->possible_runs == 0 \&\& f->relay_attempts/f->relay_attempts/
 reach|src/gateway/relay.c|a request is written to one entry only|s/if (result == MG_CHANNEL_CONNECT_FAILED) {/if (result != MG_CHANNEL_COMPLETE) {/
 reach|src/gateway/reach.c|an entry is cut off only from what others reach|s/mg_reach_only_others_since(r, r->ok_ms + 1)/true/
 answers|src/gateway/flow.c|a request is sent again on a channel of its own|s/t != f->previous_target ?/true ?/
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -360,12 +360,6 @@
     return true;
 }
 
-bool
-mg_flow_take_retry(mg_flow *f)
-{
-    return may_retry(f) && !f->response_started && take_retry(f);
-}
-
 /* how long a target may be silent: factor * goal_ms, at least SILENT_MIN_MS */
 static int64_t
 silence_limit_ms(int64_t goal_ms, int64_t factor)
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -260,9 +260,6 @@
 /* Starts the timer, to fire at that time. */
 void
 mg_flow_set_timer(mg_flow *f, int64_t at);
-/* Whether f may be sent once more although it may have run; counts it. */
-bool
-mg_flow_take_retry(mg_flow *f);
 /* Ends a request that has crashed its targets. */
 void
 mg_flow_refuse_suspect(mg_flow *f);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -56,15 +56,14 @@
 }
 
 bool
-mg_relay_wanted(mg_flow *f)
+mg_relay_wanted(const mg_flow *f)
 {
-    if (f->gw->opts.relay_port == 0 || f->is_relayed || f->response_started ||
-        f->relay_attempts > 0 ||
-        !(f->pool->cut || f->connect_failures >= CONNECT_FAILURES_MAX) ||
-        choose_entry(f) == NULL) {
-        return false;
-    }
-    return f->possible_runs == 0 || mg_flow_take_retry(f);
+    /* the other entry allows as many attempts as the route does, so none may
+       have been used here */
+    return f->gw->opts.relay_port != 0 && !f->is_relayed &&
+           f->possible_runs == 0 && f->relay_attempts == 0 &&
+           (f->pool->cut || f->connect_failures >= CONNECT_FAILURES_MAX) &&
+           choose_entry(f) != NULL;
 }
 
 /* ------------------------------------------------------------- channel */
@@ -201,9 +200,6 @@
         f->body.n = 0;
         try_entry(f);
     }
-    else if (f->possible_runs > 0) {
-        mg_flow_fail(f, "relay_refused");
-    }
     else {
         send_whole(f);
     }
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -345,6 +345,29 @@
     close_entries();
 }
 
+/* Targets fail what they run, wherever it is sent from: the attempts of all
+   entries together are those of the route. */
+static void
+test_attempts_of_all_entries(void)
+{
+    other.stream = false;
+    open_entries(MG_RETRY_BEFORE_RESPONSE, true, true);
+    use_other();
+    for (int i = 1; i < WORLD_TARGETS; i++) {
+        char id[8];
+        snprintf(id, sizeof(id), "t-%d", i);
+        mg_instance *dead = mg_registry_find(world.registry, id);
+        snprintf(dead->info.addr, sizeof(dead->info.addr), "%s:%d", other_node,
+                 WORLD_PORT + 20 + i);
+    }
+    for (int i = 0; i < REQUESTS / 4; i++) {
+        unsigned before = world.executed;
+        CU_ASSERT_NOT_EQUAL(world_get("/break"), 200);
+        CU_ASSERT_TRUE(world.executed - before <= 2);
+    }
+    close_entries();
+}
+
 /* Whether a request is suspected after it was under way while the entry lost
    all its targets, which refuse connections since; the other entry has one of
    its own, and reaches it if others_reach. */
@@ -484,6 +507,7 @@
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
         {"refusals of a request that may have run", test_refusals_after_a_run},
+        {"attempts of all entries", test_attempts_of_all_entries},
         {"draining entries take nothing", test_draining_entries_take_nothing},
         {"entries that are cut off suspect nobody",
          test_cut_off_entries_suspect_nobody},
