--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -240,7 +240,7 @@
    it with the status that tells whether it may have run. */
 void
 mg_flow_fail(mg_flow *f, const char *why);
-/* The response is complete or aborted. */
+/* Frees f; its response is complete or aborted, or the client has left. */
 void
 mg_flow_finish(mg_flow *f);
 /* Logs and counts a complete response; from: the target or entry. */
--- a/src/gateway/reach.h
+++ b/src/gateway/reach.h
@@ -39,7 +39,8 @@
 /* Whether other entries, and not this one, have reached the service since. */
 bool
 mg_reach_only_others_since(const mg_reach *r, int64_t since_ms);
-/* Age of the last success if it is to be reported, -1: it is not. */
+/* Time since the last success, for reports to other entries; -1: too long ago
+   to be reported. */
 int64_t
 mg_reach_report_age(const mg_reach *r, int64_t now);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -38,7 +38,8 @@
     return false;
 }
 
-/* another entry than the last one, drawn from those that reach the service */
+/* an entry that reaches f's service, drawn at random, but not the one that f
+   was last passed on through; NULL if there is none */
 static const mg_gw_peer *
 choose_entry(const mg_flow *f)
 {
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -90,7 +90,7 @@
     strcpy(a.version, "v1");
     strcpy(a.addr, world.addrs[target]);
     if (!reachable) {
-        /* one digit more in the port's place: nobody listens there */
+        /* a port at which nobody listens */
         snprintf(a.addr, sizeof(a.addr), "%s:%d", other_node,
                  WORLD_PORT + 20 + target);
     }
