--- /dev/null
+++ b/review/lib.sh
@@ -0,0 +1,159 @@
+# lib.sh - starts and ends a small deployment; sourced by the scripts of cases
+#
+# Nodes are numbered from 1; node N has the address 127.0.0.(20+N) and its own
+# zone. All processes that are started here are ended on exit.
+set -uo pipefail
+case_dir=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$case_dir/../.." && pwd)
+bin=$root/review/bin
+node_program=$root/target/marigold-node
+trouble=${TROUBLE:-1}
+record_file=$case_dir/record.txt
+work=$(mktemp -d)
+declare -A node_pid=()
+other_pids=()
+
+note() # note TEXT...
+{
+    printf '%s %s\n' "$(date +%T.%3N)" "$*" | tee -a "$record_file"
+}
+
+end_all()
+{
+    local p
+    for p in "${node_pid[@]}" "${other_pids[@]}"; do
+        kill -KILL "$p" 2> /dev/null
+    done
+    wait 2> /dev/null
+    if [ -n "${KEEP_LOGS:-}" ]; then cp "$work"/*.log "$KEEP_LOGS"; fi
+    rm -rf "$work"
+}
+trap end_all EXIT
+
+cannot_run() # cannot_run WHY
+{
+    note "can't run: $*"
+    exit 2
+}
+
+# whether no socket of this machine listens on one of 20 ports from $1 on
+ports_are_free()
+{
+    local address state port rest
+    while read -r _ address _ state rest; do
+        [ "$state" = 0A ] || continue
+        port=$((16#${address#*:}))
+        if [ "$port" -ge "$1" ] && [ "$port" -lt $(($1 + 20)) ]; then
+            return 1
+        fi
+    done < /proc/net/tcp
+}
+
+# sets base: the first of 20 free ports
+choose_ports()
+{
+    local i
+    for i in 1 2 3 4 5 6 7 8 9 10; do
+        base=$((12000 + RANDOM % 700 * 20))
+        if ports_are_free "$base"; then return; fi
+    done
+    cannot_run "no free ports"
+}
+
+ip_of() { echo "127.0.0.$((20 + $1))"; }
+front_of() { echo "$(ip_of "$1"):$((base + 5))"; }
+control_of() { echo "$(ip_of "$1"):$((base + 7))"; }
+directory_of() { echo "$(ip_of "$1"):$((base + 8))"; }
+
+# writes the settings of node $1 as the deploy file's template gives them;
+# $2: bootstrap, $3: disk (yes or no), then the numbers of the seeds
+settings()
+{
+    local n=$1 bootstrap=$2 disk=$3 dir= seeds= s
+    shift 3
+    [ "$disk" = yes ] && dir=$work/data-$n && mkdir -p "$dir"
+    for s in "$@"; do
+        seeds+="[[seed]]"$'\n'"addr = \"$(control_of "$s")\""$'\n'
+    done
+    sed -e '/^{{#seeds}}/,/^{{\/seeds}}/d' \
+        -e "s|{{nodeName.json}}|\"node-$n\"|" \
+        -e "s|{{ip.json}}|\"$(ip_of "$n")\"|" \
+        -e "s|{{zone.json}}|\"zone-$n\"|" \
+        -e 's|{{region.json}}|"region"|' \
+        -e "s|{{dataDir}}|$dir|" \
+        -e "s|{{bootstrap}}|$bootstrap|" \
+        -e 's|{{faultTolerance.machines}}|1|' \
+        -e 's|{{faultTolerance.zones}}|0|' \
+        -e 's|{{faultTolerance.regions}}|0|' \
+        -e "s|{{portRange.0}}|$base|" \
+        -e "s|{{listen.front}}|$(front_of "$n")|" \
+        -e "s|{{listen.readiness}}|$(ip_of "$n"):$((base + 6))|" \
+        -e "s|{{listen.control}}|$(control_of "$n")|" \
+        -e "s|{{listen.directory}}|$(directory_of "$n")|" \
+        -e "s|{{ip}}:9464|$(ip_of "$n"):$((base + 9))|" \
+        -e 's|{{bounds.retryBudgetRatio}}|0.2|' \
+        -e 's|{{bounds.retrySlack}}|58|' \
+        -e 's|{{bounds.budgetWindowS}}|10|' \
+        -e 's|{{bounds.quotaOverage}}|0.1|' \
+        -e 's|{{bounds.quotaSlack}}|72000|' \
+        -e 's|{{bounds.quotaWindowS}}|8|' \
+        -e 's|{{bounds.graceS}}|8.0|' \
+        -e 's|{{bounds.ackMs}}|4000|' \
+        "$root/deploy/settings.toml.in" > "$work/node-$n.toml"
+    printf '%s' "$seeds" >> "$work/node-$n.toml"
+}
+
+start_node() # start_node N
+{
+    cd "$root" || exit 2
+    MARIGOLDGW_NODE_FILE=$work/node-$1.toml target/marigold-node \
+        >> "$work/node-$1.log" 2>&1 &
+    node_pid[$1]=$!
+    note "node $1 is started"
+}
+
+kill_node() # kill_node N: SIGKILL
+{
+    kill -KILL "${node_pid[$1]}"
+    wait "${node_pid[$1]}" 2> /dev/null
+    unset "node_pid[$1]"
+    note "node $1 is killed"
+}
+
+# sends configuration text $1 to the nodes $2... in turn until it is accepted;
+# fails if that takes longer than ackMs
+put_config()
+{
+    local text=$1 n reply end=$((SECONDS + 5))
+    shift
+    while [ "$SECONDS" -lt "$end" ]; do
+        for n in "$@"; do
+            reply=$("$bin/http" "$(control_of "$n")" POST \
+                /marigoldgw/config/replace "$text")
+            case $reply in
+                200*) note "configuration acknowledged by node $n"; return 0 ;;
+                4*) note "configuration refused by node $n: $reply"; return 1 ;;
+            esac
+        done
+        sleep 0.2
+    done
+    note "configuration not acknowledged within ackMs"
+    return 1
+}
+
+# the version that node $1 reads back, "none" without a 200
+read_config()
+{
+    local reply
+    reply=$(TIMEOUT_MS=2500 "$bin/http" "$(control_of "$1")" GET \
+        /marigoldgw/config/get)
+    case $reply in
+        200*) sed -n 's/.*"version": *\([0-9]*\).*/\1/p' <<< "$reply" ;;
+        *) echo none ;;
+    esac
+}
+
+: > "$record_file"
+[ -x "$node_program" ] || cannot_run "the deploy file's build is missing"
+[ -x "$bin/http" ] || cannot_run "review/build.sh has not run"
+choose_ports
