--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Replicas turn orders away as full while one of them sends some of its answers
+# a second time, late. An order that is answered 503 must not have run.
+#
+# TROUBLE=0: the replicas turn nothing away and send no second answers.
+. "$(dirname "$0")/../lib.sh"
+
+CONNECTIONS=24
+ORDERS_PER_S=400
+SECONDS_OF_ORDERS=75
+# doses of the pages: srv_grey x 0.45 of the requests for 4 s, all replicas;
+# garble "extra late" x 0.03 of the answers, at most 0.6 of the replicas
+shed=0.45
+late=0.03
+[ "$trouble" = 0 ] && shed=0 late=0
+
+config='{"version":7,"routes":[{"name":"r","hostname":"site.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":1200,"goalMs":150,"priority":2,"service":"orders","maxAttempts":1}],"services":[{"name":"orders","healthPath":"/health","maxConns":110}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"tenant-1","apiKeys":["key-1"],"priority":1}]}'
+
+for n in 1 2 3; do
+    settings $n true yes 1 2 3
+    start_node $n
+done
+sleep 2
+put_config "$config" 1 2 3 || cannot_run "no configuration"
+note "orders are placed"
+BASE_PORT=$((base + 10)) "$bin/orders" $CONNECTIONS $ORDERS_PER_S \
+    $SECONDS_OF_ORDERS $shed $late "$(front_of 1)" "$(front_of 2)" \
+    "$(front_of 3)" -- "$(control_of 1)" "$(control_of 2)" "$(control_of 3)" \
+    | tee -a "$record_file"
+status=${PIPESTATUS[0]}
+case $status in
+    0) note "held" ;;
+    1) note "BROKEN: a refused order has run" ;;
+    *) cannot_run "the stand-in ended with $status" ;;
+esac
+exit "$status"
