--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for tool in http answers orders leavers; do
+for tool in http answers orders crashers; do
     "${CC:-gcc}" -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -pthread \
         -o "bin/$tool" "src/$tool.c" src/net.c
 done
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -46,7 +46,7 @@
         if [ "$port" -ge "$1" ] && [ "$port" -lt $(($1 + 20)) ]; then
             return 1
         fi
-    done < /proc/net/tcp
+    done < <(grep ' 0A ' /proc/net/tcp)
 }
 
 # sets base: the first of 20 free ports
