--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,14 +14,9 @@
 late=0.03
 [ "$trouble" = 0 ] && shed=0 late=0
 
-config='{"version":7,"routes":[{"name":"r","hostname":"site.example","pathPrefix":"/order/","routeType":"non_idempotent","timeoutMs":1200,"goalMs":150,"priority":2,"service":"orders","maxAttempts":1}],"services":[{"name":"orders","healthPath":"/health","maxConns":110}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"tenant-1","apiKeys":["key-1"],"priority":1}]}'
+config="{\"version\":7,\"routes\":[$(route /order/ orders non_idempotent 1200 1 150)],\"services\":[$(service orders)],$limits,$tenants}"
 
-for n in 1 2 3; do
-    settings $n true yes 1 2 3
-    start_node $n
-done
-sleep 2
-put_config "$config" 1 2 3 || cannot_run "no configuration"
+start_system 3 "$config" 3 1 2 3
 note "orders are placed"
 BASE_PORT=$((base + 10)) "$bin/orders" $CONNECTIONS $ORDERS_PER_S \
     $SECONDS_OF_ORDERS $shed $late "$(front_of 1)" "$(front_of 2)" \
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -29,6 +29,7 @@
     rm -rf "$work"
 }
 trap end_all EXIT
+trap 'exit 2' INT TERM
 
 cannot_run() # cannot_run WHY
 {
@@ -112,12 +113,16 @@
     note "node $1 is started"
 }
 
-kill_node() # kill_node N: SIGKILL
+kill_nodes() # kill_nodes N...: SIGKILL for all at once
 {
-    kill -KILL "${node_pid[$1]}"
-    wait "${node_pid[$1]}" 2> /dev/null
-    unset "node_pid[$1]"
-    note "node $1 is killed"
+    local n pids=()
+    for n in "$@"; do pids+=("${node_pid[$n]}"); done
+    kill -KILL "${pids[@]}"
+    for n in "$@"; do
+        wait "${node_pid[$n]}" 2> /dev/null
+        unset "node_pid[$n]"
+        note "node $n is killed"
+    done
 }
 
 # sends configuration text $1 to the nodes $2... in turn until it is accepted;
@@ -153,6 +158,72 @@
     esac
 }
 
+# writes the settings of nodes 1 to $1, of which 1 to $2 have a disk, with
+# bootstrap $3 and the numbers of the seeds after it
+settings_of_all()
+{
+    local n count=$1 disks=$2 bootstrap=$3
+    shift 3
+    for n in $(seq "$count"); do
+        if [ "$n" -le "$disks" ]; then
+            settings "$n" "$bootstrap" yes "$@"
+        else
+            settings "$n" "$bootstrap" no "$@"
+        fi
+    done
+}
+
+# starts nodes 1 to $1 for the first time, as settings_of_all() has it, sends
+# them configuration $2, and writes the settings for their later starts; then
+# the number of disks and the numbers of the seeds
+start_system()
+{
+    local n count=$1 config=$2 disks=$3
+    shift 3
+    settings_of_all "$count" "$disks" true "$@"
+    for n in $(seq "$count"); do start_node "$n"; done
+    sleep 2
+    # shellcheck disable=SC2046
+    put_config "$config" $(seq "$count") || cannot_run "no configuration"
+    settings_of_all "$count" "$disks" false "$@"
+}
+
+# configuration $1 with one route of idempotent requests
+config_of_reads()
+{
+    echo "{\"version\":$1,\"routes\":[$(route /read/ reads idempotent 2000 2)],\"services\":[$(service reads)],$limits}"
+}
+
+# a route with prefix $1 to service $2, of type $3, with timeoutMs $4 and
+# maxAttempts $5; goalMs $6, 200 if it isn't given
+route()
+{
+    echo "{\"name\":\"route-of-$2\",\"hostname\":\"site.example\",\"pathPrefix\":\"$1\",\"routeType\":\"$3\",\"timeoutMs\":$4,\"goalMs\":${6:-200},\"priority\":0,\"service\":\"$2\",\"maxAttempts\":$5}"
+}
+
+service() { echo "{\"name\":\"$1\",\"healthPath\":\"/health\",\"maxConns\":110}"; }
+
+limits='"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}'
+tenants='"tenants":[{"name":"tenant-1","apiKeys":["key-1"],"priority":1}]'
+
+# whether version $1 comes back: the operator reads it back at nodes 1 to $2 for
+# up to twice contactMs, and sends version $1 + 1
+read_back()
+{
+    local n version found=none next=no end=$((SECONDS + 6))
+    while [ "$SECONDS" -lt "$end" ] && [ "$found" != "$1" ]; do
+        for n in $(seq "$2"); do
+            version=$(read_config "$n")
+            note "node $n reads back: $version"
+            [ "$version" = none ] || found=$version
+        done
+    done
+    # shellcheck disable=SC2046
+    put_config "$(config_of_reads $(($1 + 1)))" $(seq "$2") && next=yes
+    note "acknowledged: $1; read back: $found; next change acknowledged: $next"
+    [ "$found" = "$1" ]
+}
+
 : > "$record_file"
 [ -x "$node_program" ] || cannot_run "the deploy file's build is missing"
 [ -x "$bin/http" ] || cannot_run "review/build.sh has not run"
