--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,4 +1,5 @@
-# lib.sh - starts and ends a small deployment; sourced by the scripts of cases
+# lib.sh - starts and ends a small deployment; sourced by the scripts of cases,
+# which set record_file
 #
 # Nodes are numbered from 1; node N has the address 127.0.0.(20+N) and its own
 # zone. All processes that are started here are ended on exit.
@@ -8,7 +9,6 @@
 bin=$root/review/bin
 node_program=$root/target/marigold-node
 trouble=${TROUBLE:-1}
-record_file=$case_dir/record.txt
 work=$(mktemp -d)
 declare -A node_pid=()
 other_pids=()
@@ -130,19 +130,23 @@
 put_config()
 {
     local text=$1 n reply end=$((SECONDS + 5))
+    local version=${text#*:}
+    version=${version%%,*}
     shift
     while [ "$SECONDS" -lt "$end" ]; do
         for n in "$@"; do
+            note "configuration $version is sent to node $n"
             reply=$("$bin/http" "$(control_of "$n")" POST \
                 /marigoldgw/config/replace "$text")
             case $reply in
-                200*) note "configuration acknowledged by node $n"; return 0 ;;
-                4*) note "configuration refused by node $n: $reply"; return 1 ;;
+                200*) note "node $n answers ${reply:0:3}: $version is acknowledged"; return 0 ;;
+                4*) note "node $n answers $reply"; return 1 ;;
+                *) note "node $n answers ${reply:0:3} (000: nothing)" ;;
             esac
         done
         sleep 0.2
     done
-    note "configuration not acknowledged within ackMs"
+    note "configuration $version is not acknowledged within ackMs"
     return 1
 }
 
--- a/review/src/crashers.c
+++ b/review/src/crashers.c
@@ -229,6 +229,9 @@
         int n = format_request(text, sizeof(text),
                                i == 0 ? "/report/short" : "/report/long",
                                number + i);
+        if (i == 1) {
+            record("requester sends %016x, for a report", number + i);
+        }
         bool answered = write_all(r.fd, text, (size_t)n) && read_head(&r, &m);
         if (i == 1) {
             record("report %016x: %s", number + i,
--- a/review/src/orders.c
+++ b/review/src/orders.c
@@ -6,8 +6,8 @@
  *     nodes in turn. For the first SHED_MS of each PERIOD_MS, both replicas
  *     turn a part SHED of what arrives away as if they were full. For the first
  *     LATE_MS, the first replica sends a part LATE of its answers a second
- *     time, right before its next answer on that channel. Prints each order
- *     that was refused and ran, and a line with the counts. The exit status is
+ *     time, right before its next answer on that channel. Prints each order,
+ *     those that were refused and ran, and a line with the counts. The exit status is
  *     1 if there was one.
  *
  * Addresses of the replicas: BASE_PORT in the environment and the next port.
@@ -251,6 +251,8 @@
     unsigned broken = 0;
     for (unsigned i = 1; i < next_order && i < ORDERS_MAX; i++) {
         const order *o = &orders[i];
+        printf("%016x sent, answered %03d, turned away %u, run %u\n", i,
+               o->status, o->turned_away, o->runs);
         served += o->status == 200;
         refused += o->status == 503 || o->status == 429;
         other += o->status != 200 && o->status != 503 && o->status != 429;
