--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,6 +5,8 @@
 #
 # Nodes 1 to 3 have a disk, 4 to 6 have none; all serve control. TROUBLE=0: no
 # kill. SEEDS=disks: the same kill when the seeds are nodes 1 to 3.
+# what was sent, answered and run
+record_file=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 CONTACT_S=3
