Voters of the log move to hosts with a disk

Cause: the voters of a new group are the seeds. Seeds without a disk kept three of five slots for good, and lost their log together.

Ruled out: a lost write (the disks had the entries), an election that never ended for lack of links (all were up, two of five voters are no majority).

Change: the leader learns from its node which hosts have a disk, and gives the slots of voters without one to hosts with one, or vacates them. A majority is one of the assigned slots. A new group takes commands once that is done.

--- a/src/control/raft.h
+++ b/src/control/raft.h
@@ -9,8 +9,8 @@
  * Members are identified by voter slots 1..n, n <= 7. The user of this module
  * maps slots to nodes and reports each committed change of that mapping with
  * mg_raft_set_voter_slot(): one slot at a time, and a slot is vacated before
- * it is assigned to another node. A majority is a majority of all n slots,
- * vacant ones included.
+ * it is assigned to another node. A majority is a majority of the assigned
+ * slots.
  *
  * Invariants:
  *  - an entry is reported committed only when a majority of voters has it on
--- a/src/control/raft_int.h
+++ b/src/control/raft_int.h
@@ -64,7 +64,7 @@
     struct mg_raft_peer peers[MG_RAFT_MAX_MEMBERS + 1];
 };
 
-/* Number of voter slots that are a majority. */
+/* Number of voter slots that are a majority of the assigned ones. */
 unsigned
 mg_raft_majority(const mg_raft *r);
 /* Stores term, vote and voter flag; returns whether they are stored. */
--- a/src/control/raft_vote.c
+++ b/src/control/raft_vote.c
@@ -6,7 +6,11 @@
 unsigned
 mg_raft_majority(const mg_raft *r)
 {
-    return r->n / 2 + 1;
+    unsigned assigned = 0;
+    for (unsigned i = 1; i <= r->n; i++) {
+        assigned += !r->peers[i].vacant;
+    }
+    return assigned / 2 + 1;
 }
 
 bool
--- a/src/group/group.c
+++ b/src/group/group.c
@@ -216,7 +216,7 @@
     p = mg_alloc(sizeof(*p));
     p->seq = msg->seq;
     mg_str_copy(p->peer, sizeof(p->peer), mg_str_of(peer));
-    if (!mg_raft_ready(g->disk.raft) ||
+    if (!mg_raft_ready(g->disk.raft) || !mg_group_accepts_commands(g) ||
         mg_raft_propose(g->disk.raft, msg->command, &p->index, &p->term) !=
             MG_OK) {
         reply_not_leader(g, peer, msg->seq);
@@ -316,6 +316,10 @@
         mg_group_on_candidate(g, peer, m->u.candidate.node);
         return;
     }
+    if (m->type == MG_MSG_DISK_HOSTS && strcmp(peer, g->ip) == 0) {
+        mg_group_on_disk_hosts(g, &m->u.disk_hosts);
+        return;
+    }
     if (g->disk.raft == NULL) {
         return;
     }
@@ -561,6 +565,8 @@
     mg_group *g = arg;
     uv_run(&g->loop, UV_RUN_DEFAULT);
     close_log(g);
+    mg_buf_free(&g->disk_hosts);
+    mg_buf_free(&g->hosts_without_disk);
     uv_loop_close(&g->loop);
     return NULL;
 }
@@ -604,6 +610,7 @@
     g->disk.callbacks.role_changed = on_role_changed;
     g->disk.callbacks.failed = on_storage_failed;
     g->clock = mg_system_clock();
+    g->started_ms = mg_now(g->clock);
     mg_group_peer_name(g->peer_name, opts->ip);
     mg_str_copy(g->ip, sizeof(g->ip), mg_str_of(opts->ip));
     mg_str_copy(g->key, sizeof(g->key), mg_str_of(opts->key));
--- a/src/group/group_int.h
+++ b/src/group/group_int.h
@@ -18,6 +18,12 @@
 /* delay before the data directory is reopened after a storage failure, ms */
 #define MG_GROUP_REOPEN_MS 500
 
+/* time in which the hosts of a new group report whether they have a disk, ms
+ */
+#define MG_GROUP_DISCOVERY_MS 2000
+/* a new group takes commands after this time, whatever its voters are, ms */
+#define MG_GROUP_FORMING_MAX_MS 8000
+
 /* a proposed command that is not applied yet */
 struct proposal {
     UT_hash_handle hh;
@@ -60,6 +66,11 @@
     bool local_slot_changed; /* gained or lost; the log must be reopened */
     mg_voter_candidate candidates[MG_GROUP_CANDIDATES_MAX];
     size_t candidate_count;
+    /* as the node of this process reported them in DISK_HOSTS */
+    mg_buf disk_hosts;
+    mg_buf hosts_without_disk;
+    bool disk_hosts_known; /* DISK_HOSTS was received */
+    int64_t started_ms;
     /* log index of the last change of the voters that was proposed here,
        0: none */
     uint64_t pending_change_index;
@@ -98,9 +109,16 @@
    after the change ignores them; it receives the change through the log. */
 void
 mg_group_on_voters(mg_group *g, const mg_seats_msg *msg);
-/* On the leader: replaces dead voters by candidates, adds missing ones. */
+void
+mg_group_on_disk_hosts(mg_group *g, const mg_disk_hosts_msg *msg);
+/* On the leader: replaces dead voters and those without a disk by candidates,
+   adds missing ones. */
 void
 mg_group_check_voters(mg_group *g, int64_t now);
+/* On the leader: whether commands may be committed. In a new group they wait
+   until its voters have disks, or for MG_GROUP_FORMING_MAX_MS. */
+bool
+mg_group_accepts_commands(mg_group *g);
 /* Applies for a voter slot, on a host that has none. */
 void
 mg_group_send_candidacy(mg_group *g, int64_t now);
--- a/src/group/group_voters.c
+++ b/src/group/group_voters.c
@@ -179,28 +179,102 @@
     mg_buf_free(&command);
 }
 
+/* Whether a comma-separated list contains an address. */
+static bool
+list_has(const mg_buf *list, const char *ip)
+{
+    mg_str rest = mg_str_buf(list);
+    while (rest.n > 0) {
+        if (mg_str_is(mg_str_split(rest, ',', &rest), ip)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+mg_group_on_disk_hosts(mg_group *g, const mg_disk_hosts_msg *msg)
+{
+    g->disk_hosts.n = 0;
+    mg_buf_put(&g->disk_hosts, msg->disks.p, msg->disks.n);
+    g->hosts_without_disk.n = 0;
+    mg_buf_put(&g->hosts_without_disk, msg->without.p, msg->without.n);
+    g->disk_hosts_known = true;
+}
+
+/* Collects what the leader knows. A voter counts as one without a disk only
+   if its node has said so. */
+static void
+look_at_voters(mg_group *g, int64_t now, mg_voters_view *view)
+{
+    *view = (mg_voters_view){
+        .wanted = g->wanted_voters,
+        .own_slot = g->slot,
+        .all_vote = mg_raft_all_members_vote(g->disk.raft),
+        .disks_exist = g->disk_hosts.n > 0,
+        .candidates = g->candidates,
+        .candidate_count = g->candidate_count,
+        .now_ms = now,
+    };
+    for (unsigned i = 0; i < g->voters.count; i++) {
+        view->age_ms[i] = mg_raft_contact_age_ms(g->disk.raft, i + 1);
+        view->in_memory[i] = list_has(&g->hosts_without_disk, g->voters.ip[i]);
+    }
+    for (size_t i = 0; i < g->candidate_count; i++) {
+        g->candidates[i].has_disk =
+            list_has(&g->disk_hosts, g->candidates[i].ip);
+    }
+}
+
+/* Whether each voter is known to have a disk or to have none. */
+static bool
+knows_all_disks(const mg_group *g)
+{
+    for (unsigned i = 0; i < g->voters.count; i++) {
+        const char *ip = g->voters.ip[i];
+        if (ip[0] != '\0' && !list_has(&g->disk_hosts, ip) &&
+            !list_has(&g->hosts_without_disk, ip)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+mg_group_accepts_commands(mg_group *g)
+{
+    mg_voters_view view;
+    int64_t now = mg_now(g->clock);
+    int64_t age = now - g->started_ms;
+    if (!g->new_group || age >= MG_GROUP_FORMING_MAX_MS) {
+        return true;
+    }
+    look_at_voters(g, now, &view);
+    if (age < MG_GROUP_DISCOVERY_MS &&
+        (g->disk_hosts.n == 0 || !knows_all_disks(g))) {
+        return false;
+    }
+    return !mg_voters_lack_disks(&g->voters, &view);
+}
+
 void
 mg_group_check_voters(mg_group *g, int64_t now)
 {
-    int64_t age[MG_VOTERS_MAX];
     g->next_voters_check_ms = now + VOTERS_CHECK_MS;
     if (!mg_raft_ready(g->disk.raft) ||
         (g->pending_change_index != 0 &&
          mg_raft_applied_index(g->disk.raft) < g->pending_change_index)) {
         return;
     }
-    for (unsigned i = 0; i < g->voters.count; i++) {
-        age[i] = mg_raft_contact_age_ms(g->disk.raft, i + 1);
-    }
     mg_voters_change change = {MG_VOTERS_KEEP, 0, ""};
     if (g->voters.rev == 0) {
         /* publish the initial voters as a record that all nodes receive */
         propose_change(g, &change);
         return;
     }
-    change = mg_voters_plan_change(&g->voters, g->wanted_voters, age,
-                                   mg_raft_all_members_vote(g->disk.raft),
-                                   g->candidates, g->candidate_count, now);
+    mg_voters_view view;
+    look_at_voters(g, now, &view);
+    change = mg_voters_plan_change(&g->voters, &view);
     if (change.kind != MG_VOTERS_KEEP) {
         propose_change(g, &change);
     }
--- a/src/group/voters.c
+++ b/src/group/voters.c
@@ -6,6 +6,11 @@
 #define CANDIDATE_TIMEOUT_MS 1500
 /* a voter is removed only if all others were seen within this time, ms */
 #define HEALTHY_MS 500
+/* up to this number a removed voter is replaced, even if fewer are wanted */
+#define REPLACED_UP_TO 3
+/* voters without a disk are removed without a replacement once so many others
+   have one */
+#define ON_DISK_MIN 2
 
 unsigned
 mg_voters_slot_of(const mg_voters *v, const char *ip)
@@ -18,18 +23,62 @@
     return 0;
 }
 
+static bool
+is_assigned(const mg_voters *v, unsigned slot)
+{
+    return v->ip[slot][0] != '\0';
+}
+
+static unsigned
+count_assigned(const mg_voters *v)
+{
+    unsigned n = 0;
+    for (unsigned i = 0; i < v->count; i++) {
+        n += is_assigned(v, i);
+    }
+    return n;
+}
+
+/* Returns a vacant slot, or -1. */
+static int
+find_vacant(const mg_voters *v)
+{
+    for (unsigned i = 0; i < v->count; i++) {
+        if (!is_assigned(v, i)) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+/* XXX: a group of one voter never grows: the second one would have to have
+   the log before it is readmitted, and is needed for that. */
+static bool
+may_grow(const mg_voters *v)
+{
+    return count_assigned(v) > 1;
+}
+
+/* Whether a host may get a slot: hosts without a disk only while none has one.
+ */
+static bool
+is_eligible(const mg_voters *v, const mg_voters_view *view,
+            const mg_voter_candidate *c)
+{
+    return view->now_ms - c->last_seen_ms <= CANDIDATE_TIMEOUT_MS &&
+           (c->has_disk || !view->disks_exist) &&
+           mg_voters_slot_of(v, c->ip) == 0;
+}
+
 static const mg_voter_candidate *
-best_candidate(const mg_voters *v, const mg_voter_candidate *c, size_t n,
-               int64_t now)
+best_candidate(const mg_voters *v, const mg_voters_view *view)
 {
     const mg_voter_candidate *best = NULL;
-    for (size_t i = 0; i < n; i++) {
-        if (now - c[i].last_seen_ms > CANDIDATE_TIMEOUT_MS ||
-            mg_voters_slot_of(v, c[i].ip) != 0) {
-            continue;
-        }
-        if (best == NULL || strcmp(c[i].ip, best->ip) < 0) {
-            best = &c[i];
+    for (size_t i = 0; i < view->candidate_count; i++) {
+        const mg_voter_candidate *c = &view->candidates[i];
+        if (is_eligible(v, view, c) &&
+            (best == NULL || strcmp(c->ip, best->ip) < 0)) {
+            best = c;
         }
     }
     return best;
@@ -49,6 +98,9 @@
 {
     int dead = -1;
     for (unsigned i = 0; i < v->count; i++) {
+        if (!is_assigned(v, i)) {
+            continue;
+        }
         if (age_ms[i] > MG_VOTER_DEAD_MS && dead < 0) {
             dead = (int)i;
         }
@@ -59,30 +111,91 @@
     return dead;
 }
 
-mg_voters_change
-mg_voters_plan_change(const mg_voters *v, unsigned wanted,
-                      const int64_t *age_ms, bool all_vote,
-                      const mg_voter_candidate *c, size_t n, int64_t now)
+static bool
+all_healthy(const mg_voters *v, const int64_t *age_ms)
 {
-    const mg_voter_candidate *candidate = best_candidate(v, c, n, now);
-    if (candidate == NULL) {
-        return make_change(MG_VOTERS_KEEP, 0, "");
+    for (unsigned i = 0; i < v->count; i++) {
+        if (is_assigned(v, i) && age_ms[i] > HEALTHY_MS) {
+            return false;
+        }
     }
+    return true;
+}
+
+/* Returns the slot of a voter without a disk, the leader's own only if there
+   is no other, or -1. */
+static int
+find_in_memory(const mg_voters *v, const mg_voters_view *view)
+{
+    int found = -1;
     for (unsigned i = 0; i < v->count; i++) {
-        if (v->ip[i][0] == '\0') {
-            return make_change(MG_VOTERS_ASSIGN, i, candidate->ip);
+        if (is_assigned(v, i) && view->in_memory[i] &&
+            (found < 0 || i + 1 != view->own_slot)) {
+            found = (int)i;
         }
     }
-    int dead = find_single_dead(v, age_ms);
-    if (dead >= 0) {
+    return found;
+}
+
+static unsigned
+count_on_disk(const mg_voters *v, const mg_voters_view *view)
+{
+    unsigned n = 0;
+    for (unsigned i = 0; i < v->count; i++) {
+        n += is_assigned(v, i) && !view->in_memory[i];
+    }
+    return n;
+}
+
+/* Whether a voter without a disk is to go: a host with a disk can take its
+   slot, or enough voters have one. */
+static bool
+may_remove_in_memory(const mg_voters *v, const mg_voters_view *view,
+                     const mg_voter_candidate *candidate)
+{
+    return view->disks_exist && view->all_vote &&
+           all_healthy(v, view->age_ms) &&
+           (candidate != NULL || count_on_disk(v, view) >= ON_DISK_MIN);
+}
+
+mg_voters_change
+mg_voters_plan_change(const mg_voters *v, const mg_voters_view *view)
+{
+    const mg_voter_candidate *candidate = best_candidate(v, view);
+    unsigned wanted =
+        view->wanted > REPLACED_UP_TO ? view->wanted : REPLACED_UP_TO;
+    int in_memory = view->disks_exist ? find_in_memory(v, view) : -1;
+    int vacant = find_vacant(v);
+    int dead = find_single_dead(v, view->age_ms);
+    if (!may_grow(v)) {
+        return make_change(MG_VOTERS_KEEP, 0, "");
+    }
+    if (candidate != NULL && vacant >= 0 && count_assigned(v) < wanted) {
+        return make_change(MG_VOTERS_ASSIGN, (unsigned)vacant, candidate->ip);
+    }
+    if (candidate != NULL && dead >= 0) {
         return make_change(MG_VOTERS_REMOVE, (unsigned)dead, "");
     }
-    if (v->count < wanted && v->count < MG_VOTERS_MAX && all_vote) {
+    if (in_memory >= 0) {
+        return may_remove_in_memory(v, view, candidate)
+                   ? make_change(MG_VOTERS_REMOVE, (unsigned)in_memory, "")
+                   : make_change(MG_VOTERS_KEEP, 0, "");
+    }
+    if (candidate != NULL && vacant < 0 && v->count < view->wanted &&
+        v->count < MG_VOTERS_MAX && view->all_vote) {
         return make_change(MG_VOTERS_ADD_SLOT, v->count, candidate->ip);
     }
     return make_change(MG_VOTERS_KEEP, 0, "");
 }
 
+bool
+mg_voters_lack_disks(const mg_voters *v, const mg_voters_view *view)
+{
+    return view->disks_exist && find_in_memory(v, view) >= 0 &&
+           (best_candidate(v, view) != NULL ||
+            count_on_disk(v, view) >= ON_DISK_MIN);
+}
+
 void
 mg_voters_apply(mg_voters *v, const mg_voters_change *change)
 {
--- a/src/group/voters.h
+++ b/src/group/voters.h
@@ -2,8 +2,8 @@
  * voters - the voters of the replicated log and their replacement
  *
  * A group has n voter slots. A slot is vacant or assigned to a host, named by
- * its IP address. A majority is more than half of n, vacant slots included.
- * A change affects one slot: a voter is first removed, then another host is
+ * its IP address. A majority is more than half of the assigned slots. A
+ * change affects one slot: a voter is first removed, then another host is
  * assigned, each by its own committed log entry. So any majority after a
  * change shares a member with any majority before it, and a removed voter
  * that still runs behind a network partition is never counted together with
@@ -12,6 +12,15 @@
  * A new voter with an empty disk does not vote until it has all committed
  * entries; control/raft.h handles this.
  *
+ * Voters belong on hosts with a disk: any number of the other hosts may fail
+ * at once, and each restart of one loses its log. The initial voters are the
+ * seeds, which may lack a disk. Their slots are assigned to hosts with a disk,
+ * or vacated if there are no more such hosts. Only if no live host has a disk
+ * is the log kept in memory.
+ *
+ * XXX: the last two voters are not reduced to one, so a group of which only
+ * one host has a disk depends on the memory of others.
+ *
  * mg_voters_plan_change() is a pure function.
  */
 #ifndef MG_VOTERS_H
@@ -33,11 +42,25 @@
 typedef struct mg_voter_candidate {
     char ip[MG_NAME_SIZE];
     int64_t last_seen_ms;
+    bool has_disk;
 } mg_voter_candidate;
 
+/* what the leader knows about the voters and those who may become one */
+typedef struct mg_voters_view {
+    unsigned wanted;               /* number of voters to reach */
+    unsigned own_slot;             /* the leader's, from 1 */
+    bool all_vote;                 /* no voter is still catching up */
+    bool disks_exist;              /* some live host has a disk */
+    int64_t age_ms[MG_VOTERS_MAX]; /* by slot: since the last message */
+    bool in_memory[MG_VOTERS_MAX]; /* by slot: the voter has no disk */
+    const mg_voter_candidate *candidates;
+    size_t candidate_count;
+    int64_t now_ms;
+} mg_voters_view;
+
 typedef enum mg_voters_change_kind {
     MG_VOTERS_KEEP,
-    MG_VOTERS_REMOVE,   /* a dead voter, if a candidate exists */
+    MG_VOTERS_REMOVE,   /* a dead voter, or one without a disk */
     MG_VOTERS_ASSIGN,   /* a vacant slot to a candidate */
     MG_VOTERS_ADD_SLOT, /* a further slot, for a candidate */
 } mg_voters_change_kind;
@@ -48,15 +71,13 @@
     char ip[MG_NAME_SIZE];
 } mg_voters_change;
 
-/*
- * Returns the next change. wanted: number of slots to reach. age_ms: for each
- * slot, time since the last message of its voter. all_vote: every assigned
- * voter votes (none is still catching up). c: n candidates.
- */
+/* Returns the next change. */
 mg_voters_change
-mg_voters_plan_change(const mg_voters *v, unsigned wanted,
-                      const int64_t *age_ms, bool all_vote,
-                      const mg_voter_candidate *c, size_t n, int64_t now);
+mg_voters_plan_change(const mg_voters *v, const mg_voters_view *view);
+/* Whether a voter without a disk still is to be replaced by a host with one:
+   until then, what is committed may be lost with the memory of the voters. */
+bool
+mg_voters_lack_disks(const mg_voters *v, const mg_voters_view *view);
 void
 mg_voters_apply(mg_voters *v, const mg_voters_change *change);
 /* Returns the slot of the voter with this IP address, from 1; 0: none. */
--- a/src/node/mesh.c
+++ b/src/node/mesh.c
@@ -659,6 +659,36 @@
     return disks;
 }
 
+static void
+append_name(mg_buf *out, const char *name)
+{
+    if (out->n > 0) {
+        mg_buf_put(out, ",", 1);
+    }
+    mg_buf_put(out, name, strlen(name));
+}
+
+void
+mg_mesh_list_disks(const mg_mesh *m, mg_buf *out)
+{
+    if (m->self.has_disk) {
+        append_name(out, m->self.node);
+    }
+    for (const mg_mesh_node *o = m->nodes; o != NULL; o = o->hh.next) {
+        if (o->live && o->has_disk) {
+            append_name(out, o->node);
+        }
+    }
+}
+
+bool
+mg_mesh_lacks_disk(const mg_mesh *m, const char *node)
+{
+    const mg_mesh_node *n =
+        strcmp(node, m->self.node) == 0 ? &m->self : find_node(m, node);
+    return n != NULL && !n->has_disk;
+}
+
 size_t
 mg_mesh_rank(const mg_mesh *m)
 {
--- a/src/node/mesh.h
+++ b/src/node/mesh.h
@@ -125,6 +125,13 @@
 /* Whether any live node, this one included, has a data directory. */
 bool
 mg_mesh_has_disks(const mg_mesh *m);
+/* Appends the comma-separated names of live nodes, this one included, that
+   have a data directory. */
+void
+mg_mesh_list_disks(const mg_mesh *m, mg_buf *out);
+/* Whether a node is known, live or not, and has no data directory. */
+bool
+mg_mesh_lacks_disk(const mg_mesh *m, const char *node);
 /* Number of live nodes whose name sorts before this one's. */
 size_t
 mg_mesh_rank(const mg_mesh *m);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,6 +19,9 @@
 #define STATS_MS 10000
 /* delay between a change of the targets and their save, ms */
 #define SAVE_MS 200
+/* interval at which the local log replica is told which hosts have a disk, ms
+ */
+#define DISK_HOSTS_MS 200
 /* clients learn within this time that the node is draining, ms */
 #define DRAIN_MIN_MS 2500
 /* the process exits this long before the end of the grace period, ms */
@@ -260,6 +263,8 @@
 
 static void
 join_memory_group(mg_node *n, int64_t now);
+static void
+send_disk_hosts(mg_node *n, int64_t now);
 
 static void
 on_tick(uv_timer_t *t)
@@ -271,6 +276,7 @@
     mg_mesh_set_ready(n->mesh, mg_node_ready(n) && !n->withdrawn);
     mg_mesh_tick(n->mesh);
     mg_node_update_entries(n, now);
+    send_disk_hosts(n, now);
     if (now >= n->report_at) {
         mg_buf loads = {0};
         n->report_at = now + report_ms(n);
@@ -395,6 +401,34 @@
     dial_local_group(n);
 }
 
+/* Tells the local replica of the log which hosts have a disk. */
+static void
+send_disk_hosts(mg_node *n, int64_t now)
+{
+    char peer[MG_NAME_SIZE];
+    mg_buf disks = {0};
+    mg_buf without = {0};
+    if (n->group == NULL || now < n->disk_hosts_at) {
+        return;
+    }
+    n->disk_hosts_at = now + DISK_HOSTS_MS;
+    mg_mesh_list_disks(n->mesh, &disks);
+    for (unsigned i = 0; i < n->voters.count; i++) {
+        const char *ip = n->voters.ip[i];
+        if (mg_mesh_lacks_disk(n->mesh, ip)) {
+            mg_buf_put(&without, ",", without.n > 0);
+            mg_buf_put(&without, ip, strlen(ip));
+        }
+    }
+    mg_msg m = {.type = MG_MSG_DISK_HOSTS};
+    m.u.disk_hosts.disks = mg_str_buf(&disks);
+    m.u.disk_hosts.without = mg_str_buf(&without);
+    mg_group_peer_name(peer, n->settings.ip);
+    mg_net_send(n->net, peer, &m);
+    mg_buf_free(&disks);
+    mg_buf_free(&without);
+}
+
 /* Connects to the local replica of the log, even if it is not a voter. */
 static void
 dial_local_group(mg_node *n)
--- a/src/node/node_int.h
+++ b/src/node/node_int.h
@@ -35,6 +35,7 @@
     int64_t sweep_at;
     int64_t stats_at;
     int64_t entries_at;
+    int64_t disk_hosts_at;
     const mg_mesh_node *advertised[MG_NODE_ENTRIES_MAX]; /* to clients */
     size_t advertised_count;
     uint64_t rate_requests; /* total at the last update of the rate */
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -168,6 +168,9 @@
 #define MG_FIELDS_SEATS(F) F(U64, rev) F(STR, holders)
 /* a host with a data directory and no voter slot, which offers to vote */
 #define MG_FIELDS_CANDIDATE(F) F(STR, node)
+/* from a node to the log replica of its own process: comma-separated addresses
+   of the live hosts that have a disk, and of the voters that have none */
+#define MG_FIELDS_DISK_HOSTS(F) F(STR, disks) F(STR, without)
 #define MG_FIELDS_CONFIRM_REP(F) F(U64, seq) F(U64, rc) F(U64, rev)
 #define MG_FIELDS_PROPOSED(F) F(U64, seq) F(U64, rc) F(U64, rev) F(STR, why)
 
@@ -281,6 +284,7 @@
     M(104, PROPOSED, proposed) \
     M(105, SEATS, seats) \
     M(106, CANDIDATE, candidate) \
+    M(107, DISK_HOSTS, disk_hosts) \
     M(110, NODE, node) \
     M(111, NODES, nodes) \
     M(112, INSTANCE, instance) \
--- a/tests/unit/voters_test.c
+++ b/tests/unit/voters_test.c
@@ -12,11 +12,15 @@
 #include "group/voters.h"
 
 #define HOSTS 5
+#define HOSTS_MAX 6
 #define VOTERS 3
 #define STEPS 700
 /* long enough to replace a dead voter */
 #define ORDERED_STEPS 150
+/* long enough to move all voters to other hosts */
+#define MOVE_STEPS 300
 #define PACKETS_MAX 96
+#define MEMORY_HISTORIES 1000
 #define LOG_MAX 2048
 
 struct host {
@@ -27,6 +31,7 @@
     mg_voters voters;
     unsigned slot;
     bool isolated;
+    bool in_memory; /* has no disk: a crash loses its log */
     bool slot_changed;
     /* disk */
     mg_raft_meta meta;
@@ -48,7 +53,8 @@
 static struct {
     mg_manual_clock clock;
     mg_rng rng;
-    struct host hosts[HOSTS];
+    int host_count;
+    struct host hosts[HOSTS_MAX];
     struct packet packets[PACKETS_MAX];
     size_t packet_count;
     uint64_t digest[LOG_MAX];
@@ -326,11 +332,11 @@
 candidates_for(const struct host *leader, mg_voter_candidate *out)
 {
     size_t n = 0;
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         const struct host *h = &sim.hosts[i];
         if (h->raft == NULL && !h->isolated && !leader->isolated &&
             mg_voters_slot_of(&h->voters, h->name) == 0) {
-            out[n] = (mg_voter_candidate){"", sim.clock.mono};
+            out[n] = (mg_voter_candidate){"", sim.clock.mono, !h->in_memory};
             snprintf(out[n++].ip, MG_NAME_SIZE, "%s", h->name);
         }
     }
@@ -341,19 +347,29 @@
 static void
 check_voters(struct host *h)
 {
-    mg_voter_candidate c[HOSTS];
-    int64_t age[MG_VOTERS_MAX];
+    mg_voter_candidate c[HOSTS_MAX];
     char ips[MG_VOTERS_MAX * MG_NAME_SIZE];
     if (!mg_raft_ready(h->raft) ||
         mg_raft_applied_index(h->raft) < mg_raft_last_index(h->raft)) {
         return;
     }
+    mg_voters_view view = {
+        .wanted = VOTERS,
+        .own_slot = h->slot,
+        .all_vote = mg_raft_all_members_vote(h->raft),
+        .candidates = c,
+        .candidate_count = candidates_for(h, c),
+        .now_ms = sim.clock.mono,
+    };
     for (unsigned i = 0; i < h->voters.count; i++) {
-        age[i] = mg_raft_contact_age_ms(h->raft, i + 1);
+        int k = host_index(h->voters.ip[i]);
+        view.age_ms[i] = mg_raft_contact_age_ms(h->raft, i + 1);
+        view.in_memory[i] = k >= 0 && sim.hosts[k].in_memory;
+    }
+    for (int i = 0; i < sim.host_count; i++) {
+        view.disks_exist = view.disks_exist || !sim.hosts[i].in_memory;
     }
-    mg_voters_change change = mg_voters_plan_change(
-        &h->voters, VOTERS, age, mg_raft_all_members_vote(h->raft), c,
-        candidates_for(h, c), sim.clock.mono);
+    mg_voters_change change = mg_voters_plan_change(&h->voters, &view);
     if (change.kind == MG_VOTERS_KEEP) {
         return;
     }
@@ -393,7 +409,7 @@
 newest_voters(void)
 {
     const mg_voters *v = &sim.hosts[0].voters;
-    for (int i = 1; i < HOSTS; i++) {
+    for (int i = 1; i < sim.host_count; i++) {
         if (sim.hosts[i].voters.rev > v->rev) {
             v = &sim.hosts[i].voters;
         }
@@ -433,7 +449,8 @@
 static void
 random_step(void)
 {
-    struct host *h = &sim.hosts[mg_rng_below(&sim.rng, HOSTS)];
+    struct host *h =
+        &sim.hosts[mg_rng_below(&sim.rng, (uint32_t)sim.host_count)];
     uint32_t choice = mg_rng_below(&sim.rng, 1000);
     if (choice < 3) {
         lose_disk(h);
@@ -447,7 +464,8 @@
         h->isolated = choice < 18;
     }
     else if (choice < 40) {
-        send_voters(&sim.hosts[mg_rng_below(&sim.rng, HOSTS)], h);
+        send_voters(
+            &sim.hosts[mg_rng_below(&sim.rng, (uint32_t)sim.host_count)], h);
     }
     else if (h->raft == NULL) {
         if (choice < 300) {
@@ -483,7 +501,7 @@
 is_healed(void)
 {
     const mg_voters *v = NULL;
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         const struct host *h = &sim.hosts[i];
         if (h->raft != NULL && (v == NULL || h->voters.rev > v->rev)) {
             v = &h->voters;
@@ -505,9 +523,9 @@
 ordered_step(int step)
 {
     sim.clock.mono += 40;
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         struct host *h = &sim.hosts[i];
-        send_voters(&sim.hosts[step % HOSTS], h);
+        send_voters(&sim.hosts[step % sim.host_count], h);
         if (h->raft == NULL) {
             continue;
         }
@@ -526,11 +544,11 @@
 static void
 heal(void)
 {
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         sim.hosts[i].isolated = false;
     }
     for (int step = 0; step < 1500 && sim.violation == NULL; step++) {
-        for (int i = 0; i < HOSTS; i++) {
+        for (int i = 0; i < sim.host_count; i++) {
             if (sim.hosts[i].raft == NULL) {
                 start_host(&sim.hosts[i]);
             }
@@ -546,12 +564,13 @@
 }
 
 static void
-set_up(uint64_t seed)
+set_up(uint64_t seed, int host_count)
 {
     memset(&sim, 0, sizeof(sim));
+    sim.host_count = host_count;
     mg_manual_clock_init(&sim.clock);
     mg_rng_init(&sim.rng, seed);
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         struct host *h = &sim.hosts[i];
         h->callbacks = (mg_raft_callbacks){
             send_message,    save_meta,        append_entry, truncate_entries,
@@ -570,7 +589,7 @@
 static void
 tear_down(void)
 {
-    for (int i = 0; i < HOSTS; i++) {
+    for (int i = 0; i < sim.host_count; i++) {
         mg_raft_free(sim.hosts[i].raft);
         drop_from(&sim.hosts[i], 0);
     }
@@ -584,7 +603,7 @@
 static const char *
 run_history(uint64_t seed, bool overlapping_faults)
 {
-    set_up(seed);
+    set_up(seed, HOSTS);
     sim.overlapping_faults = overlapping_faults;
     for (int i = 0; i < STEPS && sim.violation == NULL; i++) {
         random_step();
@@ -622,35 +641,155 @@
     CU_ASSERT_TRUE(getenv("SEED") != NULL || total_assigned > HISTORIES / 10);
 }
 
+/* Crashes a host without a disk: it starts again as one that lost its disk. */
+static void
+lose_memory(struct host *h)
+{
+    if (h->raft != NULL) {
+        stop_host(h, true);
+    }
+    drop_from(h, 0);
+    h->meta = (mg_raft_meta){0, 0, mg_rng_below(&sim.rng, 1u << 30) + 1, 0};
+}
+
+/*
+ * The seeds, and so the first voters, have no disk; three other hosts have
+ * one. Once the voters have moved there, all hosts without a disk crash at the
+ * same moment, again and again. Guards against a group that has lost its log
+ * although no disk was lost.
+ */
+static const char *
+memory_seeds_history(uint64_t seed)
+{
+    set_up(seed, HOSTS_MAX);
+    for (int i = 0; i < VOTERS; i++) {
+        sim.hosts[i].in_memory = true;
+    }
+    for (int step = 0; step < MOVE_STEPS; step++) {
+        ordered_step(step);
+    }
+    for (int i = 0; i < STEPS && sim.violation == NULL; i++) {
+        struct host *h = &sim.hosts[mg_rng_below(&sim.rng, HOSTS_MAX)];
+        if (mg_rng_below(&sim.rng, 100) == 0) {
+            for (int k = 0; k < VOTERS; k++) {
+                lose_memory(&sim.hosts[k]);
+            }
+        }
+        if (h->raft == NULL) {
+            start_host(h);
+        }
+        else if (mg_rng_below(&sim.rng, 100) == 0 && !h->in_memory) {
+            stop_host(h, true);
+        }
+        else if (mg_raft_get_role(h->raft) == MG_RAFT_LEADER) {
+            propose_value(h);
+        }
+        ordered_step(i);
+    }
+    if (sim.violation == NULL) {
+        heal();
+    }
+    const mg_voters *v = newest_voters();
+    for (unsigned i = 0; i < v->count && sim.violation == NULL; i++) {
+        int k = host_index(v->ip[i]);
+        if (k >= 0 && sim.hosts[k].in_memory) {
+            sim.violation = "a host without a disk has kept its slot";
+        }
+    }
+    tear_down();
+    return sim.violation;
+}
+
+static void
+test_memory_seeds(void)
+{
+    run_histories(memory_seeds_history, MEMORY_HISTORIES);
+}
+
+static mg_voters_view
+view_of(unsigned wanted, bool all_vote, mg_voter_candidate *c, size_t n,
+        int64_t now)
+{
+    return (mg_voters_view){
+        .wanted = wanted,
+        .own_slot = 1,
+        .all_vote = all_vote,
+        .candidates = c,
+        .candidate_count = n,
+        .now_ms = now,
+    };
+}
+
 static void
 test_plan(void)
 {
     mg_voters v;
-    int64_t age[MG_VOTERS_MAX] = {0, 0, 9000};
-    mg_voter_candidate c[2] = {{"h4", 1000}, {"h0", 1000}};
+    mg_voter_candidate c[2] = {{"h4", 1000, false}, {"h0", 1000, false}};
     CU_ASSERT_EQUAL(mg_voters_parse(&v, 3, mg_str_of("h0,h1,h2")), MG_OK);
     /* there is no candidate to replace the dead voter */
-    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, 3, age, true, c, 0, 1000).kind,
-                    MG_VOTERS_KEEP);
+    mg_voters_view view = view_of(3, true, c, 0, 1000);
+    view.age_ms[2] = 9000;
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
     /* a candidate that was not seen recently is ignored */
-    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, 3, age, true, c, 2, 9000).kind,
-                    MG_VOTERS_KEEP);
-    mg_voters_change p = mg_voters_plan_change(&v, 3, age, false, c, 2, 1000);
+    view.candidate_count = 2;
+    view.now_ms = 9000;
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
+    view.now_ms = 1000;
+    view.all_vote = false;
+    mg_voters_change p = mg_voters_plan_change(&v, &view);
     CU_ASSERT_EQUAL(p.kind, MG_VOTERS_REMOVE);
     CU_ASSERT_EQUAL(p.slot, 2);
     mg_voters_apply(&v, &p);
-    p = mg_voters_plan_change(&v, 3, age, false, c, 2, 1000);
+    p = mg_voters_plan_change(&v, &view);
     CU_ASSERT_EQUAL(p.kind, MG_VOTERS_ASSIGN);
     CU_ASSERT_STRING_EQUAL(p.ip, "h4");
     mg_voters_apply(&v, &p);
-    age[2] = 0;
     CU_ASSERT_EQUAL(mg_voters_slot_of(&v, "h4"), 3);
     /* a slot is added only when all voters vote */
-    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, 5, age, false, c, 1, 1000).kind,
-                    MG_VOTERS_KEEP);
+    view = view_of(5, false, c, 1, 1000);
     snprintf(c[0].ip, MG_NAME_SIZE, "h5");
-    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, 5, age, true, c, 1, 1000).kind,
-                    MG_VOTERS_ADD_SLOT);
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
+    view.all_vote = true;
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_ADD_SLOT);
+}
+
+/* A voter without a disk gives way to a host with one, the leader last; if
+   there is no such host any more, its slot becomes vacant. */
+static void
+test_plan_disks(void)
+{
+    mg_voters v;
+    mg_voter_candidate c[2] = {{"h3", 1000, false}, {"h4", 1000, true}};
+    CU_ASSERT_EQUAL(mg_voters_parse(&v, 3, mg_str_of("h0,h1,h2")), MG_OK);
+    mg_voters_view view = view_of(5, true, c, 2, 1000);
+    view.disks_exist = true;
+    view.in_memory[0] = view.in_memory[1] = true;
+    CU_ASSERT_TRUE(mg_voters_lack_disks(&v, &view));
+    mg_voters_change p = mg_voters_plan_change(&v, &view);
+    CU_ASSERT_EQUAL(p.kind, MG_VOTERS_REMOVE);
+    CU_ASSERT_EQUAL(p.slot, 1);
+    /* not while a voter is silent or still catching up */
+    view.age_ms[2] = 900;
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
+    view.age_ms[2] = 0;
+    view.all_vote = false;
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
+    view.all_vote = true;
+    mg_voters_apply(&v, &p);
+    /* the host without a disk gets no slot */
+    view.in_memory[1] = false;
+    p = mg_voters_plan_change(&v, &view);
+    CU_ASSERT_EQUAL(p.kind, MG_VOTERS_ASSIGN);
+    CU_ASSERT_STRING_EQUAL(p.ip, "h4");
+    mg_voters_apply(&v, &p);
+    /* no further host with a disk: the leader's slot becomes vacant */
+    view.candidate_count = 1;
+    p = mg_voters_plan_change(&v, &view);
+    CU_ASSERT_EQUAL(p.kind, MG_VOTERS_REMOVE);
+    CU_ASSERT_EQUAL(p.slot, 0);
+    mg_voters_apply(&v, &p);
+    CU_ASSERT_EQUAL(mg_voters_plan_change(&v, &view).kind, MG_VOTERS_KEEP);
+    CU_ASSERT_FALSE(mg_voters_lack_disks(&v, &view));
 }
 
 int
@@ -658,6 +797,8 @@
 {
     static const CU_TestInfo tests[] = {
         {"planned voter changes", test_plan},
+        {"voters without a disk give way", test_plan_disks},
+        {"all hosts without a disk crash at once", test_memory_seeds},
         {"random histories with voter replacement", test_histories},
         {"random histories with overlapping faults", test_overlapping_faults},
         CU_TEST_INFO_NULL,
