A host that lost its disk believes the group, not its seeds

Cause: with an empty directory the host took its seeds for the voters, opened the log in its slot there, ignored the real voters that others sent it, and dropped the leader's messages, as the leader was no seed. It never got the log and never voted.

Ruled out: a leader that doesn't readmit (it never heard from the host), links (they were up).

Change: voters without a revision count only on hosts that have a vote since the group was founded; newer voters are adopted from whoever sends them.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -372,28 +372,25 @@
     g->local_slot_changed = false;
 }
 
-/* Loads the saved voters. The first start of a new group uses the initial
-   voters instead. */
+/* Loads the saved voters, unless they are seeds that a host without a vote
+   has saved. */
 static void
-load_voters(mg_group *g, bool fresh)
+load_voters(mg_group *g, bool has_vote)
 {
     mg_buf note = {0};
     mg_voters v;
     mg_str ips;
     uint64_t rev = 0;
-    mg_rc rc = mg_store_load_voters(g->disk.store, &note);
-    if (rc == MG_OK) {
+    if (mg_store_load_voters(g->disk.store, &note) == MG_OK) {
         mg_str rev_text = mg_str_split(mg_str_buf(&note), ':', &ips);
         for (size_t i = 0; i < rev_text.n; i++) {
             rev = rev * 10 + (uint64_t)(rev_text.p[i] - '0');
         }
-        if (rev >= g->voters.rev && mg_voters_parse(&v, rev, ips) == MG_OK) {
+        if (rev >= g->voters.rev && mg_voters_parse(&v, rev, ips) == MG_OK &&
+            mg_voters_are_agreed(&v, has_vote)) {
             mg_group_set_voters(g, &v);
         }
     }
-    else if (fresh && g->new_group && g->voters.rev == 0) {
-        mg_group_set_voters(g, &g->initial_voters);
-    }
     mg_buf_free(&note);
 }
 
@@ -440,16 +437,26 @@
         mg_log(MG_EV_STORE_TORN, "dir=%s entries=%zu", g->data_dir,
                image.entry_count);
     }
-    bool bootstraps = image.fresh && g->new_group && g->voters.rev == 0;
-    load_voters(g, image.fresh);
-    if (!bootstraps && image.fresh) {
+    bool founds = image.fresh && g->new_group && g->voters.rev == 0;
+    if (image.fresh && !founds) {
         /* a host with an empty data directory votes only in a new group */
         image.meta.voter = 0;
     }
+    if (g->vote_void) {
+        image.meta.voter = 0;
+        rc = mg_store_save_meta(g->disk.store, &image.meta);
+        g->vote_void = rc != MG_OK;
+    }
+    load_voters(g, image.meta.voter);
     if (!image.meta.voter) {
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
-    if (mg_voters_slot_of(&g->voters, g->ip) != 0) {
+    bool agreed = mg_voters_are_agreed(&g->voters, image.meta.voter);
+    if (rc != MG_OK) {
+        mg_store_close(g->disk.store);
+        g->disk.store = NULL;
+    }
+    else if (agreed && mg_voters_slot_of(&g->voters, g->ip) != 0) {
         g->state = mg_state_new(CLAIMS_MAX);
         start_raft(g, &image);
     }
--- a/src/group/group_int.h
+++ b/src/group/group_int.h
@@ -64,6 +64,7 @@
     size_t unsent_max;
     bool new_group;
     bool local_slot_changed; /* gained or lost; the log must be reopened */
+    bool vote_void; /* the reopened log has no vote until readmission */
     mg_voter_candidate candidates[MG_GROUP_CANDIDATES_MAX];
     size_t candidate_count;
     /* as the node of this process reported them in DISK_HOSTS */
@@ -105,8 +106,7 @@
 mg_group_send_voters(mg_group *g, const char *peer);
 void
 mg_group_on_candidate(mg_group *g, const char *peer, mg_str ip);
-/* Adopts newer voters received from a peer. A host that is a voter before and
-   after the change ignores them; it receives the change through the log. */
+/* Adopts newer voters received from a peer. */
 void
 mg_group_on_voters(mg_group *g, const mg_seats_msg *msg);
 void
--- a/src/group/group_voters.c
+++ b/src/group/group_voters.c
@@ -297,16 +297,26 @@
 mg_group_on_voters(mg_group *g, const mg_seats_msg *msg)
 {
     mg_voters v;
-    if (msg->rev <= g->voters.rev ||
-        mg_voters_parse(&v, msg->rev, msg->holders) != MG_OK) {
+    if (mg_voters_parse(&v, msg->rev, msg->holders) != MG_OK) {
         return;
     }
-    bool has_slot = mg_voters_slot_of(&v, g->ip) != 0;
-    if (g->slot != 0 && has_slot) {
-        return; /* the change will be received through the log */
-    }
-    mg_group_set_voters(g, &v);
-    if (g->slot != 0 || has_slot) {
+    switch (mg_voters_compare(&g->voters, g->slot, &v, g->ip)) {
+    case MG_VOTERS_OLD:
+        break;
+    case MG_VOTERS_ADOPT:
+        /* the leader may be a voter that this host doesn't know yet, and then
+           the log can't tell it */
+        if (g->slot != 0) {
+            adopt_voters(g, &v);
+        }
+        else {
+            mg_group_set_voters(g, &v);
+        }
+        break;
+    case MG_VOTERS_REOPEN:
+        mg_group_set_voters(g, &v);
         g->local_slot_changed = true;
+        g->vote_void = true;
+        break;
     }
 }
--- a/src/group/voters.c
+++ b/src/group/voters.c
@@ -196,6 +196,23 @@
             count_on_disk(v, view) >= ON_DISK_MIN);
 }
 
+bool
+mg_voters_are_agreed(const mg_voters *v, bool has_vote)
+{
+    return v->rev > 0 || has_vote;
+}
+
+mg_voters_news
+mg_voters_compare(const mg_voters *own, unsigned slot, const mg_voters *sent,
+                  const char *ip)
+{
+    if (sent->rev <= own->rev) {
+        return MG_VOTERS_OLD;
+    }
+    return slot == mg_voters_slot_of(sent, ip) ? MG_VOTERS_ADOPT
+                                               : MG_VOTERS_REOPEN;
+}
+
 void
 mg_voters_apply(mg_voters *v, const mg_voters_change *change)
 {
--- a/src/group/voters.h
+++ b/src/group/voters.h
@@ -78,6 +78,26 @@
    until then, what is committed may be lost with the memory of the voters. */
 bool
 mg_voters_lack_disks(const mg_voters *v, const mg_voters_view *view);
+/*
+ * Whether the group has agreed on these voters, so that a host may take its
+ * slot. Voters without a revision are the seeds of this host, and are the
+ * group's only on a host that has had a vote since the group began. A host
+ * that lost its disk gets the voters from other hosts: its seeds may be any
+ * hosts by then, itself among them.
+ */
+bool
+mg_voters_are_agreed(const mg_voters *v, bool has_vote);
+/* What a host does about voters that another host has sent. */
+typedef enum mg_voters_news {
+    MG_VOTERS_OLD,    /* nothing, they aren't newer than its own */
+    MG_VOTERS_ADOPT,  /* it keeps its slot, or still has none */
+    MG_VOTERS_REOPEN, /* its slot is gained, lost or another: it opens the log
+                         anew, without a vote */
+} mg_voters_news;
+/* slot: in which this host, with address ip, runs the log; 0: none. */
+mg_voters_news
+mg_voters_compare(const mg_voters *own, unsigned slot, const mg_voters *sent,
+                  const char *ip);
 void
 mg_voters_apply(mg_voters *v, const mg_voters_change *change);
 /* Returns the slot of the voter with this IP address, from 1; 0: none. */
--- a/tests/unit/voters_test.c
+++ b/tests/unit/voters_test.c
@@ -63,6 +63,8 @@
     unsigned assigned_count;
     /* a disk may be lost while another voter is down or isolated */
     bool overlapping_faults;
+    /* a host that lost its disk has other seeds than the first voters */
+    bool exchanged_seeds;
     const char *violation;
 } sim;
 
@@ -239,7 +241,7 @@
 start_host(struct host *h)
 {
     unsigned slot = mg_voters_slot_of(&h->voters, h->name);
-    if (slot == 0) {
+    if (slot == 0 || !mg_voters_are_agreed(&h->voters, h->meta.voter)) {
         h->meta.voter = 0;
         return;
     }
@@ -334,8 +336,7 @@
     size_t n = 0;
     for (int i = 0; i < sim.host_count; i++) {
         const struct host *h = &sim.hosts[i];
-        if (h->raft == NULL && !h->isolated && !leader->isolated &&
-            mg_voters_slot_of(&h->voters, h->name) == 0) {
+        if (h->raft == NULL && !h->isolated && !leader->isolated) {
             out[n] = (mg_voter_candidate){"", sim.clock.mono, !h->in_memory};
             snprintf(out[n++].ip, MG_NAME_SIZE, "%s", h->name);
         }
@@ -382,26 +383,32 @@
     sim.assigned_count += change.kind == MG_VOTERS_ASSIGN;
 }
 
-/* Sends newer voters to a host that has no slot or has lost it. */
+/* Sends newer voters to a host, which deals with them as group.c does. */
 static void
 send_voters(const struct host *from, struct host *to)
 {
-    if (from->raft == NULL || from->isolated || to->isolated ||
-        from->voters.rev <= to->voters.rev) {
+    if (from->raft == NULL || from->isolated || to->isolated) {
         return;
     }
-    bool has_slot = mg_voters_slot_of(&from->voters, to->name) != 0;
-    if (to->raft != NULL && has_slot) {
-        return;
-    }
-    if (to->raft != NULL) {
-        stop_host(to, false);
-    }
-    to->voters = from->voters;
-    if (has_slot) {
+    switch (
+        mg_voters_compare(&to->voters, to->slot, &from->voters, to->name)) {
+    case MG_VOTERS_OLD:
+        break;
+    case MG_VOTERS_ADOPT:
+        if (to->raft != NULL) {
+            adopt_voters(to, &from->voters);
+        }
+        to->voters = from->voters;
+        break;
+    case MG_VOTERS_REOPEN:
+        if (to->raft != NULL) {
+            stop_host(to, false);
+        }
+        to->voters = from->voters;
         to->meta.voter = 0;
+        start_host(to);
+        break;
     }
-    start_host(to);
 }
 
 /* Returns the voters that were committed last. */
@@ -417,6 +424,26 @@
     return v;
 }
 
+/* Loses all that a host has stored. If seeds are exchanged, those in its
+   settings are any hosts by now, itself among them perhaps. */
+static void
+erase(struct host *h)
+{
+    char ips[MG_VOTERS_MAX * MG_NAME_SIZE] = "";
+    drop_from(h, 0);
+    h->meta = (mg_raft_meta){0, 0, mg_rng_below(&sim.rng, 1u << 30) + 1, 0};
+    if (!sim.exchanged_seeds) {
+        return;
+    }
+    int first = (int)mg_rng_below(&sim.rng, (uint32_t)sim.host_count);
+    for (int i = 0; i < VOTERS; i++) {
+        strcat(ips, i > 0 ? "," : "");
+        strcat(ips, sim.hosts[(first + i) % sim.host_count].name);
+    }
+    mg_voters_parse(&h->voters, 0, mg_str_of(ips));
+    h->saved_voters = h->voters;
+}
+
 /*
  * Erases the disk of h. Does nothing while a voter slot has no voter after an
  * earlier loss. Unless faults may overlap, it also does nothing while another
@@ -439,8 +466,7 @@
     if (h->raft != NULL) {
         stop_host(h, true);
     }
-    drop_from(h, 0);
-    h->meta = (mg_raft_meta){0, 0, mg_rng_below(&sim.rng, 1u << 30) + 1, 0};
+    erase(h);
 }
 
 static void
@@ -601,10 +627,11 @@
 static unsigned total_assigned;
 
 static const char *
-run_history(uint64_t seed, bool overlapping_faults)
+run_history(uint64_t seed, bool overlapping_faults, bool exchanged_seeds)
 {
     set_up(seed, HOSTS);
     sim.overlapping_faults = overlapping_faults;
+    sim.exchanged_seeds = exchanged_seeds;
     for (int i = 0; i < STEPS && sim.violation == NULL; i++) {
         random_step();
     }
@@ -619,13 +646,25 @@
 static const char *
 history(uint64_t seed)
 {
-    return run_history(seed, false);
+    return run_history(seed, false, false);
 }
 
 static const char *
 overlapping_history(uint64_t seed)
 {
-    return run_history(seed, true);
+    return run_history(seed, true, false);
+}
+
+static const char *
+exchanged_seeds_history(uint64_t seed)
+{
+    return run_history(seed, false, true);
+}
+
+static const char *
+exchanged_overlapping_history(uint64_t seed)
+{
+    return run_history(seed, true, true);
 }
 
 static void
@@ -634,6 +673,20 @@
     run_histories(overlapping_history, HISTORIES);
 }
 
+/* Guards against a host that lost its disk, takes its seeds for the voters and
+   so never gets the log. */
+static void
+test_exchanged_seeds(void)
+{
+    run_histories(exchanged_seeds_history, HISTORIES);
+}
+
+static void
+test_exchanged_overlapping(void)
+{
+    run_histories(exchanged_overlapping_history, HISTORIES);
+}
+
 static void
 test_histories(void)
 {
@@ -648,8 +701,7 @@
     if (h->raft != NULL) {
         stop_host(h, true);
     }
-    drop_from(h, 0);
-    h->meta = (mg_raft_meta){0, 0, mg_rng_below(&sim.rng, 1u << 30) + 1, 0};
+    erase(h);
 }
 
 /*
@@ -792,6 +844,31 @@
     CU_ASSERT_FALSE(mg_voters_lack_disks(&v, &view));
 }
 
+static mg_voters_news
+news(uint64_t own_rev, unsigned slot, uint64_t rev, const char *ips)
+{
+    mg_voters own = {.rev = own_rev};
+    mg_voters sent;
+    CU_ASSERT_EQUAL(mg_voters_parse(&sent, rev, mg_str_of(ips)), MG_OK);
+    return mg_voters_compare(&own, slot, &sent, "h1");
+}
+
+/* Guards against a voter that knows none of the present voters, ignores what
+   other hosts tell it about them, and so drops the messages of the leader. */
+static void
+test_news(void)
+{
+    CU_ASSERT_EQUAL(news(3, 2, 3, "h0,h1,h2"), MG_VOTERS_OLD);
+    CU_ASSERT_EQUAL(news(3, 2, 7, "h4,h1,h5"), MG_VOTERS_ADOPT);
+    CU_ASSERT_EQUAL(news(3, 0, 7, "h4,h2,h5"), MG_VOTERS_ADOPT);
+    CU_ASSERT_EQUAL(news(3, 2, 7, "h1,h4,h5"), MG_VOTERS_REOPEN);
+    CU_ASSERT_EQUAL(news(3, 2, 7, "h0,,h5"), MG_VOTERS_REOPEN);
+    CU_ASSERT_EQUAL(news(0, 0, 7, "h0,h1,h5"), MG_VOTERS_REOPEN);
+    mg_voters seeds = {.rev = 0};
+    CU_ASSERT_FALSE(mg_voters_are_agreed(&seeds, false));
+    CU_ASSERT_TRUE(mg_voters_are_agreed(&seeds, true));
+}
+
 int
 main(void)
 {
@@ -799,8 +876,11 @@
         {"planned voter changes", test_plan},
         {"voters without a disk give way", test_plan_disks},
         {"all hosts without a disk crash at once", test_memory_seeds},
+        {"voters sent by another host", test_news},
         {"random histories with voter replacement", test_histories},
         {"random histories with overlapping faults", test_overlapping_faults},
+        {"exchanged seeds", test_exchanged_seeds},
+        {"exchanged seeds and overlapping faults", test_exchanged_overlapping},
         CU_TEST_INFO_NULL,
     };
     return run_suite("voters", tests);
