A request is never written twice to the same channel

Cause: responses are matched by the request's id, which all its attempts share. A target that writes a refusal a second time, late, writes it right before its next answer on that channel. Only the target of the attempt just before was excluded from reuse; with two targets the third attempt went back to the first channel, and the copy was taken for its answer.

Ruled out: a target that refuses and runs (its record has the third attempt run, and 330 copies written); a refusal without an id (closes the channel).

Change: a request remembers the channels that it was written to.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -668,6 +668,9 @@
     };
     gw->opts.dialect->put_request(gw->opts.dialect, &f->request, &to,
                                   &headers);
+    if (f->sends < MG_FLOW_CHANNELS_MAX) {
+        f->used_channels[f->sends] = f->channel;
+    }
     if (f->sends++ == 0) {
         mg_retry_budget_count_request(&f->pool->retry_budget, now);
     }
@@ -724,10 +727,9 @@
     mg_capacity_take(&t->capacity, now_of(f));
     mg_versions_count_sent(f->gw->versions, f->pool->service,
                            t->instance->info.version);
-    /* a target that has refused this request may write the refusal a second
-       time on that channel, and its id would match */
-    f->channel =
-        t != f->previous_target ? mg_gw_idle_channel(t, recent_only) : NULL;
+    /* a target may write its response to this request a second time on the
+       channel, and the id would match that of a later attempt there */
+    f->channel = mg_gw_idle_channel(t, f, recent_only);
     f->reused_channel = f->channel != NULL;
     if (f->reused_channel) {
         mg_channel_reuse(f->channel, &f->callbacks);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -140,6 +140,10 @@
     MG_FLOW_DONE,
 } mg_flow_state;
 
+/* channels that a request remembers; one that was sent more often is sent on
+   new channels only */
+#define MG_FLOW_CHANNELS_MAX 8
+
 /* a client's request from admission to the end of its response */
 typedef struct mg_flow mg_flow;
 struct mg_flow {
@@ -159,6 +163,9 @@
     mg_gw_target *target;
     /* avoided by a retry; never dereferenced, as it may be freed */
     const mg_gw_target *previous_target;
+    /* channels that it was written to; never dereferenced, as they may be
+       freed. A response on one of them may belong to an earlier attempt. */
+    const mg_channel *used_channels[MG_FLOW_CHANNELS_MAX];
     bool reused_channel;
     bool is_relayed; /* came from another entry, must not be relayed again */
     char relay[MG_NAME_SIZE]; /* entry that it is passed on through */
@@ -292,11 +299,12 @@
 int64_t
 mg_gw_min_first_ms(mg_gateway *gw, const mg_flow *f);
 /*
- * An idle channel to the target, or NULL. recent_only: the request must not be
- * retried, so only a recently used channel is returned.
+ * An idle channel to the target that f was never written to, or NULL.
+ * recent_only: f must not be retried, so only a recently used channel is
+ * returned.
  */
 mg_channel *
-mg_gw_idle_channel(mg_gw_target *t, bool recent_only);
+mg_gw_idle_channel(mg_gw_target *t, const mg_flow *f, bool recent_only);
 mg_channel *
 mg_gw_new_channel(mg_gw_target *t, mg_channel_callbacks *cb);
 /* Closes idle channels that are too old, or all if the target isn't ready. */
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -473,18 +473,36 @@
     return idle < max_idle;
 }
 
-mg_channel *
-mg_gw_idle_channel(mg_gw_target *t, bool recent_only)
+/* whether f was written to c, or so often that it can't tell */
+static bool
+may_have_used(const mg_flow *f, const mg_channel *c)
 {
-    if (list_empty(&t->idle)) {
-        return NULL;
+    if (f->sends > MG_FLOW_CHANNELS_MAX) {
+        return true;
     }
-    mg_channel *c = mg_channel_from_list_node(t->idle.prev);
-    if (!is_usable(c, recent_only)) {
-        return NULL;
+    for (uint32_t i = 0; i < f->sends; i++) {
+        if (f->used_channels[i] == c) {
+            return true;
+        }
     }
-    list_del(mg_channel_list_node(c));
-    return c;
+    return false;
+}
+
+mg_channel *
+mg_gw_idle_channel(mg_gw_target *t, const mg_flow *f, bool recent_only)
+{
+    /* the last used one first; those before it are idle for longer */
+    for (struct list_head *el = t->idle.prev; el != &t->idle; el = el->prev) {
+        mg_channel *c = mg_channel_from_list_node(el);
+        if (!is_usable(c, recent_only)) {
+            return NULL;
+        }
+        if (!may_have_used(f, c)) {
+            list_del(el);
+            return c;
+        }
+    }
+    return NULL;
 }
 
 void
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -105,6 +105,69 @@
     world_shut();
 }
 
+/*
+ * Guards against an answer that is taken for that of a later attempt: a
+ * request is refused by two targets, one after the other, goes to the first
+ * one again and is run there, while the first one writes its refusal a second
+ * time. Had the client been told that it wasn't run, it would send it again.
+ */
+#define REFUSAL                               \
+    "HTTP/1.1 503 Unavailable\r\nX-Id: r\r\n" \
+    "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+#define LATE_ROUNDS 20
+
+static world_conn *refused_on[WORLD_TARGETS];
+static unsigned refusals;
+static unsigned runs;
+
+static void
+serve_late_refusals(world_conn *c, mg_str head)
+{
+    if (strstr(head.p, "warm") != NULL) {
+        world_write(c, "HTTP/1.1 200 OK\r\nX-Id: r\r\n"
+                       "Content-Length: 2\r\n\r\nok");
+        return;
+    }
+    if (refusals < 2) {
+        refusals++;
+        refused_on[c->target] = c;
+        world_write(c, REFUSAL);
+        return;
+    }
+    if (refused_on[c->target] == c) {
+        world_write(c, REFUSAL);
+    }
+    runs++;
+    world_write(c, "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 3\r\n\r\n"
+                   "ran");
+}
+
+static void
+test_late_refusal(void)
+{
+    mg_route r = {
+        .retry_policy = MG_RETRY_NEVER,
+        .timeout_ms = 2000,
+        .goal_ms = 500,
+        .attempts_max = 1,
+    };
+    for (int round = 0; round < LATE_ROUNDS; round++) {
+        memset(refused_on, 0, sizeof(refused_on));
+        refusals = 0;
+        runs = 0;
+        world_open(world_routing(&r, 0, 0), 2, serve_late_refusals);
+        /* each target has idle channels */
+        for (int i = 0; i < 4; i++) {
+            world_send("/warm");
+        }
+        world_run();
+        int status = world_get("/order");
+        CU_ASSERT_EQUAL(runs, 1);
+        CU_ASSERT_EQUAL(status, 200);
+        world_shut();
+    }
+}
+
 int
 main(void)
 {
@@ -112,6 +175,7 @@
         {"a quota, targets that respond", test_quota_of_good_targets},
         {"a quota, targets that fail", test_quota_of_failing_targets},
         {"a draining entry takes no requests", test_draining},
+        {"a refusal written twice", test_late_refusal},
         CU_TEST_INFO_NULL,
     };
     return run_suite("flow", tests);
