Entries share a workspace's quota instead of each granting what is left

Cause: an entry admitted everything while any of the quota of the window was left, as it knew it, 0.25 to 0.65 s late; all entries granted the same, and what was granted at once left the window at once. A started entry had an empty window; one that heard nobody counted the others' use as nothing; clients that come at the same moment are few at each entry.

Ruled out: uses that aren't counted (the soak's record of the targets and the entries' totals agree), late reports alone (nothing arrives later than the lag on a calm machine).

Change: a token bucket over all entries. Below half of it an entry admits the pace that bucket and window leave, divided by the demand of all entries; they report what they refuse in a new message at the end of a report. A started entry begins empty; silent entries keep their share; several requests within a lag count as many times as others use for each unit here.

--- a/src/gateway/admit.c
+++ b/src/gateway/admit.c
@@ -9,10 +9,6 @@
 /* used when neither the client nor the route sets a timeout */
 #define DEADLINE_DEFAULT_MS 30000
 #define DECODE_TOKENS_DEFAULT 64
-/* parts of the tolerated quota excess used in the local limit; the rest covers
-   what entries admit between reports */
-#define QUOTA_MARGIN_USED 0.4
-#define QUOTA_OVERAGE_USED 0.3
 
 static uint32_t
 clamp_tier(uint32_t tier)
@@ -55,6 +51,7 @@
 static bool
 take_quota(mg_flow *f)
 {
+    mg_gateway *gw = f->gw;
     const mg_client_workspace *w = f->workspace;
     if (w == NULL || w->rate <= 0) {
         return true;
@@ -66,22 +63,29 @@
                 ? (double)f->request.prompt_tokens + f->request.output_tokens
                 : w->default_tokens;
     }
-    mg_gw_usage *u = mg_gw_usage_of(f->gw, w->name);
-    const mg_gateway_limits *l = &f->gw->opts.limits;
-    double factor = 1 + l->quota_overage * QUOTA_OVERAGE_USED;
-    mg_quota_set(&u->quota, w->rate * factor, w->burst * factor,
-                 w->by_tokens ? l->quota_margin * QUOTA_MARGIN_USED : 0,
-                 l->quota_window_ms);
-    mg_quota_set_lag(&u->quota, f->gw->report_age_ms);
-    if (!mg_quota_take(&u->quota, f->quota_cost, mg_now(f->gw->opts.clock))) {
+    mg_gw_usage *u = mg_gw_usage_of(gw, w->name);
+    const mg_gateway_limits *l = &gw->opts.limits;
+    mg_quota_limits limits = mg_quota_limits_of(&(mg_quota_settings){
+        .rate = w->rate,
+        .burst = w->burst,
+        .overage = l->quota_overage,
+        .margin = w->by_tokens ? l->quota_margin : 0,
+        .window_ms = l->quota_window_ms,
+    });
+    int64_t now = mg_now(gw->opts.clock);
+    mg_quota_set(&u->quota, &limits);
+    struct mg_gw_heard heard = mg_gw_heard(gw);
+    mg_quota_set_view(&u->quota, gw->report_age_ms, heard.part, heard.others);
+    if (!mg_quota_take(&u->quota, f->quota_cost, mg_rng_unit(&gw->rng), now)) {
         mg_log(MG_EV_QUOTA,
                "id=%.*s workspace=%s cost=%.0f in_window=%.0f rate=%.0f "
-               "burst=%.0f used=%" PRIu64,
+               "burst=%.0f used=%" PRIu64 " level=%.0f "
+               "lag_ms=%" PRId64 " share=%.2f others=%u",
                MG_STR_FMT(f->request.id), w->name, f->quota_cost,
-               u->quota.used_window, w->rate, w->burst, u->quota.used_total);
-        mg_flow_refuse(f, 429,
-                       mg_quota_wait_ms(&u->quota, mg_now(f->gw->opts.clock)),
-                       "quota");
+               u->quota.used_window, w->rate, w->burst, u->quota.used_total,
+               u->quota.level, u->quota.lag_ms, u->quota.share,
+               u->quota.others);
+        mg_flow_refuse(f, 429, mg_quota_wait_ms(&u->quota, now), "quota");
         return false;
     }
     f->usage = u;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -225,6 +225,13 @@
 /* Stops counting the loads of entries that no longer report. */
 void
 mg_gw_drop_stale_reports(mg_gateway *gw);
+/* the entries that report */
+struct mg_gw_heard {
+    unsigned others;
+    double part; /* of those that have reported lately, this one included */
+};
+struct mg_gw_heard
+mg_gw_heard(const mg_gateway *gw);
 
 /* retry-after of a refusal that does not depend on the load, ms */
 #define MG_FLOW_RETRY_AFTER_MS 250
--- a/src/gateway/pools.c
+++ b/src/gateway/pools.c
@@ -50,7 +50,13 @@
     if (u == NULL) {
         u = mg_alloc(sizeof(*u));
         mg_str_copy(u->workspace, sizeof(u->workspace), mg_str_of(workspace));
-        mg_quota_set(&u->quota, 0, 0, 0, gw->opts.limits.quota_window_ms);
+        mg_quota_set(
+            &u->quota,
+            &(mg_quota_limits){.window_ms = gw->opts.limits.quota_window_ms});
+        mg_quota_set_view(&u->quota, 0, 1, 0);
+        if (gw->entry_count > 1 || gw->report_age_ms > 0) {
+            mg_quota_start_empty(&u->quota, gw->started_ms);
+        }
         HASH_ADD_STR(gw->usage, workspace, u);
     }
     return u;
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -12,6 +12,11 @@
 #define PAST_REPORTS_MS 2000
 /* age at which a report is no longer counted, ms */
 #define REPORT_STALE_MS 2000
+/* an entry is silent if its last report is older than so many times the age at
+   which the next one should have come */
+#define SILENT_LAGS 2
+/* an entry that has not reported for so long has stopped, ms */
+#define REPORT_GONE_MS 15000
 
 /* ------------------------------------------------------------- sending */
 
@@ -78,6 +83,21 @@
     }
 }
 
+/* XXX: after all other messages: hosts of an earlier build ignore what follows
+   a message that they don't know. */
+static void
+report_refused(const mg_gateway *gw, mg_buf *loads)
+{
+    for (const mg_gw_usage *u = gw->usage; u != NULL; u = u->hh.next) {
+        mg_msg m = {.type = MG_MSG_LOAD_REFUSED};
+        if (u->quota.refused_total > 0) {
+            m.u.load_refused.workspace = mg_str_of(u->workspace);
+            m.u.load_refused.cost = u->quota.refused_total;
+            mg_msg_encode(&m, loads);
+        }
+    }
+}
+
 /* For entries that have just started. Only for workspaces that use at least
    half of their quota, to keep reports small.
    XXX: a started entry may grant another one what it had used before. */
@@ -118,21 +138,30 @@
     report_past_use(gw, loads);
     mg_strikes_report(gw->strikes, loads);
     mg_registry_each(gw->opts.registry, report_capacity, loads);
+    report_refused(gw, loads);
 }
 
 /* ----------------------------------------------------------- receiving */
 
-/* a workspace's total in the previous report of entry p, 0 if it has none */
+/* a workspace's total of the given type (LOAD_USAGE or LOAD_REFUSED) in the
+   previous report of entry p, 0 if it has none */
 static uint64_t
-previously_used(const mg_gw_peer *p, mg_str workspace)
+previous_total(const mg_gw_peer *p, mg_msg_type type, mg_str workspace)
 {
     mg_msg m;
     mg_str rest = mg_str_buf(&p->loads);
     while (mg_msg_next(&rest, &m) == MG_OK) {
-        if (m.type == MG_MSG_LOAD_USAGE &&
+        if (m.type != type) {
+            continue;
+        }
+        if (type == MG_MSG_LOAD_USAGE &&
             mg_str_eq(m.u.load_usage.workspace, workspace)) {
             return m.u.load_usage.used;
         }
+        if (type == MG_MSG_LOAD_REFUSED &&
+            mg_str_eq(m.u.load_refused.workspace, workspace)) {
+            return m.u.load_refused.cost;
+        }
     }
     return 0;
 }
@@ -144,7 +173,7 @@
 {
     char name[MG_NAME_SIZE];
     int64_t now = mg_now(gw->opts.clock);
-    uint64_t before = previously_used(p, l->workspace);
+    uint64_t before = previous_total(p, MG_MSG_LOAD_USAGE, l->workspace);
     if (p->loads.n == 0 && now - gw->started_ms < BASELINE_MS) {
         return; /* the total may include use before this window */
     }
@@ -155,6 +184,21 @@
     }
 }
 
+static void
+add_remote_refused(mg_gateway *gw, const mg_gw_peer *p,
+                   const mg_load_refused_msg *l)
+{
+    char name[MG_NAME_SIZE];
+    uint64_t before = previous_total(p, MG_MSG_LOAD_REFUSED, l->workspace);
+    if (p->loads.n == 0 || l->cost <= before) {
+        return; /* the first total may include refusals of long ago */
+    }
+    mg_str_copy(name, sizeof(name), l->workspace);
+    mg_quota_add_remote_refused(&mg_gw_usage_of(gw, name)->quota,
+                                (double)(l->cost - before),
+                                mg_now(gw->opts.clock));
+}
+
 /* After a start, counts what a workspace had used before it, as the first
    report that says so has it. */
 static void
@@ -275,6 +319,9 @@
         if (m.type == MG_MSG_LOAD_USAGE) {
             add_remote_usage(gw, p, &m.u.load_usage);
         }
+        else if (m.type == MG_MSG_LOAD_REFUSED) {
+            add_remote_refused(gw, p, &m.u.load_refused);
+        }
         else if (m.type == MG_MSG_LOAD_PAST) {
             add_past_use(gw, &m.u.load_past);
         }
@@ -305,6 +352,22 @@
     gw->report_age_ms = ms;
 }
 
+struct mg_gw_heard
+mg_gw_heard(const mg_gateway *gw)
+{
+    int64_t now = mg_now(gw->opts.clock);
+    struct mg_gw_heard h = {0};
+    unsigned silent = 0;
+    for (const mg_gw_peer *p = gw->peers; p != NULL; p = p->hh.next) {
+        int64_t age = now - p->received_ms;
+        bool hears = age <= SILENT_LAGS * gw->report_age_ms;
+        h.others += hears;
+        silent += !hears && age < REPORT_GONE_MS;
+    }
+    h.part = (double)(h.others + 1) / (double)(h.others + 1 + silent);
+    return h;
+}
+
 void
 mg_gw_drop_stale_reports(mg_gateway *gw)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -193,6 +193,9 @@
 #define MG_FIELDS_LOAD_TARGET(F) \
     F(STR, id) F(U64, running) F(U64, prefill) F(U64, took_ms) F(U64, work_ms)
 #define MG_FIELDS_LOAD_USAGE(F) F(STR, workspace) F(U64, used)
+/* cost of the requests that were refused for the quota; last in a report, as
+   hosts of an earlier build ignore what follows a message they don't know */
+#define MG_FIELDS_LOAD_REFUSED(F) F(STR, workspace) F(U64, cost)
 /* use by all entries that is age_ms old, for an entry that has just started */
 #define MG_FIELDS_LOAD_PAST(F) F(STR, workspace) F(U64, used) F(U64, age_ms)
 #define MG_FIELDS_LOAD_POOL(F) F(STR, service) F(U64, waiting)
@@ -300,7 +303,8 @@
     M(129, LOAD_SERVED, load_served) \
     M(130, LOAD_PAST, load_past) \
     M(131, LOAD_CAPACITY, load_capacity) \
-    M(132, LOAD_REACH, load_reach)
+    M(132, LOAD_REACH, load_reach) \
+    M(133, LOAD_REFUSED, load_refused)
 
 /* clang-format on */
 
