A soak of real nodes under seeded faults

Runs marigold-node as processes on loopback before targets and clients that record what was sent, answered and run; kills, restarts, pauses, refusals, late and lost responses, herds, a hot workspace and changes of configuration overlap.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PROGRAMS = marigold-slopes marigold-entry marigold-control marigold-node \
            marigoldctl marigold-load \
            fake-engine fake-flood fake-peer fake-relay fake-site
-BINS := $(PROGRAMS:%=$(BUILD)/%) $(BUILD)/stall.so
+BINS := $(PROGRAMS:%=$(BUILD)/%) $(BUILD)/stall.so $(BUILD)/soak
 
 UNIT_SRC := $(wildcard tests/unit/*.c)
 UNITS := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/unit-%)
@@ -37,7 +37,7 @@
 FIXED_ADDRESSES := $(shell setarch -R true 2> /dev/null && echo setarch -R)
 # suites of decoders, run for uninitialised values
 DECODERS = h1 channel fuzz
-.PHONY: all install check check-unit check-sanitize check-platform check-memory check-system demo capacity format lint events clean
+.PHONY: all install check check-unit check-sanitize check-platform check-memory check-soak check-system demo capacity format lint events clean
 
 all: $(BINS)
 
@@ -77,6 +77,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -fPIC -shared $< -ldl -o $@
 
+$(BUILD)/soak: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
+	$(CC) $^ -lpthread -o $@
+
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/%.o $(LIB)
 	$(CC) $^ $(LDLIBS) -o $@
 
@@ -91,7 +94,7 @@
 demo: all
 	scripts/demo.sh $(BUILD)
 
-check: check-unit check-sanitize check-platform check-memory check-system
+check: check-unit check-sanitize check-platform check-memory check-soak check-system
 
 check-unit: $(UNITS)
 	scripts/unit-tests.sh $(UNITS)
@@ -115,6 +118,9 @@
 	scripts/memory-test.sh $(BUILD)
 	scripts/flood-test.sh $(BUILD)
 
+check-soak: all
+	scripts/soak-test.sh $(BUILD)
+
 check-system: all
 	scripts/system-tests.sh $(BUILD)
 
