The HTTP server takes up pipelined requests from its event loop

Cause: whoever completed a response took up the next request on the connection at once, one call deeper each time, and inside whatever the replier was doing: a refused request was still in the queue that the next one's admission dispatched, and was answered again through freed memory.

Ruled out: the parser (each request is small and valid).

Change: an idle handle takes up 64 pipelined requests an iteration; a connection whose client doesn't read waits, with its input; a request leaves the queue before it is answered.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -136,6 +136,15 @@
     mg_response_memory_release(&f->gw->response_memory, &f->held);
 }
 
+/* A request that is answered must not be found in the queue any more. */
+static void
+leave_queue(mg_flow *f)
+{
+    if (f->ticket.queue != NULL) {
+        mg_tierq_remove(f->pool->waiting, &f->ticket);
+    }
+}
+
 /* the response is complete or aborted, or the client has disconnected */
 void
 mg_flow_finish(mg_flow *f)
@@ -143,9 +152,7 @@
     if (f->state == MG_FLOW_DONE) {
         return;
     }
-    if (f->ticket.queue != NULL) {
-        mg_tierq_remove(f->pool->waiting, &f->ticket);
-    }
+    leave_queue(f);
     f->state = MG_FLOW_DONE;
     mg_flow_close_channel(f);
     release_target(f);
@@ -178,6 +185,7 @@
         mg_quota_refund(&f->usage->quota, f->quota_cost, f->arrived_ms,
                         now_of(f));
     }
+    leave_queue(f);
     mg_http_reply(f->request.http, status, NULL, extra, (mg_str){"", 0});
     mg_flow_finish(f);
 }
@@ -189,6 +197,7 @@
            MG_STR_FMT(f->request.id), why, f->last_id,
            now_of(f) - f->arrived_ms);
     mg_count(MG_C_TRUNCATED, 1);
+    leave_queue(f);
     mg_http_abort(f->request.http);
     mg_flow_finish(f);
 }
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -13,6 +13,9 @@
 #define SWEEP_INTERVAL_MS 250
 /* bytes of pipelined requests buffered beyond limits.header_bytes_max */
 #define READ_AHEAD_MAX 65536
+/* pipelined requests that are taken up in one iteration of the event loop, of
+   all connections together */
+#define PIPELINED_PER_TURN 64
 /* after the server's FIN: how long to wait for the peer's FIN, ms */
 #define LINGER_TIMEOUT_MS 1000
 #define CONTINUE_RESPONSE "HTTP/1.1 100 Continue\r\n\r\n"
@@ -42,6 +45,9 @@
     struct list_head link; /* in mg_http_server.conns */
     /* in mg_http_server.pending_flush while there is output to write */
     struct list_head pending_flush;
+    /* in mg_http_server.pending_input while a pipelined request may be in in
+     */
+    struct list_head pending_input;
     uv_tcp_t tcp;
     mg_http_server *server;
     conn_state state;
@@ -55,6 +61,8 @@
     mg_http_req *req;
     uint64_t served;
     bool close_after_response;
+    bool waits_for_client; /* to read responses, before its next request */
+    bool reading_stopped;  /* until the input has been worked off */
 };
 
 struct mg_http_server {
@@ -62,8 +70,10 @@
     uv_tcp_t listener;
     uv_timer_t sweep;
     uv_prepare_t prepare;
+    uv_idle_t idle; /* active while pending_input is not empty */
     struct list_head conns;
     struct list_head pending_flush;
+    struct list_head pending_input;
     size_t open_requests;
     size_t body_bytes; /* of all requests */
     size_t conn_count;
@@ -78,6 +88,10 @@
 
 static void
 process_input(http_conn *c);
+static void
+schedule_input(http_conn *c);
+static void
+on_idle(uv_idle_t *h);
 
 static int64_t
 now_ms(const http_conn *c)
@@ -128,6 +142,7 @@
     c->state = CONN_CLOSING;
     list_del(&c->link);
     list_del(&c->pending_flush);
+    list_del(&c->pending_input);
     c->server->conn_count--;
     uv_close((uv_handle_t *)&c->tcp, on_closed);
     if (was_busy && c->req->on_disconnect != NULL) {
@@ -160,6 +175,23 @@
 
 /* ------------------------------------------------------------- writing */
 
+/* Whether the client has read enough of its responses for the next one. */
+static bool
+may_respond(const http_conn *c)
+{
+    return c->unsent_bytes + c->out.n <= MG_HTTP_BYTES_SMALL;
+}
+
+/* Takes up the requests of a client that has read responses. */
+static void
+resume_input(http_conn *c)
+{
+    if (c->waits_for_client && may_respond(c) && c->state != CONN_CLOSING) {
+        c->waits_for_client = false;
+        schedule_input(c);
+    }
+}
+
 static void
 on_written(uv_write_t *req, int status)
 {
@@ -168,6 +200,7 @@
     if (status < 0) {
         close_conn(w->conn);
     }
+    resume_input(w->conn);
     mg_buf_free(&w->buf);
     free(w);
 }
@@ -248,6 +281,7 @@
     if (c->state == CONN_HEADERS && c->close_after_response) {
         linger(c);
     }
+    resume_input(c);
 }
 
 static void
@@ -269,6 +303,21 @@
     }
 }
 
+/* Has the event loop take up the next pipelined request. Whoever completes a
+   response may be called by the handler of a request, so that it must not call
+   that handler again. */
+static void
+schedule_input(http_conn *c)
+{
+    mg_http_server *s = c->server;
+    if (list_empty(&c->pending_input)) {
+        list_add_tail(&c->pending_input, &s->pending_input);
+    }
+    if (!uv_is_active((uv_handle_t *)&s->idle)) {
+        uv_idle_start(&s->idle, on_idle);
+    }
+}
+
 /* the response is complete: proceeds to the next request */
 static void
 finish_request(http_conn *c)
@@ -279,7 +328,7 @@
     c->served++;
     schedule_flush(c);
     if (!c->close_after_response && c->in.n > 0) {
-        process_input(c);
+        schedule_input(c);
     }
 }
 
@@ -414,6 +463,50 @@
     }
 }
 
+/* whether c holds as much input as it may while requests wait in it */
+static bool
+is_input_full(const http_conn *c)
+{
+    return c->in.n > c->server->opts.limits.header_bytes_max + READ_AHEAD_MAX;
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf);
+
+/* Takes up the next request of a connection, if there is a whole one. */
+static void
+take_next(http_conn *c)
+{
+    if (c->state != CONN_HEADERS || c->close_after_response) {
+        return;
+    }
+    if (!may_respond(c)) {
+        c->waits_for_client = true;
+        return;
+    }
+    process_input(c);
+    if (c->reading_stopped && c->state != CONN_CLOSING && !is_input_full(c)) {
+        c->reading_stopped = false;
+        uv_read_start((uv_stream_t *)&c->tcp, mg_scratch_alloc, on_read);
+    }
+}
+
+static void
+on_idle(uv_idle_t *h)
+{
+    mg_http_server *s = h->data;
+    for (int i = 0; i < PIPELINED_PER_TURN && !list_empty(&s->pending_input);
+         i++) {
+        http_conn *c =
+            list_entry(s->pending_input.next, http_conn, pending_input);
+        list_del(&c->pending_input);
+        take_next(c);
+    }
+    if (list_empty(&s->pending_input)) {
+        uv_idle_stop(h);
+    }
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -434,18 +527,22 @@
             c->timeout_start_ms = now_ms(c);
         }
         mg_buf_put(&c->in, buf->base, (size_t)n);
-        process_input(c);
+        if (list_empty(&c->pending_input) && !c->waits_for_client) {
+            process_input(c);
+        }
+        else if (is_input_full(c)) {
+            c->reading_stopped = true;
+            uv_read_stop(s);
+        }
         break;
     case CONN_BODY:
         decode_body(c, buf->base, (size_t)n);
         break;
     case CONN_BUSY:
-        if (c->in.n + (size_t)n >
-            c->server->opts.limits.header_bytes_max + READ_AHEAD_MAX) {
+        mg_buf_put(&c->in, buf->base, (size_t)n);
+        if (is_input_full(c)) {
             close_conn(c);
-            return;
         }
-        mg_buf_put(&c->in, buf->base, (size_t)n);
         break;
     default:
         break;
@@ -463,6 +560,7 @@
     c->server = s;
     c->tcp.data = c;
     init_list_head(&c->pending_flush);
+    init_list_head(&c->pending_input);
     list_add_tail(&c->link, &s->conns);
     s->conn_count++;
     uv_tcp_init(s->opts.loop, &c->tcp);
@@ -530,6 +628,7 @@
     mg_http_set_limits(s, &opts->limits);
     init_list_head(&s->conns);
     init_list_head(&s->pending_flush);
+    init_list_head(&s->pending_input);
     uv_tcp_init(opts->loop, &s->listener);
     s->listener.data = s;
     int rc = uv_tcp_bind(&s->listener, (struct sockaddr *)&sin, 0);
@@ -543,6 +642,8 @@
     uv_timer_init(opts->loop, &s->sweep);
     s->sweep.data = s;
     uv_timer_start(&s->sweep, on_sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS);
+    uv_idle_init(opts->loop, &s->idle);
+    s->idle.data = s;
     uv_prepare_init(opts->loop, &s->prepare);
     s->prepare.data = s;
     uv_prepare_start(&s->prepare, on_prepare);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -7,6 +7,7 @@
 
 #include <errno.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -280,6 +281,127 @@
     close_world();
 }
 
+#define TINY "GET / HTTP/1.1\r\n\r\n"
+#define TINY_BYTES (sizeof(TINY) - 1)
+#define TINY_COUNT 20000
+#define SMALL_STACK_BYTES (256u << 10)
+/* iterations of the event loop in which another client is served */
+#define TURNS_MAX 20
+
+static char *
+tiny_requests(void)
+{
+    char *all = mg_alloc(TINY_COUNT * TINY_BYTES);
+    for (size_t i = 0; i < TINY_COUNT; i++) {
+        memcpy(all + i * TINY_BYTES, TINY, TINY_BYTES);
+    }
+    return all;
+}
+
+/* Sends as much as the server takes; returns the number of bytes. */
+static size_t
+send_some(int i, const char *p, size_t n)
+{
+    ssize_t sent = send(world.clients[i], p, n, MSG_DONTWAIT);
+    return sent > 0 ? (size_t)sent : 0;
+}
+
+/* Guards against requests that are taken up one call deeper each: many tiny
+   ones in one write overflowed the stack. The client reads the responses. */
+static void *
+run_pipelined(void *arg)
+{
+    (void)arg;
+    char chunk[4096];
+    char *all = tiny_requests();
+    size_t n = TINY_COUNT * TINY_BYTES;
+    open_world();
+    connect_client(0);
+    alarm(HANG_S);
+    for (size_t sent = 0; sent < n || world.served < TINY_COUNT;) {
+        sent += send_some(0, all + sent, n - sent);
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+        recv(world.clients[0], chunk, sizeof(chunk), MSG_DONTWAIT);
+    }
+    alarm(0);
+    CU_ASSERT_EQUAL(world.served, TINY_COUNT);
+    free(all);
+    close_world();
+    return NULL;
+}
+
+static void
+test_pipelined(void)
+{
+    pthread_t t;
+    pthread_attr_t attr;
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, SMALL_STACK_BYTES);
+    CU_ASSERT_EQUAL_FATAL(pthread_create(&t, &attr, run_pipelined, NULL), 0);
+    pthread_join(t, NULL);
+    pthread_attr_destroy(&attr);
+}
+
+static void
+test_pipelined_in_pieces(void)
+{
+    char chunk[65536];
+    enum { REQUESTS = 2000 };
+    open_world();
+    connect_client(0);
+    alarm(HANG_S);
+    for (size_t sent = 0;
+         sent < REQUESTS * TINY_BYTES || world.served < REQUESTS;) {
+        bool all = sent == REQUESTS * TINY_BYTES;
+        sent += all ? 0 : send_some(0, &TINY[sent % TINY_BYTES], 1);
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+        recv(world.clients[0], chunk, sizeof(chunk), MSG_DONTWAIT);
+    }
+    alarm(0);
+    CU_ASSERT_EQUAL(world.served, REQUESTS);
+    close_world();
+}
+
+/* A client that sends many requests and reads nothing is no longer served once
+   some responses wait for it, its requests wait in its socket, and others are
+   served meanwhile. */
+static void
+test_pipelined_unread(void)
+{
+    char first[256];
+    char *all = tiny_requests();
+    size_t n = TINY_COUNT * TINY_BYTES;
+    size_t sent = 0;
+    open_world();
+    char *bytes = mg_alloc(1000);
+    mg_buf_put(&world.response, bytes, 1000);
+    free(bytes);
+    connect_client(0);
+    connect_client(1);
+    run_loop_ms(20);
+    sent = send_some(0, all, n);
+    uv_run(&world.loop, UV_RUN_NOWAIT);
+    /* in the middle of the first client's requests */
+    send_some(1, TINY, TINY_BYTES);
+    for (int i = 0; i < TURNS_MAX; i++) {
+        uv_run(&world.loop, UV_RUN_NOWAIT);
+    }
+    CU_ASSERT_TRUE(world.served < TINY_COUNT);
+    CU_ASSERT_TRUE(recv(world.clients[1], first, sizeof(first), MSG_DONTWAIT) >
+                   0);
+    for (int i = 0; i < 200; i++) {
+        sent += send_some(0, all + sent, n - sent);
+        run_loop_ms(1);
+    }
+    size_t served = world.served;
+    CU_ASSERT_TRUE(served < TINY_COUNT / 2);
+    CU_ASSERT_EQUAL(mg_http_open_requests(world.server), 0);
+    receive(0, first, sizeof(first));
+    CU_ASSERT_TRUE(world.served > served);
+    free(all);
+    close_world();
+}
+
 int
 main(void)
 {
@@ -288,6 +410,9 @@
         {"one large body", test_one_large_body},
         {"responses that are not read", test_slow_readers},
         {"a closed connection with output", test_closed_with_output},
+        {"many requests in one write", test_pipelined},
+        {"many requests in pieces", test_pipelined_in_pieces},
+        {"many requests, responses not read", test_pipelined_unread},
         CU_TEST_INFO_NULL,
     };
     signal(SIGPIPE, SIG_IGN);
