A planned stop waits until clients have read their responses

Cause: the process ended once no request was open, but a request ends when its response is handed to the HTTP server. A response held as a whole was passed on without a length if the target had sent none.

Ruled out: the kernel's buffers (they are sent after the end of a process).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -14,6 +14,8 @@
 #define MAILBOX_ROUNDS_MAX 64
 /* bounds a drain whose records the control group does not accept */
 #define DRAIN_RECORD_WAIT_MS 60000
+/* bounds the time that clients have to read responses after that, ms */
+#define DRAIN_WRITE_WAIT_MS 5000
 
 bool
 mg_entry_serving(const mg_entry *e)
@@ -293,7 +295,9 @@
     if (e->stage != MG_STAGE_FINISHING || e->stopped) {
         return;
     }
-    bool responded = mg_http_open_requests(e->http) == 0;
+    bool written = mg_http_unwritten(e->http) == 0 ||
+                   now >= e->stage_until_ms + DRAIN_WRITE_WAIT_MS;
+    bool responded = mg_http_open_requests(e->http) == 0 && written;
     bool recorded = e->open_requests == 0 && e->credits == NULL &&
                     mg_control_link_pending(e->control) == 0;
     if (responded && (recorded || now >= e->stage_until_ms)) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -207,6 +207,17 @@
     return n->drain_since == 0 && mg_gateway_routing(n->gateway) != NULL;
 }
 
+/* Bytes of responses that clients have still to read. */
+static size_t
+unwritten_bytes(const mg_node *n)
+{
+    size_t bytes = 0;
+    for (size_t i = 0; i < n->server_count; i++) {
+        bytes += mg_http_unwritten(n->servers[i]);
+    }
+    return bytes;
+}
+
 static void
 check_drain(mg_node *n, int64_t now)
 {
@@ -217,8 +228,11 @@
         mg_gateway_drain(n->gateway);
     }
     size_t open = mg_gateway_open_requests(n->gateway);
-    if (age >= max_ms || (open == 0 && age >= DRAIN_MIN_MS)) {
-        mg_log(MG_EV_DRAIN, "stage=end open=%zu ms=%" PRId64, open, age);
+    size_t unwritten = unwritten_bytes(n);
+    bool is_done = open == 0 && unwritten == 0;
+    if (age >= max_ms || (is_done && age >= DRAIN_MIN_MS)) {
+        mg_log(MG_EV_DRAIN, "stage=end open=%zu unwritten=%zu ms=%" PRId64,
+               open, unwritten, age);
         uv_stop(n->loop);
     }
 }
@@ -630,6 +644,10 @@
         rc = open_relay_server(n, err);
     }
     if (rc == MG_OK) {
+        mg_node_add_server(n, n->relay_server);
+        if (n->client_server != NULL) {
+            mg_node_add_server(n, n->client_server);
+        }
         open_target_file(n);
         start_timers(n);
         *out = n;
@@ -637,6 +655,13 @@
     return rc;
 }
 
+void
+mg_node_add_server(mg_node *n, mg_http_server *server)
+{
+    MG_INVARIANT(n->server_count < MG_NODE_SERVERS_MAX);
+    n->servers[n->server_count++] = server;
+}
+
 const mg_node_settings *
 mg_node_get_settings(const mg_node *n)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -34,6 +34,10 @@
 
 mg_rc
 mg_node_open(mg_node **out, const mg_node_options *opts, mg_error *err);
+/* Adds a server whose responses must be written before a planned stop ends the
+   process. */
+void
+mg_node_add_server(mg_node *n, mg_http_server *server);
 const mg_node_settings *
 mg_node_get_settings(const mg_node *n);
 /* Applies the settings that may change at run time; ignores the others. */
--- a/src/node/node_int.h
+++ b/src/node/node_int.h
@@ -12,6 +12,7 @@
 #include "node/target_file.h"
 
 #define MG_NODE_ENTRIES_MAX 1024
+#define MG_NODE_SERVERS_MAX 8
 
 struct mg_node {
     uv_loop_t *loop;
@@ -29,6 +30,9 @@
     mg_rollout_manager *rollouts;
     mg_http_server *client_server;
     mg_http_server *relay_server;
+    /* all of them; the process ends once their responses are written */
+    mg_http_server *servers[MG_NODE_SERVERS_MAX];
+    size_t server_count;
     uv_timer_t timer;
     uv_prepare_t prepare;
     int64_t report_at;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -70,6 +70,10 @@
 mg_http_drain(mg_http_server *s);
 size_t
 mg_http_open_requests(const mg_http_server *s);
+/* Bytes of responses, ended ones included, that the sockets have not accepted
+   yet: they are lost when the process ends. */
+size_t
+mg_http_unwritten(const mg_http_server *s);
 
 mg_str
 mg_http_method(const mg_http_req *r);
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -700,6 +700,18 @@
     return s->open_requests;
 }
 
+size_t
+mg_http_unwritten(const mg_http_server *s)
+{
+    size_t n = 0;
+    list_for_each(el, &s->conns)
+    {
+        const http_conn *c = list_entry(el, http_conn, link);
+        n += c->out.n + c->unsent_bytes;
+    }
+    return n;
+}
+
 /* ------------------------------------------------------------ requests */
 
 mg_str
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -76,6 +76,20 @@
     }
 }
 
+/* Guards against a response that looks complete wherever it ends: one whose
+   target sent no length is passed on with its length. */
+static void
+test_response_without_length(void)
+{
+    open_answers_world(MG_RETRY_NEVER, false,
+                       "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\nwhole");
+    close_after = true;
+    CU_ASSERT_EQUAL(world_get("/faulty"), 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), "whole"));
+    world_shut();
+}
+
 /* -------------------------------------------- streams that are resumed */
 
 #define EVENT_1 "id: 1\ndata: a\n\n"
@@ -205,6 +219,7 @@
     static const CU_TestInfo tests[] = {
         {"malformed chunks", test_malformed_chunks},
         {"a header section that breaks off", test_partial_headers},
+        {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
         {"a refusal that is written twice", test_repeated_refusal},
         {"a refusal without an id on a reused channel",
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -238,9 +238,12 @@
         run_loop_ms(20);
     }
     CU_ASSERT_EQUAL(world.served, CLIENTS);
+    CU_ASSERT_EQUAL(mg_http_open_requests(world.server), 0);
+    CU_ASSERT_TRUE(mg_http_unwritten(world.server) > UNSENT_MAX / 2);
     for (int i = CLIENTS - 1; i >= 0; i--) {
         complete += receive(i, first, sizeof(first)) > RESPONSE_BYTES;
     }
+    CU_ASSERT_EQUAL(mg_http_unwritten(world.server), 0);
     printf("\n  %zu of %d responses complete\n", complete, CLIENTS);
     /* the kernel holds a part of each */
     CU_ASSERT_TRUE(complete >= UNSENT_MAX / RESPONSE_BYTES);
