A deregistration has a number above all that its target gives

Cause: the host that took the deregistration announced it with the number that a heartbeat at another host had just used; the others dropped it as a duplicate.

Ruled out: lost messages between hosts (the heartbeat's copies arrived).

After: 0 of 500.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -130,14 +130,13 @@
 mg_rc
 mg_node_deregister(mg_node *n, const char *id, uint64_t started_ms)
 {
-    mg_instance *i = mg_registry_find(n->registry, id);
-    if (i == NULL || (started_ms != 0 && started_ms != i->info.started_ms)) {
-        return mg_mesh_connected(n->mesh) ? MG_OK : MG_E_NO_QUORUM;
+    mg_announcement a;
+    mg_rc rc = mg_registry_deregistration(n->registry, id, started_ms, &a);
+    if (rc == MG_E_NOT_FOUND) {
+        return MG_E_NO_QUORUM; /* another host may know it */
     }
-    mg_announcement a = i->info;
-    a.seq++;
-    if (a.state < MG_INSTANCE_DRAINING) {
-        a.state = MG_INSTANCE_DRAINING;
+    if (rc != MG_OK) {
+        return mg_mesh_connected(n->mesh) ? MG_OK : MG_E_NO_QUORUM;
     }
     return mg_node_announce(n, &a);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,8 +66,8 @@
 mg_rc
 mg_node_announce(mg_node *n, const mg_announcement *a);
 /* Marks an instance as draining. started_ms: start time of the run, 0: any
-   run. Ignores unknown instances and other runs. Errors as in
-   mg_node_announce. */
+   run. Ignores earlier runs. MG_E_NO_QUORUM as in mg_node_announce, and if the
+   instance or the run isn't known here. */
 mg_rc
 mg_node_deregister(mg_node *n, const char *id, uint64_t started_ms);
 
--- a/src/topology/registry.c
+++ b/src/topology/registry.c
@@ -159,6 +159,26 @@
     return changed ? MG_ANNOUNCE_STATE_CHANGED : MG_ANNOUNCE_HEARTBEAT;
 }
 
+mg_rc
+mg_registry_deregistration(const mg_registry *r, const char *id,
+                           uint64_t started_ms, mg_announcement *out)
+{
+    const mg_instance *i = mg_registry_find(r, id);
+    *out = (mg_announcement){0};
+    if (i == NULL || started_ms > i->info.started_ms) {
+        return MG_E_NOT_FOUND;
+    }
+    if (started_ms != 0 && started_ms < i->info.started_ms) {
+        return MG_E_VERSION_STALE;
+    }
+    *out = i->info;
+    out->seq = MG_INSTANCE_SEQ_MAX;
+    if (out->state < MG_INSTANCE_DRAINING) {
+        out->state = MG_INSTANCE_DRAINING;
+    }
+    return MG_OK;
+}
+
 void
 mg_registry_each(const mg_registry *r, void (*f)(void *user, mg_instance *i),
                  void *user)
--- a/src/topology/registry.h
+++ b/src/topology/registry.h
@@ -91,6 +91,16 @@
 mg_registry_free(mg_registry *r);
 mg_announce_result
 mg_registry_announce(mg_registry *r, const mg_announcement *a);
+/*
+ * Makes the announcement that an instance has deregistered, for this registry
+ * and all others. Its number is above all that the instance gives, which may
+ * have announced itself at other hosts meanwhile. started_ms: start time of
+ * the run, 0: any. MG_E_NOT_FOUND: the instance or the run is not known here
+ * yet. MG_E_VERSION_STALE: a later run is known.
+ */
+mg_rc
+mg_registry_deregistration(const mg_registry *r, const char *id,
+                           uint64_t started_ms, mg_announcement *out);
 /* NULL if the id is unknown. */
 mg_instance *
 mg_registry_find(const mg_registry *r, const char *id);
--- a/tests/unit/registry_test.c
+++ b/tests/unit/registry_test.c
@@ -71,6 +71,132 @@
     mg_registry_free(r);
 }
 
+/* ------------------------------------------------------- several hosts */
+
+#define HOSTS 9
+#define TARGET_RUNS 500
+#define DELAY_MAX_MS 60
+#define LAST_MS 400
+/* of a target's heartbeats, each to a host drawn at random */
+#define HEARTBEAT_MS 40
+
+/* announcements on their way to the other hosts */
+static struct {
+    mg_announcement a;
+    int to;
+    int64_t due_ms;
+} on_way[2048];
+static size_t on_way_count;
+
+static void
+announce_at(mg_registry **hosts, int at, const mg_announcement *a, int64_t now,
+            mg_rng *r)
+{
+    if (mg_registry_announce(hosts[at], a) == MG_ANNOUNCE_STALE) {
+        return;
+    }
+    for (int k = 0; k < HOSTS; k++) {
+        if (k != at) {
+            on_way[on_way_count].a = *a;
+            on_way[on_way_count].to = k;
+            on_way[on_way_count++].due_ms =
+                now + 1 + mg_rng_below(r, DELAY_MAX_MS);
+        }
+    }
+}
+
+static void
+deliver_due(mg_registry **hosts, int64_t now)
+{
+    for (size_t i = 0; i < on_way_count; i++) {
+        if (on_way[i].due_ms == now) {
+            mg_registry_announce(hosts[on_way[i].to], &on_way[i].a);
+        }
+    }
+}
+
+/* A target sends heartbeats to hosts drawn at random and deregisters at one of
+   them; returns the number of hosts that miss it. */
+static int
+hosts_that_miss(uint64_t seed)
+{
+    mg_manual_clock clock;
+    mg_registry *hosts[HOSTS];
+    mg_rng r;
+    int missed = 0;
+    bool left = false;
+    mg_manual_clock_init(&clock);
+    mg_rng_init(&r, seed);
+    on_way_count = 0;
+    for (int k = 0; k < HOSTS; k++) {
+        hosts[k] = mg_registry_new(&clock.clock);
+    }
+    int64_t leaves_ms = 100 + mg_rng_below(&r, 100);
+    mg_announcement a =
+        announcement("i", "10.0.0.1:80", 5, 0, MG_INSTANCE_READY);
+    for (int64_t now = 0; now < LAST_MS; now++) {
+        int at = (int)mg_rng_below(&r, HOSTS);
+        deliver_due(hosts, now);
+        if (now % HEARTBEAT_MS == 0 && !left) {
+            a.seq++;
+            announce_at(hosts, at, &a, now, &r);
+        }
+        mg_announcement d;
+        if (now >= leaves_ms && !left &&
+            mg_registry_deregistration(hosts[at], "i", 5, &d) == MG_OK) {
+            left = true;
+            announce_at(hosts, at, &d, now, &r);
+        }
+    }
+    for (int k = 0; k < HOSTS; k++) {
+        missed += mg_registry_find(hosts[k], "i")->info.state !=
+                  MG_INSTANCE_DRAINING;
+        mg_registry_free(hosts[k]);
+    }
+    return missed;
+}
+
+/* Guards against a deregistration that other hosts take for an old
+   announcement, as it has the number of a heartbeat that another host got. */
+static void
+test_deregistration_at_all_hosts(void)
+{
+    int runs = 0;
+    for (uint64_t seed = 1; seed <= TARGET_RUNS; seed++) {
+        runs += hosts_that_miss(seed) > 0;
+    }
+    CU_ASSERT_EQUAL(runs, 0);
+    printf("\n  deregistrations that a host missed: %d of %d\n", runs,
+           TARGET_RUNS);
+}
+
+static void
+test_deregistration(void)
+{
+    mg_manual_clock clock;
+    mg_announcement d;
+    mg_manual_clock_init(&clock);
+    mg_registry *r = mg_registry_new(&clock.clock);
+    mg_announcement a =
+        announcement("i", "10.0.0.1:80", 5, 1, MG_INSTANCE_READY);
+    CU_ASSERT_EQUAL(mg_registry_deregistration(r, "i", 5, &d), MG_E_NOT_FOUND);
+    mg_registry_announce(r, &a);
+    CU_ASSERT_EQUAL(mg_registry_deregistration(r, "i", 6, &d), MG_E_NOT_FOUND);
+    CU_ASSERT_EQUAL(mg_registry_deregistration(r, "i", 4, &d),
+                    MG_E_VERSION_STALE);
+    CU_ASSERT_EQUAL(mg_registry_deregistration(r, "i", 0, &d), MG_OK);
+    CU_ASSERT_EQUAL(mg_announcement_check(&d), MG_OK);
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &d), MG_ANNOUNCE_STATE_CHANGED);
+    /* a heartbeat that was sent before and arrives late */
+    a.seq = 7;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &a), MG_ANNOUNCE_STALE);
+    CU_ASSERT_FALSE(mg_instance_is_usable(mg_registry_find(r, "i"), 0));
+    a.started_ms = 8;
+    a.seq = 1;
+    CU_ASSERT_EQUAL(mg_registry_announce(r, &a), MG_ANNOUNCE_NEW_RUN);
+    mg_registry_free(r);
+}
+
 /* State of the latest run of an id, from all announcements so far. Within a
    run, an announcement with a lower number, or with an earlier state (ready
    after draining), is ignored. */
@@ -278,6 +404,9 @@
 main(void)
 {
     static const CU_TestInfo tests[] = {
+        {"deregistration", test_deregistration},
+        {"a deregistration reaches all hosts",
+         test_deregistration_at_all_hosts},
         {"a draining run never becomes ready again", test_draining_is_final},
         {"reuse of an address", test_address_reuse},
         {"random announcements", test_histories},
