A log that was cut and written anew is opened after a power loss

What callers saw: nothing yet (found by the review in the code); a voter would refuse its directory for good, and the next loss of a disk could lose the acknowledged configuration.

Cause: valid records after a damaged one count as the loss of accepted data, also those of a tail that was cut off, if the power was lost before the cut was synced. A cut first wrote the records that it was to remove.

Ruled out: several unsynced writes otherwise (records wait in memory while a sync runs).

Change: records of an earlier term than the one before end the log; a cut drops what isn't written.

--- a/src/control/store.c
+++ b/src/control/store.c
@@ -249,13 +249,15 @@
     return h->sum == record_checksum(h, b->p + at + sizeof(*h));
 }
 
-/* whether a valid record starts anywhere after offset at */
+/* whether a valid record of this or a later term starts anywhere after offset
+   at; one of an earlier term belongs to a tail that was cut off */
 static bool
-valid_record_after(const mg_buf *b, size_t at)
+valid_record_after(const mg_buf *b, size_t at, uint64_t term)
 {
     struct record_header h;
     for (size_t i = at + 1; i + sizeof(h) <= b->n; i++) {
-        if (read_record(b, i, &h) && h.index > 0 && h.term > 0) {
+        if (read_record(b, i, &h) && h.index > 0 && h.term > 0 &&
+            h.term >= term) {
             return true;
         }
     }
@@ -279,9 +281,11 @@
     size_t at = sizeof(uint64_t);
     struct record_header h;
     size_t cap = 0;
+    uint64_t term = 0;
     s->first_index = image->snapshot_index + 1;
-    while (read_record(b, at, &h)) {
+    while (read_record(b, at, &h) && h.term >= term) {
         size_t next = at + sizeof(h) + h.size;
+        term = h.term;
         /* a crash between writing snapshot and log leaves older entries */
         if (h.index > image->snapshot_index) {
             if (h.index != s->first_index + s->count) {
@@ -305,7 +309,7 @@
     if (at == b->n) {
         return MG_OK;
     }
-    if (valid_record_after(b, at)) {
+    if (valid_record_after(b, at, term)) {
         return MG_E_CORRUPT;
     }
     image->torn_tail = true;
@@ -498,9 +502,16 @@
     if (index < s->first_index || index >= s->first_index + s->count) {
         return MG_OK;
     }
-    mg_rc rc = write_pending(s);
+    mg_rc rc = wait_for_sync(s);
     s->count = (size_t)(index - s->first_index);
-    s->log_end = s->offsets[s->count];
+    off_t end = s->offsets[s->count];
+    if (end >= s->log_end) {
+        /* the file has none of the records that go */
+        s->pending.n = (size_t)(end - s->log_end);
+        return rc;
+    }
+    s->pending.n = 0;
+    s->log_end = end;
     if (rc == MG_OK && (ftruncate(s->log_fd, s->log_end) != 0 ||
                         lseek(s->log_fd, 0, SEEK_END) < 0)) {
         rc = MG_E_IO;
--- a/src/control/store.h
+++ b/src/control/store.h
@@ -12,9 +12,11 @@
  * A log record has a length, a checksum, the term, the index, the commit
  * index known when it was appended, and data. A damaged record with no valid
  * record after it is a torn tail: it was never synced, and is truncated at
- * open. Damage before a valid record is MG_E_CORRUPT: an acknowledged entry
- * is lost, and the member must rejoin with an empty directory, under a new
- * uid and without a vote.
+ * open. So are records of an earlier term than the one before: what remains of
+ * a tail that was cut off, if the power was lost before the cut was synced.
+ * Between two syncs there is one write. Damage before another valid record is
+ * MG_E_CORRUPT: an acknowledged entry is lost, and the member must rejoin with
+ * an empty directory, under a new uid and without a vote.
  *
  * XXX: a synced tail that was lost exactly at a record boundary looks like a
  * shorter log and is not detected here.
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -160,6 +160,82 @@
     remove_dir();
 }
 
+/*
+ * Guards against a directory that is refused for good after a power loss: the
+ * log was cut and written anew, and the writes were kept but the cut was not,
+ * so that records of the former term follow. size: of the data of the new
+ * record, which may end at or inside a record of the old tail.
+ */
+static void
+check_lost_cut(size_t size)
+{
+    char data[64];
+    char path[256];
+    char tail[4096];
+    mg_store_image image;
+    new_dir();
+    write_entries(1, 9);
+    off_t nine = log_size();
+    path_of(path, sizeof(path), "log");
+    int fd = open(path, O_RDWR);
+    CU_ASSERT_EQUAL(pread(fd, tail, (size_t)nine, 0), nine);
+    mg_store *s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    mg_store_image_free(&image);
+    CU_ASSERT_EQUAL(mg_store_truncate(s, 4), MG_OK);
+    memset(data, 'x', sizeof(data));
+    mg_raft_entry e = {2, 4, {data, size}};
+    CU_ASSERT_EQUAL(mg_store_append(s, &e, 3), MG_OK);
+    CU_ASSERT_EQUAL(mg_store_sync(s), MG_OK);
+    mg_store_close(s);
+    off_t end = log_size();
+    CU_ASSERT_EQUAL(pwrite(fd, tail + end, (size_t)(nine - end), end),
+                    nine - end);
+    close(fd);
+    s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL(s);
+    CU_ASSERT_EQUAL(image.entry_count, s != NULL ? 4 : 0);
+    CU_ASSERT_TRUE(image.torn_tail);
+    if (s != NULL) {
+        CU_ASSERT_EQUAL(image.entries[3].term, 2);
+        mg_store_image_free(&image);
+        mg_store_close(s);
+    }
+    remove_dir();
+}
+
+static void
+test_lost_cut(void)
+{
+    for (size_t size = 1; size < 60; size++) {
+        check_lost_cut(size);
+    }
+}
+
+/* A record that was not written yet leaves the log without a write. */
+static void
+test_truncate_unwritten(void)
+{
+    mg_store_image image;
+    bool torn;
+    new_dir();
+    write_entries(1, 3);
+    off_t three = log_size();
+    mg_store *s = open_store(&image);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+    mg_store_image_free(&image);
+    append(s, 4, 1);
+    append(s, 5, 1);
+    CU_ASSERT_EQUAL(mg_store_truncate(s, 5), MG_OK);
+    CU_ASSERT_EQUAL(log_size(), three);
+    append(s, 5, 2);
+    CU_ASSERT_EQUAL(mg_store_sync(s), MG_OK);
+    mg_store_close(s);
+    CU_ASSERT_EQUAL(reopen(&torn), 5);
+    CU_ASSERT_FALSE(torn);
+    remove_dir();
+}
+
 static void
 test_truncate_and_snapshot(void)
 {
@@ -356,6 +432,8 @@
     static const CU_TestInfo tests[] = {
         {"torn tail at every byte", test_torn_tail_at_every_byte},
         {"damage in the middle", test_damage_in_the_middle},
+        {"a cut that is lost", test_lost_cut},
+        {"truncate what is not written", test_truncate_unwritten},
         {"truncate and snapshot", test_truncate_and_snapshot},
         {"syncs on another thread", test_sync_on_thread},
         {"identity", test_identity},
