A leader forgets the candidate that has been silent for longest

What callers saw: nothing yet (found by the review in the code): after 32 replaced hosts a leader's process replaces no voter any more, since it remembers only so many candidates and never forgets one.

Change: a new candidate takes the place of the one silent for longest.

Before: 'more candidates than are remembered' can't be built on the former code, which kept the list inside the replica; there the 33rd host was ignored. After: the 64th host gets the slot.

--- a/src/group/group_voters.c
+++ b/src/group/group_voters.c
@@ -132,21 +132,10 @@
 void
 mg_group_on_candidate(mg_group *g, const char *peer, mg_str ip)
 {
-    mg_voter_candidate *c = NULL;
     char name[MG_NAME_SIZE];
     mg_str_copy(name, sizeof(name), ip);
-    for (size_t i = 0; i < g->candidate_count; i++) {
-        if (strcmp(g->candidates[i].ip, name) == 0) {
-            c = &g->candidates[i];
-        }
-    }
-    if (c == NULL && g->candidate_count < MG_GROUP_CANDIDATES_MAX) {
-        c = &g->candidates[g->candidate_count++];
-        mg_str_copy(c->ip, sizeof(c->ip), ip);
-    }
-    if (c != NULL) {
-        c->last_seen_ms = mg_now(g->clock);
-    }
+    mg_voters_note_candidate(g->candidates, &g->candidate_count,
+                             MG_GROUP_CANDIDATES_MAX, name, mg_now(g->clock));
     mg_group_send_voters(g, peer);
 }
 
--- a/src/group/voters.c
+++ b/src/group/voters.c
@@ -196,6 +196,25 @@
             count_on_disk(v, view) >= ON_DISK_MIN);
 }
 
+void
+mg_voters_note_candidate(mg_voter_candidate *c, size_t *count, size_t max,
+                         const char *ip, int64_t now_ms)
+{
+    size_t at = 0;
+    for (size_t i = 0; i < *count; i++) {
+        if (strcmp(c[i].ip, ip) == 0) {
+            c[i].last_seen_ms = now_ms;
+            return;
+        }
+        at = c[i].last_seen_ms < c[at].last_seen_ms ? i : at;
+    }
+    if (*count < max) {
+        at = (*count)++;
+    }
+    c[at] = (mg_voter_candidate){.last_seen_ms = now_ms};
+    mg_str_copy(c[at].ip, sizeof(c[at].ip), mg_str_of(ip));
+}
+
 bool
 mg_voters_are_agreed(const mg_voters *v, bool has_vote)
 {
--- a/src/group/voters.h
+++ b/src/group/voters.h
@@ -71,6 +71,11 @@
     char ip[MG_NAME_SIZE];
 } mg_voters_change;
 
+/* Notes that a host applies for a slot. Of more than max, the one that has
+   been silent for longest is forgotten. */
+void
+mg_voters_note_candidate(mg_voter_candidate *c, size_t *count, size_t max,
+                         const char *ip, int64_t now_ms);
 /* Returns the next change. */
 mg_voters_change
 mg_voters_plan_change(const mg_voters *v, const mg_voters_view *view);
--- a/tests/unit/voters_test.c
+++ b/tests/unit/voters_test.c
@@ -844,6 +844,32 @@
     CU_ASSERT_FALSE(mg_voters_lack_disks(&v, &view));
 }
 
+/* Guards against a leader that replaces no voter any more after so many hosts
+   have applied as it can remember. */
+static void
+test_many_candidates(void)
+{
+    enum { MAX = 32 };
+    mg_voters v;
+    mg_voter_candidate c[MAX];
+    char ip[8];
+    size_t n = 0;
+    CU_ASSERT_EQUAL(mg_voters_parse(&v, 3, mg_str_of("h0,h1,h2")), MG_OK);
+    for (int i = 0; i < 2 * MAX; i++) {
+        snprintf(ip, sizeof(ip), "r%02d", i);
+        mg_voters_note_candidate(c, &n, MAX, ip, 10000 * (int64_t)i);
+        mg_voters_note_candidate(c, &n, MAX, ip, 10000 * (int64_t)i + 1);
+    }
+    CU_ASSERT_EQUAL(n, MAX);
+    mg_voters_view view = view_of(3, true, c, n, 10000 * (2 * MAX - 1) + 300);
+    view.age_ms[1] = 9000;
+    mg_voters_change p = mg_voters_plan_change(&v, &view);
+    CU_ASSERT_EQUAL(p.kind, MG_VOTERS_REMOVE);
+    mg_voters_apply(&v, &p);
+    p = mg_voters_plan_change(&v, &view);
+    CU_ASSERT_STRING_EQUAL(p.ip, ip);
+}
+
 static mg_voters_news
 news(uint64_t own_rev, unsigned slot, uint64_t rev, const char *ips)
 {
@@ -877,6 +903,7 @@
         {"voters without a disk give way", test_plan_disks},
         {"all hosts without a disk crash at once", test_memory_seeds},
         {"voters sent by another host", test_news},
+        {"more candidates than are remembered", test_many_candidates},
         {"random histories with voter replacement", test_histories},
         {"random histories with overlapping faults", test_overlapping_faults},
         {"exchanged seeds", test_exchanged_seeds},
