A rollout ordered again after its rollback is started

What callers saw: an order for the same version within ackMs of its rollback was acknowledged and nothing started (review, read in the code).

Cause: such an order counted as a repeated one for ackMs from the rollback on. An operator repeats an order for ackMs from the order on.

Change: the time of the order decides; it follows from the deadline and window of the record.

Before: 'a rollout that is ordered again' is acknowledged without a write; after: one write 4 s after the order, none 3.9 s after it.

--- a/src/node/rollout_manager.c
+++ b/src/node/rollout_manager.c
@@ -324,10 +324,12 @@
 {
     service_rollout *r = find_rollout(m, service);
     int64_t now = mg_now(m->opts.clock);
+    int64_t ordered_at = r != NULL ? r->deadline - r->window_ms : 0;
     if (r != NULL && strcmp(r->version, version) == 0 &&
         (r->state != MG_ROLLOUT_ROLLED_BACK ||
-         now - r->changed_at < m->opts.ack_ms)) {
-        /* the operator retried a command that was recorded already */
+         now - ordered_at < m->opts.ack_ms)) {
+        /* the operator retried a command that was recorded already; after
+           ack_ms, the same order is a new one */
         done(user, MG_OK, r->rev, "");
         return;
     }
--- a/tests/unit/rollout_manager_test.c
+++ b/tests/unit/rollout_manager_test.c
@@ -447,6 +447,43 @@
     close_simulation();
 }
 
+static void
+apply_state(mg_rollout_state_id state, int64_t left_ms)
+{
+    mg_rec_rollout_msg rec = {
+        .service = mg_str_of("s"),
+        .version = mg_str_of("v2"),
+        .state = state,
+        .window_ms = 20000,
+        .left_ms = (uint64_t)left_ms,
+    };
+    mg_rollout_manager_apply_record(w.manager, &rec, ++w.rev);
+}
+
+/* Guards against a rollout that is ordered again soon after its rollback, and
+   is acknowledged without being started: only the time since its order tells
+   whether the order is a repeated one. */
+static void
+test_ordered_again(void)
+{
+    mg_rc rc = MG_E_IO;
+    open_simulation(FAILS, 1);
+    apply_state(MG_ROLLOUT_PENDING, 20000);
+    w.clock.mono += 1000;
+    apply_state(MG_ROLLOUT_ROLLED_BACK, 19000);
+    uint64_t rev = w.rev;
+    w.clock.mono += 2900;
+    mg_rollout_manager_start(w.manager, "s", "v2", 20000, start_done, &rc);
+    CU_ASSERT_EQUAL(rc, MG_OK);
+    CU_ASSERT_EQUAL(w.rev, rev);
+    /* 4 s after the order, 3 s after the rollback */
+    w.clock.mono += 100;
+    mg_rollout_manager_start(w.manager, "s", "v2", 20000, start_done, &rc);
+    CU_ASSERT_EQUAL(rc, MG_OK);
+    CU_ASSERT_EQUAL(w.rev, rev + 1);
+    close_simulation();
+}
+
 /* a version without a rollout gets no requests for MG_VERSION_HOLD_MS, then it
    may get them */
 static void
@@ -518,6 +555,7 @@
         {"bad: slow", test_slow},
         {"no traffic", test_no_traffic},
         {"start commands: repeated, conflicting", test_start_commands},
+        {"a rollout that is ordered again", test_ordered_again},
         {"a version without a rollout", test_unknown_version},
         {"times in whole milliseconds", test_times_in_whole_ms},
         CU_TEST_INFO_NULL,
