Targets that say they leave, or want a pause, get no requests

A target that says it leaves counts as deregistered for its run, at all entries; a pause holds for the entry that was refused, and ends with one request at a time.

Ruled out: to stop at the announcement alone (it may come later or say ready).

Before (each part disabled): 'a target that wants a pause', 'a target that says it leaves' and 'histories of pauses' fail. After: they pass.

Open: entries don't tell each other of pauses.

--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -19,6 +19,9 @@
 /* part of a second's requests of a share that may be sent at once, if more
    than one: requests are dispatched every 50 ms only */
 #define AT_ONCE_PART 0.25
+/* the response to a request that is sent after a wanted pause is waited for so
+   long before the next one, ms */
+#define TEST_MS 1000
 /* pause after a rejection by a brittle target, ms */
 #define REJECTED_PAUSE_MS 1000
 
@@ -89,6 +92,14 @@
     c->heard = *s;
     c->received_ms = now;
     c->sent_ms = sent_ms;
+    if (s->pause_ms > 0) {
+        c->unwanted_until_ms =
+            max_time(c->unwanted_until_ms, now + s->pause_ms);
+        c->test_sent_ms = 0;
+    }
+    else if (sent_ms >= c->unwanted_until_ms) {
+        c->unwanted_until_ms = 0;
+    }
     return apply(c, s, sent_ms, now, now);
 }
 
@@ -216,6 +227,11 @@
     if (c->stated.brittle && now < c->paused_until_ms) {
         return false;
     }
+    if (c->unwanted_until_ms != 0 &&
+        (now < c->unwanted_until_ms ||
+         (c->test_sent_ms != 0 && now - c->test_sent_ms < TEST_MS))) {
+        return false;
+    }
     if (!c->stated.limited) {
         return true;
     }
@@ -229,6 +245,7 @@
 void
 mg_capacity_take(mg_capacity *c, int64_t now)
 {
+    c->test_sent_ms = now;
     if (c->stated.limited && c->owner && c->shares != 0) {
         update_allowance(c, now);
         c->allowance -= 1;
--- a/src/gateway/capacity.h
+++ b/src/gateway/capacity.h
@@ -19,6 +19,10 @@
  *
  * A brittle target that has rejected a request gets none for a while.
  *
+ * A target that turns a request away may want none from this entry for a time.
+ * After it, the entry sends one request and waits for its response before it
+ * sends more.
+ *
  * No I/O; the caller passes the time in, in ms.
  */
 #ifndef MG_CAPACITY_H
@@ -35,6 +39,7 @@
     bool brittle;
     /* if brittle: it fails when it has to reject more requests in a second */
     uint32_t rejections_max;
+    int64_t pause_ms; /* it wants no request for so long; 0: not stated */
 } mg_capacity_statement;
 
 /* what an entry tells the others about a response that it has received */
@@ -64,8 +69,13 @@
     bool owner;         /* of one of the shares */
     uint32_t shares;    /* of the limit; 0: not divided yet */
     double allowance;   /* requests that may be sent now */
-    int64_t allowance_ms; /* time up to which allowance is counted */
-    int64_t paused_until_ms;
+    int64_t allowance_ms;    /* time up to which allowance is counted */
+    int64_t paused_until_ms; /* after a rejection by a brittle target */
+    /* the target wants no request until then, 0: it has not said so; then one
+       at a time, until the response to one sent after it doesn't say so again
+     */
+    int64_t unwanted_until_ms;
+    int64_t test_sent_ms;
 } mg_capacity;
 
 /* Applies a response received now to a request that was sent at sent_ms;
--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -411,6 +411,7 @@
     mg_flow *f = (mg_flow *)cb;
     mg_response_head res = {0};
     f->gw->opts.dialect->read_response(f->gw->opts.dialect, headers, &res);
+    mg_gw_target_leaves(f->target, &res);
     if (res.id.n > 0 && !mg_str_eq(res.id, f->request.id)) {
         mg_log(MG_EV_BAD_INPUT, "id=%.*s target=%s what=other_answer",
                MG_STR_FMT(f->request.id), f->target->instance->info.id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,8 @@
     mg_str id;    /* attempt id of the request; empty: not given */
     bool not_run; /* the target reports that it did not run the request */
     mg_capacity_statement capacity;
+    bool leaving;   /* the target takes no new requests and stops soon */
+    bool malformed; /* something that it states about itself can't be read */
 } mg_response_head;
 
 typedef struct mg_dialect mg_dialect;
@@ -100,6 +102,10 @@
        their name; 0: requests aren't relayed */
     uint16_t relay_port;
     mg_gateway_limits limits;
+    /* a target says that it leaves: it must be marked as draining here and on
+       all other entries; may be NULL */
+    void (*on_leaving)(void *user, const mg_instance *i);
+    void *user;
 } mg_gateway_options;
 
 typedef struct mg_gateway mg_gateway;
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -129,6 +129,7 @@
     bool draining;
     uint64_t next_ticket;
     int64_t next_sweep_ms;
+    int64_t malformed_logged_ms; /* what a target states about itself */
 };
 
 typedef enum mg_flow_state {
@@ -338,6 +339,10 @@
 void
 mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s,
                     int64_t sent_ms);
+/* Takes note that the target leaves, if it says so in any response, also in
+   one that belongs to another request. */
+void
+mg_gw_target_leaves(mg_gw_target *t, const mg_response_head *res);
 /* Takes note of what another entry reports about the target. */
 void
 mg_gw_target_receive_capacity(mg_gw_target *t, const mg_load_capacity_msg *m);
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -22,6 +22,8 @@
    this many consecutive failures */
 #define ERROR_RESPONSES_MIN 3
 #define SLOTS_DEFAULT 4
+/* responses whose statements can't be read are logged at this interval, ms */
+#define MALFORMED_LOG_INTERVAL_MS 60000
 /* 1/7 of the allocated slots is reserved for higher tiers seen recently */
 #define RESERVE_DIVISOR 7
 #define TIER_RECENT_MS 2000
@@ -218,11 +220,12 @@
     const mg_capacity *c = &t->capacity;
     mg_log(MG_EV_TARGET_CAPACITY,
            "id=%s service=%s why=%s limited=%d rate_max=%.2f brittle=%d "
-           "rejections_max=%u owner=%d shares=%u running=%u others=%.0f",
+           "rejections_max=%u pause_ms=%lld owner=%d shares=%u running=%u "
+           "others=%.0f",
            t->instance->info.id, t->instance->info.service, why,
            c->stated.limited, c->stated.rate_max, c->stated.brittle,
-           c->stated.rejections_max, c->owner, c->shares, t->running,
-           t->reported_running);
+           c->stated.rejections_max, (long long)c->heard.pause_ms, c->owner,
+           c->shares, t->running, t->reported_running);
 }
 
 static void
@@ -244,6 +247,25 @@
         divide_limit(t);
         log_capacity(t, "stated");
     }
+    else if (s->pause_ms > 0) {
+        log_capacity(t, "pause");
+    }
+}
+
+void
+mg_gw_target_leaves(mg_gw_target *t, const mg_response_head *res)
+{
+    mg_gateway *gw = t->gw;
+    int64_t now = mg_now(gw->opts.clock);
+    if (res->malformed &&
+        now - gw->malformed_logged_ms >= MALFORMED_LOG_INTERVAL_MS) {
+        gw->malformed_logged_ms = now;
+        mg_log(MG_EV_BAD_INPUT, "id=%s what=statement", t->instance->info.id);
+    }
+    if (res->leaving && t->instance->info.state == MG_INSTANCE_READY &&
+        gw->opts.on_leaving != NULL) {
+        gw->opts.on_leaving(gw->opts.user, t->instance);
+    }
 }
 
 void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -162,6 +162,14 @@
     mg_registry_each(n->registry, visit_instance, &v);
 }
 
+/* a target says in a response that it leaves, before or without announcing it
+ */
+static void
+on_leaving(void *user, const mg_instance *i)
+{
+    (void)mg_node_deregister(user, i->info.id, i->info.started_ms);
+}
+
 static void
 on_report(void *user, const char *node, uint64_t incarnation, mg_str loads)
 {
@@ -630,6 +638,8 @@
         .seed = mg_random_id(),
         .relay_port = relay_port_of(&n->settings),
         .limits = limits_of(&n->settings),
+        .on_leaving = on_leaving,
+        .user = n,
     });
     n->voters = voters_of_seeds(&n->settings);
     mg_rc rc = open_group(n, err);
--- a/tests/unit/capacity_test.c
+++ b/tests/unit/capacity_test.c
@@ -105,6 +105,161 @@
     world_shut();
 }
 
+/* ------------------------------------------------- pauses, targets that leave
+ */
+
+#define PAUSE_MS 300
+#define PAUSE_TEXT "300"
+
+static bool wants_pause;
+
+static void
+serve_pause(world_conn *c, mg_str head)
+{
+    (void)head;
+    world_write(c, c->target == 0 && wants_pause
+                       ? "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Id: r\r\n"
+                         "X-Pause-Ms: " PAUSE_TEXT
+                         "\r\nContent-Length: 0\r\n\r\n"
+                       : "HTTP/1.1 200 OK\r\nX-Id: r\r\n"
+                         "Content-Length: 2\r\n\r\nok");
+}
+
+/* Guards against requests to a target that has turned one away and wants none
+   for a time: the others get them. When the time has passed, one request shows
+   whether it goes on. */
+static void
+test_pause(void)
+{
+    mg_route r = {
+        .retry_policy = MG_RETRY_BEFORE_RESPONSE,
+        .timeout_ms = 1000,
+        .goal_ms = 100,
+        .attempts_max = 2,
+    };
+    wants_pause = true;
+    world_open(world_routing(&r, 0, 0), 2, serve_pause);
+    while (world.executed_by[0] == 0) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    uint64_t end = uv_hrtime() + (uint64_t)(PAUSE_MS - 50) * 1000000;
+    while (uv_hrtime() < end) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    CU_ASSERT_EQUAL(world.executed_by[0], 1);
+    world_pass(60);
+    for (int i = 0; i < 40; i++) {
+        world_send("/");
+    }
+    world_run();
+    CU_ASSERT_EQUAL(world.executed_by[0], 2);
+    wants_pause = false;
+    world_pass(PAUSE_MS + 20);
+    for (int i = 0; i < 100; i++) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    CU_ASSERT_TRUE(world.executed_by[0] > 10);
+    world_shut();
+}
+
+static bool says_leaving;
+
+static void
+serve_leaving(world_conn *c, mg_str head)
+{
+    (void)head;
+    world_write(c, c->target == 0 && says_leaving
+                       ? "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Leaving: 1\r\n"
+                         "Content-Length: 2\r\n\r\nok"
+                       : "HTTP/1.1 200 OK\r\nX-Id: r\r\n"
+                         "Content-Length: 2\r\n\r\nok");
+}
+
+/* Guards against requests to a target that has said in a response that it
+   leaves, although it announces itself as ready. */
+static void
+test_leaving(void)
+{
+    mg_route r = {
+        .retry_policy = MG_RETRY_NEVER,
+        .timeout_ms = 1000,
+        .goal_ms = 100,
+        .attempts_max = 1,
+    };
+    says_leaving = true;
+    world_open(world_routing(&r, 0, 0), 2, serve_leaving);
+    while (world.executed_by[0] == 0) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    mg_instance *i = mg_registry_find(world.registry, "t-0-1");
+    mg_announcement a = i->info;
+    a.seq = 100;
+    a.state = MG_INSTANCE_READY;
+    mg_registry_announce(world.registry, &a);
+    for (int k = 0; k < 100; k++) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    CU_ASSERT_EQUAL(world.executed_by[0], 1);
+    /* its next run takes requests */
+    says_leaving = false;
+    world_crash(0);
+    world_start_target(0);
+    for (int k = 0; k < 100; k++) {
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+    }
+    CU_ASSERT_TRUE(world.executed_by[0] > 10);
+    world_shut();
+}
+
+/* Requests and responses in a random order of times: none is admitted in a
+   pause that a response has asked for, and after one, no second one before the
+   response to the first or a second later. */
+static const char *
+pause_history(uint64_t seed)
+{
+    mg_capacity c = {0};
+    mg_rng r;
+    int64_t pause_end = 0;
+    bool tests = false;
+    int64_t test_sent = -1;
+    mg_rng_init(&r, seed);
+    for (int64_t now = 1000; now < 20000; now += 1 + mg_rng_below(&r, 200)) {
+        bool admits = mg_capacity_admits(&c, now);
+        bool allowed = now >= pause_end &&
+                       (!tests || test_sent < 0 || now - test_sent >= 1000);
+        if (admits != allowed) {
+            return admits ? "admitted in a pause" : "refused outside of one";
+        }
+        if (admits && mg_rng_below(&r, 2)) {
+            mg_capacity_take(&c, now);
+            test_sent = tests ? now : test_sent;
+        }
+        if (mg_rng_below(&r, 4) == 0) {
+            mg_capacity_statement s = {0};
+            int64_t sent = now - mg_rng_below(&r, 1500);
+            s.pause_ms = mg_rng_below(&r, 3) == 0 ? mg_rng_below(&r, 3000) : 0;
+            mg_capacity_heard(&c, &s, sent, now);
+            if (s.pause_ms > 0) {
+                int64_t until = now + s.pause_ms;
+                pause_end = until > pause_end ? until : pause_end;
+                tests = true;
+                test_sent = -1;
+            }
+            else if (sent >= pause_end) {
+                tests = false;
+                pause_end = 0;
+            }
+        }
+    }
+    return NULL;
+}
+
+static void
+test_pauses(void)
+{
+    run_histories(pause_history, HISTORIES);
+}
+
 /* ------------------------------------------------------------ statements */
 
 #define RESPONSES 40
@@ -490,6 +645,9 @@
 main(void)
 {
     static const CU_TestInfo tests[] = {
+        {"a target that wants a pause", test_pause},
+        {"a target that says it leaves", test_leaving},
+        {"histories of pauses", test_pauses},
         {"when a statement holds", test_statements},
         {"silent statements expire", test_silent_statements_expire},
         {"who owns a share", test_shares},
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -116,6 +116,9 @@
     out->status = headers->status;
     out->id = mg_h1_get(headers, "x-id");
     out->not_run = mg_h1_get(headers, "x-not-run").n > 0;
+    mg_str pause = mg_h1_get(headers, "x-pause-ms");
+    out->capacity.pause_ms = pause.n > 0 ? atoi(pause.p) : 0;
+    out->leaving = mg_h1_get(headers, "x-leaving").n > 0;
     mg_str limit = mg_h1_get(headers, "x-limit");
     out->capacity.limited = limit.n > 0;
     out->capacity.rate_max = limit.n > 0 ? atof(limit.p) : 0;
@@ -245,6 +248,20 @@
 
 /* ------------------------------------------------------------- gateway */
 
+/* as a node does it, but for telling the others */
+static inline void
+world_on_leaving(void *user, const mg_instance *i)
+{
+    mg_announcement a;
+    (void)user;
+    CU_ASSERT_EQUAL(mg_registry_deregistration(world.registry, i->info.id,
+                                               i->info.started_ms, &a),
+                    MG_OK);
+    mg_registry_announce(world.registry, &a);
+    mg_gateway_instance_changed(world.gateway,
+                                mg_registry_find(world.registry, a.id));
+}
+
 static inline void
 world_on_client_request(void *user, mg_http_req *r)
 {
@@ -318,6 +335,7 @@
                    .retry_slack = 1000,
                    .retry_window_ms = 8000,
                    .quota_window_ms = 8000},
+        .on_leaving = world_on_leaving,
     });
     mg_gateway_set_routing(world.gateway, routing);
     mg_gateway_set_entries(world.gateway, entries, 1, 0);
