Messages of a later build are read: unknown types and added fields

What callers saw: nothing yet; production names the build that runs beside the next one while hosts are upgraded.

Cause: a message with one more field, or of an unknown type, was an error; on a link it closed the connection, in a report it hid what followed.

Change: added fields are ignored, messages of unknown types skipped and counted (unknown_messages_total).

Open: messages of the own interface's entries are covered by the same decoder, but not soaked in two builds.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -26,6 +26,7 @@
     X(CLAIMS, "claims_total")                       \
     X(RETRIES, "resends_total")                     \
     X(BAD_INPUT, "bad_input_total")                 \
+    X(UNKNOWN_MESSAGES, "unknown_messages_total")   \
     X(LOG_DROPPED, "log_dropped_total")             \
     X(LINKS_OPENED, "links_opened_total")           \
     X(LINKS_LOST, "links_lost_total")               \
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -291,11 +291,13 @@
         if (rc == MG_E_IN_PROGRESS) {
             break;
         }
-        if (rc != MG_OK) {
+        if (rc != MG_OK && rc != MG_E_NOT_FOUND) {
             reject_conn(c, rc == MG_E_TOO_LARGE ? "frame_size" : "frame");
             return;
         }
-        handle_message(c, &m);
+        if (rc == MG_OK) {
+            handle_message(c, &m);
+        }
         consumed += used;
     }
     mg_buf_skip(&c->in, consumed);
--- a/src/wire/msg.c
+++ b/src/wire/msg.c
@@ -4,6 +4,8 @@
 
 #include <msgpack.h>
 
+#include "base/counter.h"
+
 typedef enum field_kind { FIELD_U64, FIELD_STR, FIELD_BIN } field_kind;
 
 #define FIELD_KIND(type, name) FIELD_##type,
@@ -124,7 +126,11 @@
         return MG_E_INPUT;
     }
     const struct layout *l = find_layout(items[0].via.u64);
-    if (l == NULL || o->via.array.size != l->count + 1) {
+    if (l == NULL) {
+        mg_count(MG_C_UNKNOWN_MESSAGES, 1);
+        return MG_E_NOT_FOUND;
+    }
+    if (o->via.array.size < l->count + 1) {
         return MG_E_INPUT;
     }
     m->type = (mg_msg_type)l->type;
@@ -195,8 +201,9 @@
     return true;
 }
 
-mg_rc
-mg_msg_next(mg_str *rest, mg_msg *m)
+/* Decodes one message; MG_E_NOT_FOUND if its type is unknown. */
+static mg_rc
+decode_next(mg_str *rest, mg_msg *m)
 {
     if (rest->n == 0) {
         return MG_E_CLOSED;
@@ -218,10 +225,20 @@
     return rc;
 }
 
+mg_rc
+mg_msg_next(mg_str *rest, mg_msg *m)
+{
+    mg_rc rc;
+    do {
+        rc = decode_next(rest, m);
+    } while (rc == MG_E_NOT_FOUND);
+    return rc;
+}
+
 mg_rc
 mg_msg_decode(mg_str bytes, mg_msg *m)
 {
-    mg_rc rc = mg_msg_next(&bytes, m);
+    mg_rc rc = decode_next(&bytes, m);
     if (rc == MG_E_CLOSED || (rc == MG_OK && bytes.n != 0)) {
         return MG_E_INPUT;
     }
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -3,12 +3,15 @@
  *
  * MG_MSG_LIST lists the message types, MG_FIELDS_* the fields of each type in
  * wire order. A message is encoded as a MessagePack array [type, field, ...].
- * The number, the fields and their order never change; a change of meaning
- * needs a new type. Strings of a decoded message point into the encoded bytes
- * and are valid as long as these.
+ * Hosts of two builds run side by side, and a later build reads what an
+ * earlier one has stored. So the number, the fields and their order never
+ * change; a change of meaning needs a new type, and fields may only be added
+ * at the end, where an earlier build ignores them. Messages of an unknown type
+ * are skipped and counted. Strings of a decoded message point into the encoded
+ * bytes and are valid as long as these.
  *
  * The size of a message is limited by the frame that carries it. A message
- * with a missing, extra or wrongly typed field is rejected as a whole.
+ * with a missing or wrongly typed field is rejected as a whole.
  *
  * Names that differ from the terms used elsewhere: answer (response), born_ms
  * (start time of an instance), leaving (draining), marks (strikes), MOVE
@@ -353,13 +356,15 @@
 mg_msg_encode(const mg_msg *m, mg_buf *out);
 /*
  * Decodes bytes, which must hold exactly one message. MG_E_INPUT: malformed.
- * m points into bytes, there is nothing to free.
+ * MG_E_NOT_FOUND: of an unknown type. m points into bytes, there is nothing to
+ * free.
  */
 mg_rc
 mg_msg_decode(mg_str bytes, mg_msg *m);
 /*
  * Decodes the first of several concatenated messages and advances rest past
- * it. MG_E_CLOSED: rest is empty. MG_E_INPUT: malformed.
+ * it; those of an unknown type are skipped. MG_E_CLOSED: there is none.
+ * MG_E_INPUT: malformed.
  */
 mg_rc
 mg_msg_next(mg_str *rest, mg_msg *m);
@@ -373,8 +378,8 @@
 /*
  * Decodes the frame at the start of in. MG_OK: it is *used bytes long.
  * MG_E_IN_PROGRESS: more bytes are needed; *used is 0. MG_E_TOO_LARGE: its
- * length exceeds max; *used is 0. MG_E_INPUT: malformed message of *used
- * bytes. *m is undefined unless MG_OK.
+ * length exceeds max; *used is 0. MG_E_INPUT, MG_E_NOT_FOUND: malformed
+ * message of *used bytes, or of an unknown type. *m is undefined unless MG_OK.
  */
 mg_rc
 mg_frame_decode(mg_str in, size_t max, size_t *used, mg_msg *m);
