A response without a length is reset if it ends early, and gets no length

A target that crashes closes its connection in an orderly way, so nobody can know whether such a response is whole.

Change: no length is added, as before. So that an end of the process doesn't look like the end of such a body, its connection is reset on close until the body is written (SO_LINGER 0); an aborted one is reset as well.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -428,6 +428,8 @@
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
+    f->close_delimited = !headers->has_content_length && !headers->chunked &&
+                         res.status != 204 && res.status != 304;
     f->streaming = f->route->stream && res.status == 200 && !res.not_run;
     if (!f->response_started) {
         mg_flow_save_headers(f, headers);
@@ -548,8 +550,17 @@
 void
 mg_flow_send_buffered(mg_flow *f)
 {
-    mg_http_reply(f->request.http, f->status, NULL, f->headers.p,
-                  mg_str_buf(&f->body));
+    mg_str body = mg_str_buf(&f->body);
+    if (!f->close_delimited) {
+        mg_http_reply(f->request.http, f->status, NULL, f->headers.p, body);
+        return;
+    }
+    /* maybe truncated, as a target that crashes closes its connections like
+       one that is done: the client's response is close-delimited, too */
+    mg_http_start_close_delimited(f->request.http, f->status, NULL,
+                                  f->headers.p);
+    mg_http_write(f->request.http, body);
+    mg_http_finish(f->request.http);
 }
 
 static void
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -190,6 +190,7 @@
     bool not_run; /* the current response reports that it did not run */
     bool streaming;
     bool response_started; /* the client was sent the header section */
+    bool close_delimited;  /* response delimited by connection close */
     mg_buf headers;        /* header lines for the client */
     mg_buf body;
     mg_sse_parser sse_parser;
@@ -268,8 +269,7 @@
 /* Counts what is held of the response; ends the request if it is too much. */
 void
 mg_flow_hold_response(mg_flow *f);
-/* Sends the response that is held as a whole, with its length, whatever the
-   target sent: a response that ends early must not look complete. */
+/* Sends the response that is held as a whole. */
 void
 mg_flow_send_buffered(mg_flow *f);
 /* Starts the timer, to fire at that time. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -148,11 +148,19 @@
     /* responses of targets bear the attempt id, those of entries don't */
     f->not_run = states_not_run(res.status) && res.id.n == 0;
     f->streaming = headers->chunked;
+    f->close_delimited = !headers->has_content_length && !headers->chunked &&
+                         headers->status != 204 && headers->status != 304;
     mg_flow_save_headers(f, headers);
-    if (f->streaming) {
+    if (f->streaming || f->close_delimited) {
         f->response_started = true;
         f->first_byte_ms = now_of(f);
-        mg_http_start(f->request.http, f->status, NULL, f->headers.p);
+        if (f->streaming) {
+            mg_http_start(f->request.http, f->status, NULL, f->headers.p);
+        }
+        else {
+            mg_http_start_close_delimited(f->request.http, f->status, NULL,
+                                          f->headers.p);
+        }
     }
     return MG_CHANNEL_ACCEPT;
 }
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -104,7 +104,8 @@
 void
 mg_http_start_sized(mg_http_req *r, int status, const char *type,
                     const char *extra, uint64_t length);
-/* Starts a response whose body is delimited by connection close. */
+/* Starts a response whose body is delimited by connection close. If the
+   response is aborted or the process ends before, the connection is reset. */
 void
 mg_http_start_close_delimited(mg_http_req *r, int status, const char *type,
                               const char *extra);
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base/addr.h"
 #include "base/counter.h"
@@ -153,10 +154,25 @@
     free_request(c);
 }
 
+/* Sets whether the end of the connection, by the end of the process too,
+   resets it. A body that is delimited by it must not look complete before it
+   is. */
+static void
+set_reset_on_close(http_conn *c, bool on)
+{
+    uv_os_fd_t fd;
+    struct linger l = {.l_onoff = on, .l_linger = 0};
+    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+    }
+}
+
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
-    (void)status;
+    if (status == 0) {
+        set_reset_on_close(req->data, false);
+    }
     free(req);
 }
 
@@ -167,6 +183,7 @@
     set_state(c, CONN_LINGER);
     mg_buf_free(&c->in);
     uv_shutdown_t *req = mg_alloc(sizeof(*req));
+    req->data = c;
     if (uv_shutdown(req, (uv_stream_t *)&c->tcp, on_shutdown) != 0) {
         free(req);
         close_conn(c);
@@ -803,6 +820,7 @@
                               const char *extra)
 {
     r->conn->close_after_response = true;
+    set_reset_on_close(r->conn, true);
     put_headers(r, status, type, extra);
     mg_buf_put(&r->conn->out, "\r\n", 2);
 }
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -76,8 +76,8 @@
     }
 }
 
-/* Guards against a response that looks complete wherever it ends: one whose
-   target sent no length is passed on with its length. */
+/* Guards against a response that is framed as complete although its target may
+   have crashed in it: one whose target sent no length has none either. */
 static void
 test_response_without_length(void)
 {
@@ -85,7 +85,7 @@
                        "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\nwhole");
     close_after = true;
     CU_ASSERT_EQUAL(world_get("/faulty"), 200);
-    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_TRUNCATED);
     CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), "whole"));
     world_shut();
 }
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -284,6 +284,56 @@
     close_world();
 }
 
+static bool aborts;
+
+static void
+on_request_without_length(void *user, mg_http_req *r)
+{
+    (void)user;
+    mg_http_start_close_delimited(r, 200, NULL, NULL);
+    mg_http_write(r, mg_str_of("part"));
+    if (aborts) {
+        mg_http_abort(r);
+    }
+    else {
+        mg_http_finish(r);
+    }
+}
+
+/* Guards against a response without a length that looks complete wherever it
+   ends: only its end closes the connection in an orderly way. */
+static void
+test_without_length(void)
+{
+    static const char get[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    char bytes[256];
+    for (int i = 0; i < 2; i++) {
+        aborts = i == 1;
+        open_world();
+        mg_http_stop_listening(world.server);
+        run_loop_ms(20);
+        mg_error err;
+        CU_ASSERT_EQUAL_FATAL(
+            mg_http_open(
+                &world.server,
+                &(mg_http_options){.loop = &world.loop,
+                                   .listen_addr = test_addr(),
+                                   .on_request = on_request_without_length},
+                &err),
+            MG_OK);
+        connect_client(0);
+        send_all(0, get, sizeof(get) - 1);
+        run_loop_ms(50);
+        ssize_t n;
+        while ((n = recv(world.clients[0], bytes, sizeof(bytes),
+                         MSG_DONTWAIT)) > 0) {
+        }
+        CU_ASSERT_EQUAL(n, aborts ? -1 : 0);
+        CU_ASSERT_TRUE(!aborts || errno == ECONNRESET);
+        close_world();
+    }
+}
+
 #define TINY "GET / HTTP/1.1\r\n\r\n"
 #define TINY_BYTES (sizeof(TINY) - 1)
 #define TINY_COUNT 20000
@@ -413,6 +463,7 @@
         {"one large body", test_one_large_body},
         {"responses that are not read", test_slow_readers},
         {"a closed connection with output", test_closed_with_output},
+        {"responses without a length", test_without_length},
         {"many requests in one write", test_pipelined},
         {"many requests in pieces", test_pipelined_in_pieces},
         {"many requests, responses not read", test_pipelined_unread},
