--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -39,7 +39,7 @@
 state|src/control/state.c|a repeated batch of credits is ignored|s/c->seq <= b->seq)/false)/
 response_reader|src/entry/response_reader.c|a stream needs its final event|s/return memcmp(r->tail.*/return true;/
 response_reader|src/entry/response_reader.c|a refused resume is not part of the response|s/if (r->resume_refused) {/if (false) {/
-store|src/control/store.c|corruption before valid records is refused|s/if (valid_record_after(b, at)) {/if (false) {/
+store|src/control/store.c|corruption before valid records is refused|s/if (valid_record_after(b, at, term)) {/if (false) {/
 store|src/control/store.c|a truncation waits for the sync in progress|s/mg_rc rc = wait_for_sync(s);$/mg_rc rc = MG_OK;/
 http_server|src/wire/http_server.c|the bodies of all requests are bounded|s/s->body_bytes + bytes > s->opts.limits.bodies_max/false/
 http_server|src/wire/http_server.c|unread responses are bounded|s/if (unsent > s->opts.limits.unsent_max) {/if (false) {/
@@ -66,10 +66,21 @@
 reach|src/gateway/relay.c|attempts used here aren't allowed once more|s/f->possible_runs == 0 \&\& f->relay_attempts/f->relay_attempts/
 reach|src/gateway/relay.c|a request is written to one entry only|s/if (result == MG_CHANNEL_CONNECT_FAILED) {/if (result != MG_CHANNEL_COMPLETE) {/
 reach|src/gateway/reach.c|an entry is cut off only from what others reach|s/mg_reach_only_others_since(r, r->ok_ms + 1)/true/
-answers|src/gateway/flow.c|a request is sent again on a channel of its own|s/t != f->previous_target ?/true ?/
+flow|src/gateway/targets.c|a request is never written to a channel again|s/if (f->used_channels\[i\] == c) {/if (false) {/
 answers|src/gateway/flow.c|a refusal without an id counts on a new channel only|s/res.not_run \&\& res.id.n == 0 \&\& f->reused_channel/false/
 h1|src/wire/h1.c|outputs are set for malformed chunks|s/\*data = (mg_str){p, 0};/(void)0;/
 usage|src/gateway/reports.c|an entry that starts learns past use|s/mg_quota_add_past(&u->quota/if (false) mg_quota_add_past(\&u->quota/
+usage|src/gateway/pools.c|an entry that starts has no burst|s/gw->entry_count > 1 || gw->report_age_ms > 0/false/
+quota|src/gateway/quota.c|a part of the demand is admitted|s/if (level < q->limits.burst \* q->share \* FULL_PART) {/if (false) {/
+quota|src/gateway/quota.c|many requests at once are counted at all entries|s/define BURST_REQUESTS 1/define BURST_REQUESTS 100000/
+quota|src/gateway/quota.c|silent entries keep their share|s/return q->share < 1 ? q->limits.rate_apart \* q->share : q->limits.rate;/return q->limits.rate;/
+store|src/control/store.c|records of an earlier term end the log|s/ \&\& h.term >= term) {$/) {/
+registry|src/topology/registry.c|a deregistration is newer than any heartbeat|s/out->seq = MG_INSTANCE_SEQ_MAX;/out->seq++;/
+http_server|src/wire/http_server.c|pipelined requests are taken up by the event loop|s/        schedule_input(c);/        process_input(c);/
+http_server|src/wire/http_server.c|a response without a length is reset if it ends early|s/set_reset_on_close(r->conn, true);//
+capacity|src/gateway/capacity.c|a wanted pause is kept|s/if (c->unwanted_until_ms != 0 \&\&/if (false \&\&/
+capacity|src/gateway/flow.c|what says it leaves gets no requests|s/mg_gw_target_leaves(f->target, \&res);/(void)res;/
+recorded|src/wire/msg.c|added fields are ignored|s/o->via.array.size < l->count + 1/o->via.array.size != l->count + 1/
 EOF
 }
 
