Entries tell each other that a target wants a pause

What callers saw: nothing; each entry had to be turned away once by a target that had told another entry to wait.

Change: LOAD_PAUSE, after all other messages of a report; entries that are told wait 0.3 to 1 s longer than the one that heard it, so that one request, not one from each, shows how the target goes on.

Before: no message; 'other entries learn of a pause' and 'a pause in the reports' test it.

--- a/src/gateway/capacity.c
+++ b/src/gateway/capacity.c
@@ -22,6 +22,10 @@
 /* the response to a request that is sent after a wanted pause is waited for so
    long before the next one, ms */
 #define TEST_MS 1000
+/* entries that a pause is reported to wait so much longer, and up to
+   REPORTED_SPREAD_MS more, ms */
+#define REPORTED_DELAY_MS 300
+#define REPORTED_SPREAD_MS 700
 /* pause after a rejection by a brittle target, ms */
 #define REJECTED_PAUSE_MS 1000
 
@@ -93,8 +97,9 @@
     c->received_ms = now;
     c->sent_ms = sent_ms;
     if (s->pause_ms > 0) {
+        c->heard_until_ms = max_time(c->heard_until_ms, now + s->pause_ms);
         c->unwanted_until_ms =
-            max_time(c->unwanted_until_ms, now + s->pause_ms);
+            max_time(c->unwanted_until_ms, c->heard_until_ms);
         c->test_sent_ms = 0;
     }
     else if (sent_ms >= c->unwanted_until_ms) {
@@ -252,6 +257,25 @@
     }
 }
 
+int64_t
+mg_capacity_pause_left(const mg_capacity *c, int64_t now)
+{
+    return c->heard_until_ms > now ? c->heard_until_ms - now : 0;
+}
+
+void
+mg_capacity_pause_reported(mg_capacity *c, int64_t left_ms, double spread,
+                           int64_t now)
+{
+    int64_t until = now + left_ms + REPORTED_DELAY_MS +
+                    (int64_t)(spread * REPORTED_SPREAD_MS);
+    /* reports of the same pause don't move its end back and forth */
+    if (until > c->unwanted_until_ms + REPORTED_SPREAD_MS) {
+        c->unwanted_until_ms = until;
+        c->test_sent_ms = 0;
+    }
+}
+
 void
 mg_capacity_rejected(mg_capacity *c, int64_t now)
 {
--- a/src/gateway/capacity.h
+++ b/src/gateway/capacity.h
@@ -19,9 +19,10 @@
  *
  * A brittle target that has rejected a request gets none for a while.
  *
- * A target that turns a request away may want none from this entry for a time.
- * After it, the entry sends one request and waits for its response before it
- * sends more.
+ * A target that turns a request away may want none for a time. After it, the
+ * entry sends one request and waits for its response before it sends more. It
+ * tells the other entries, which wait a little longer: if the first request is
+ * turned away as well, they learn of it before they send theirs.
  *
  * No I/O; the caller passes the time in, in ms.
  */
@@ -75,6 +76,7 @@
        at a time, until the response to one sent after it doesn't say so again
      */
     int64_t unwanted_until_ms;
+    int64_t heard_until_ms; /* the same, as this entry has heard it itself */
     int64_t test_sent_ms;
 } mg_capacity;
 
@@ -112,6 +114,15 @@
 /* Counts a request that is sent now. */
 void
 mg_capacity_take(mg_capacity *c, int64_t now);
+/* Time for which the target wants no requests, as this entry has heard from
+   it, ms; 0: it may get some. */
+int64_t
+mg_capacity_pause_left(const mg_capacity *c, int64_t now);
+/* Applies another entry's report of this; spread: a random number from 0 to 1.
+ */
+void
+mg_capacity_pause_reported(mg_capacity *c, int64_t left_ms, double spread,
+                           int64_t now);
 /* Takes note that the target has rejected a request. */
 void
 mg_capacity_rejected(mg_capacity *c, int64_t now);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -350,6 +350,11 @@
    know it. */
 void
 mg_gw_target_report_capacity(mg_gw_target *t, mg_buf *loads);
+/* Appends to loads how long the target wants no requests, if it does. */
+void
+mg_gw_target_report_pause(mg_gw_target *t, mg_buf *loads);
+void
+mg_gw_target_receive_pause(mg_gw_target *t, const mg_load_pause_msg *m);
 /* Forgets statements of former runs and those that nobody has heard for
    long. */
 void
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -49,6 +49,14 @@
     }
 }
 
+static void
+report_pause(void *user, mg_instance *i)
+{
+    if (i->owner_data != NULL) {
+        mg_gw_target_report_pause(i->owner_data, user);
+    }
+}
+
 static void
 report_reach(const mg_gateway *gw, mg_buf *loads)
 {
@@ -139,6 +147,7 @@
     mg_strikes_report(gw->strikes, loads);
     mg_registry_each(gw->opts.registry, report_capacity, loads);
     report_refused(gw, loads);
+    mg_registry_each(gw->opts.registry, report_pause, loads);
 }
 
 /* ----------------------------------------------------------- receiving */
@@ -270,6 +279,17 @@
     }
 }
 
+static void
+receive_pause(mg_gateway *gw, const mg_load_pause_msg *l)
+{
+    char id[MG_NAME_SIZE];
+    mg_str_copy(id, sizeof(id), l->id);
+    mg_instance *i = mg_registry_find(gw->opts.registry, id);
+    if (i != NULL) {
+        mg_gw_target_receive_pause(mg_gw_target_of(gw, i), l);
+    }
+}
+
 static void
 receive_reach(mg_gateway *gw, mg_gw_peer *p, const mg_load_reach_msg *l)
 {
@@ -322,6 +342,9 @@
         else if (m.type == MG_MSG_LOAD_REFUSED) {
             add_remote_refused(gw, p, &m.u.load_refused);
         }
+        else if (m.type == MG_MSG_LOAD_PAUSE) {
+            receive_pause(gw, &m.u.load_pause);
+        }
         else if (m.type == MG_MSG_LOAD_PAST) {
             add_past_use(gw, &m.u.load_past);
         }
--- a/src/gateway/targets.c
+++ b/src/gateway/targets.c
@@ -311,6 +311,32 @@
     mg_msg_encode(&m, loads);
 }
 
+void
+mg_gw_target_report_pause(mg_gw_target *t, mg_buf *loads)
+{
+    mg_msg m = {.type = MG_MSG_LOAD_PAUSE};
+    forget_former_run(t);
+    int64_t left_ms =
+        mg_capacity_pause_left(&t->capacity, mg_now(t->gw->opts.clock));
+    if (left_ms > 0) {
+        m.u.load_pause.id = mg_str_of(t->instance->info.id);
+        m.u.load_pause.run = t->capacity_run;
+        m.u.load_pause.left_ms = (uint64_t)left_ms;
+        mg_msg_encode(&m, loads);
+    }
+}
+
+void
+mg_gw_target_receive_pause(mg_gw_target *t, const mg_load_pause_msg *m)
+{
+    forget_former_run(t);
+    if (m->run == t->capacity_run && m->left_ms < INT32_MAX) {
+        mg_capacity_pause_reported(&t->capacity, (int64_t)m->left_ms,
+                                   mg_rng_unit(&t->gw->rng),
+                                   mg_now(t->gw->opts.clock));
+    }
+}
+
 void
 mg_gw_target_expire_capacity(mg_gw_target *t)
 {
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -199,6 +199,8 @@
 /* cost of the requests that were refused for the quota; last in a report, as
    hosts of an earlier build ignore what follows a message they don't know */
 #define MG_FIELDS_LOAD_REFUSED(F) F(STR, workspace) F(U64, cost)
+/* a target that wants no requests for a time; last in a report as well */
+#define MG_FIELDS_LOAD_PAUSE(F) F(STR, id) F(U64, run) F(U64, left_ms)
 /* use by all entries that is age_ms old, for an entry that has just started */
 #define MG_FIELDS_LOAD_PAST(F) F(STR, workspace) F(U64, used) F(U64, age_ms)
 #define MG_FIELDS_LOAD_POOL(F) F(STR, service) F(U64, waiting)
@@ -307,7 +309,8 @@
     M(130, LOAD_PAST, load_past) \
     M(131, LOAD_CAPACITY, load_capacity) \
     M(132, LOAD_REACH, load_reach) \
-    M(133, LOAD_REFUSED, load_refused)
+    M(133, LOAD_REFUSED, load_refused) \
+    M(134, LOAD_PAUSE, load_pause)
 
 /* clang-format on */
 
--- a/tests/unit/capacity_test.c
+++ b/tests/unit/capacity_test.c
@@ -162,6 +162,81 @@
     world_shut();
 }
 
+/* An entry tells the others of a pause. They send nothing until after its end,
+   so that a target that goes on turning requests away gets one, not one from
+   each. */
+static void
+test_pause_is_reported(void)
+{
+    enum { OTHERS = 20 };
+    mg_capacity heard = {0};
+    mg_capacity_statement pause = {.pause_ms = 2000};
+    mg_rng r;
+    mg_rng_init(&r, 1);
+    mg_capacity_heard(&heard, &pause, 900, 1000);
+    CU_ASSERT_EQUAL(mg_capacity_pause_left(&heard, 1400), 1600);
+    CU_ASSERT_EQUAL(mg_capacity_pause_left(&heard, 3000), 0);
+    int64_t first = INT64_MAX;
+    int64_t last = 0;
+    for (int i = 0; i < OTHERS; i++) {
+        mg_capacity c = {0};
+        for (int64_t now = 1100; now < 3000; now += 500) {
+            mg_capacity_pause_reported(&c, mg_capacity_pause_left(&heard, now),
+                                       mg_rng_unit(&r), now);
+        }
+        /* what it has only been told, it doesn't tell others */
+        CU_ASSERT_EQUAL(mg_capacity_pause_left(&c, 1200), 0);
+        int64_t now = 1100;
+        while (!mg_capacity_admits(&c, now)) {
+            now++;
+        }
+        first = now < first ? now : first;
+        last = now > last ? now : last;
+    }
+    CU_ASSERT_TRUE(mg_capacity_admits(&heard, 3000));
+    CU_ASSERT_TRUE(first >= 3200);
+    CU_ASSERT_TRUE(last > first + 200);
+    CU_ASSERT_TRUE(last <= 4200);
+}
+
+static mg_gw_target *
+target_of_new_gateway(mg_manual_clock *clock, mg_gateway **gw)
+{
+    mg_registry *registry = mg_registry_new(&clock->clock);
+    mg_announcement a = {.slots = 4, .started_ms = 7, .seq = 1};
+    strcpy(a.id, "i");
+    strcpy(a.service, "s");
+    strcpy(a.addr, "10.0.0.1:80");
+    mg_registry_announce(registry, &a);
+    *gw = mg_gateway_new(&(mg_gateway_options){
+        .clock = &clock->clock, .registry = registry, .domain = "d"});
+    return mg_gw_target_of(*gw, mg_registry_find(registry, "i"));
+}
+
+static void
+test_pause_in_reports(void)
+{
+    mg_manual_clock clock;
+    mg_gateway *one;
+    mg_gateway *other;
+    mg_buf loads = {0};
+    mg_capacity_statement pause = {.pause_ms = 2000};
+    mg_manual_clock_init(&clock);
+    clock.mono = 5000;
+    mg_gw_target *t = target_of_new_gateway(&clock, &one);
+    mg_gw_target *u = target_of_new_gateway(&clock, &other);
+    mg_gw_target_states(t, &pause, 4900);
+    mg_gateway_append_report(one, &loads);
+    mg_gateway_receive_report(other, "10.0.0.9", 1, mg_str_buf(&loads));
+    CU_ASSERT_FALSE(mg_capacity_admits(&u->capacity, 7000));
+    CU_ASSERT_TRUE(mg_capacity_admits(&u->capacity, 8100));
+    /* the next run of the target has asked for nothing */
+    u->instance->info.started_ms = 8;
+    mg_gw_target_expire_capacity(u);
+    CU_ASSERT_TRUE(mg_capacity_admits(&u->capacity, 5001));
+    mg_buf_free(&loads);
+}
+
 static bool says_leaving;
 
 static void
@@ -646,6 +721,8 @@
 {
     static const CU_TestInfo tests[] = {
         {"a target that wants a pause", test_pause},
+        {"other entries learn of a pause", test_pause_is_reported},
+        {"a pause in the reports", test_pause_in_reports},
         {"a target that says it leaves", test_leaving},
         {"histories of pauses", test_pauses},
         {"when a statement holds", test_statements},
