--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -136,9 +136,7 @@
 }
 
 /* Estimate of what other entries have admitted since their last reports: as
-   lately, or if many requests have come here at the same moment, as many
-   there.
- */
+   much as lately, or what has just come here at once, if that is more. */
 static double
 unreported_estimate(const mg_quota *q)
 {
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -268,25 +268,31 @@
     }
 }
 
+/* The target with an id, NULL if it isn't known. */
+static mg_gw_target *
+find_target(mg_gateway *gw, mg_str id)
+{
+    char name[MG_NAME_SIZE];
+    mg_str_copy(name, sizeof(name), id);
+    mg_instance *i = mg_registry_find(gw->opts.registry, name);
+    return i != NULL ? mg_gw_target_of(gw, i) : NULL;
+}
+
 static void
 receive_capacity(mg_gateway *gw, const mg_load_capacity_msg *l)
 {
-    char id[MG_NAME_SIZE];
-    mg_str_copy(id, sizeof(id), l->id);
-    mg_instance *i = mg_registry_find(gw->opts.registry, id);
-    if (i != NULL) {
-        mg_gw_target_receive_capacity(mg_gw_target_of(gw, i), l);
+    mg_gw_target *t = find_target(gw, l->id);
+    if (t != NULL) {
+        mg_gw_target_receive_capacity(t, l);
     }
 }
 
 static void
 receive_pause(mg_gateway *gw, const mg_load_pause_msg *l)
 {
-    char id[MG_NAME_SIZE];
-    mg_str_copy(id, sizeof(id), l->id);
-    mg_instance *i = mg_registry_find(gw->opts.registry, id);
-    if (i != NULL) {
-        mg_gw_target_receive_pause(mg_gw_target_of(gw, i), l);
+    mg_gw_target *t = find_target(gw, l->id);
+    if (t != NULL) {
+        mg_gw_target_receive_pause(t, l);
     }
 }
 
