A vote is given up by what the directory says, not by a message

A voter that hears of newer voters before it has read its directory gave up its vote, although its log is whole; two of three at once would have ended the group for good.

Cause: the message decided, by the slot in which the host ran the log at that moment, which is none until the directory is read.

Change: the voters stored beside the log decide (mg_voters_keep_vote()): a vote belongs to the slot that they give the host.

--- a/src/group/group.c
+++ b/src/group/group.c
@@ -372,26 +372,43 @@
     g->local_slot_changed = false;
 }
 
-/* Loads the saved voters, unless they are seeds that a host without a vote
-   has saved. */
-static void
-load_voters(mg_group *g, bool has_vote)
+/* Reads the saved voters; returns whether there are some. */
+static bool
+read_saved_voters(mg_group *g, mg_voters *v)
 {
     mg_buf note = {0};
-    mg_voters v;
     mg_str ips;
     uint64_t rev = 0;
-    if (mg_store_load_voters(g->disk.store, &note) == MG_OK) {
+    bool found = mg_store_load_voters(g->disk.store, &note) == MG_OK;
+    if (found) {
         mg_str rev_text = mg_str_split(mg_str_buf(&note), ':', &ips);
         for (size_t i = 0; i < rev_text.n; i++) {
             rev = rev * 10 + (uint64_t)(rev_text.p[i] - '0');
         }
-        if (rev >= g->voters.rev && mg_voters_parse(&v, rev, ips) == MG_OK &&
-            mg_voters_are_agreed(&v, has_vote)) {
-            mg_group_set_voters(g, &v);
-        }
+        found = mg_voters_parse(v, rev, ips) == MG_OK;
     }
     mg_buf_free(&note);
+    return found;
+}
+
+/* Loads the saved voters, unless they are seeds that a host without a vote has
+   saved. A vote of another slot is given up. */
+static mg_rc
+load_voters(mg_group *g, mg_raft_meta *meta)
+{
+    mg_voters saved;
+    if (!read_saved_voters(g, &saved)) {
+        return MG_OK;
+    }
+    if (saved.rev >= g->voters.rev &&
+        mg_voters_are_agreed(&saved, meta->voter)) {
+        mg_group_set_voters(g, &saved);
+    }
+    if (meta->voter && !mg_voters_keep_vote(&saved, &g->voters, g->ip)) {
+        meta->voter = 0;
+        return mg_store_save_meta(g->disk.store, meta);
+    }
+    return MG_OK;
 }
 
 static void
@@ -442,12 +459,7 @@
         /* a host with an empty data directory votes only in a new group */
         image.meta.voter = 0;
     }
-    if (g->vote_void) {
-        image.meta.voter = 0;
-        rc = mg_store_save_meta(g->disk.store, &image.meta);
-        g->vote_void = rc != MG_OK;
-    }
-    load_voters(g, image.meta.voter);
+    rc = load_voters(g, &image.meta);
     if (!image.meta.voter) {
         mg_log(MG_EV_RAFT_REJOIN, "uid=%016" PRIx64, image.meta.uid);
     }
--- a/src/group/group_int.h
+++ b/src/group/group_int.h
@@ -64,13 +64,11 @@
     size_t unsent_max;
     bool new_group;
     bool local_slot_changed; /* gained or lost; the log must be reopened */
-    bool vote_void; /* the reopened log has no vote until readmission */
     mg_voter_candidate candidates[MG_GROUP_CANDIDATES_MAX];
     size_t candidate_count;
     /* as the node of this process reported them in DISK_HOSTS */
     mg_buf disk_hosts;
     mg_buf hosts_without_disk;
-    bool disk_hosts_known; /* DISK_HOSTS was received */
     int64_t started_ms;
     /* log index of the last change of the voters that was proposed here,
        0: none */
--- a/src/group/group_voters.c
+++ b/src/group/group_voters.c
@@ -188,7 +188,6 @@
     mg_buf_put(&g->disk_hosts, msg->disks.p, msg->disks.n);
     g->hosts_without_disk.n = 0;
     mg_buf_put(&g->hosts_without_disk, msg->without.p, msg->without.n);
-    g->disk_hosts_known = true;
 }
 
 /* Collects what the leader knows. A voter counts as one without a disk only
@@ -305,7 +304,6 @@
     case MG_VOTERS_REOPEN:
         mg_group_set_voters(g, &v);
         g->local_slot_changed = true;
-        g->vote_void = true;
         break;
     }
 }
--- a/src/group/voters.c
+++ b/src/group/voters.c
@@ -221,6 +221,13 @@
     return v->rev > 0 || has_vote;
 }
 
+bool
+mg_voters_keep_vote(const mg_voters *stored, const mg_voters *now,
+                    const char *ip)
+{
+    return mg_voters_slot_of(stored, ip) == mg_voters_slot_of(now, ip);
+}
+
 mg_voters_news
 mg_voters_compare(const mg_voters *own, unsigned slot, const mg_voters *sent,
                   const char *ip)
--- a/src/group/voters.h
+++ b/src/group/voters.h
@@ -92,12 +92,17 @@
  */
 bool
 mg_voters_are_agreed(const mg_voters *v, bool has_vote);
+/* Whether a host whose directory has the voters stored keeps its vote among
+   the voters now: a vote belongs to a slot. */
+bool
+mg_voters_keep_vote(const mg_voters *stored, const mg_voters *now,
+                    const char *ip);
 /* What a host does about voters that another host has sent. */
 typedef enum mg_voters_news {
     MG_VOTERS_OLD,    /* nothing, they aren't newer than its own */
     MG_VOTERS_ADOPT,  /* it keeps its slot, or still has none */
     MG_VOTERS_REOPEN, /* its slot is gained, lost or another: it opens the log
-                         anew, without a vote */
+                         anew, see mg_voters_keep_vote() */
 } mg_voters_news;
 /* slot: in which this host, with address ip, runs the log; 0: none. */
 mg_voters_news
--- a/tests/unit/voters_test.c
+++ b/tests/unit/voters_test.c
@@ -241,6 +241,9 @@
 start_host(struct host *h)
 {
     unsigned slot = mg_voters_slot_of(&h->voters, h->name);
+    if (!mg_voters_keep_vote(&h->saved_voters, &h->voters, h->name)) {
+        h->meta.voter = 0;
+    }
     if (slot == 0 || !mg_voters_are_agreed(&h->voters, h->meta.voter)) {
         h->meta.voter = 0;
         return;
@@ -405,7 +408,6 @@
             stop_host(to, false);
         }
         to->voters = from->voters;
-        to->meta.voter = 0;
         start_host(to);
         break;
     }
@@ -890,6 +892,14 @@
     CU_ASSERT_EQUAL(news(3, 2, 7, "h1,h4,h5"), MG_VOTERS_REOPEN);
     CU_ASSERT_EQUAL(news(3, 2, 7, "h0,,h5"), MG_VOTERS_REOPEN);
     CU_ASSERT_EQUAL(news(0, 0, 7, "h0,h1,h5"), MG_VOTERS_REOPEN);
+    mg_voters stored;
+    mg_voters now;
+    mg_voters_parse(&stored, 3, mg_str_of("h0,h1,h2"));
+    mg_voters_parse(&now, 7, mg_str_of("h4,h1,h5"));
+    /* told before it has read its directory, a voter keeps its vote */
+    CU_ASSERT_TRUE(mg_voters_keep_vote(&stored, &now, "h1"));
+    CU_ASSERT_FALSE(mg_voters_keep_vote(&stored, &now, "h0"));
+    CU_ASSERT_FALSE(mg_voters_keep_vote(&stored, &now, "h5"));
     mg_voters seeds = {.rev = 0};
     CU_ASSERT_FALSE(mg_voters_are_agreed(&seeds, false));
     CU_ASSERT_TRUE(mg_voters_are_agreed(&seeds, true));
