Quota histories of the former limits again, on the bucket; comments read anew

The histories of four and of twenty entries, which the bucket's tests had replaced, stand again with their bounds (no tolerated excess, 110 % and 80 %): they pass.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -109,7 +109,7 @@
     fclose(f);
 }
 
-/* Removes what a node has stored, but for the folder. */
+/* Removes the files in the data directory of a node. */
 static void
 erase_disk(int i)
 {
@@ -278,7 +278,9 @@
     }
 }
 
-/* One client after the other sends, each at the pace that gives the sum. */
+/* A client: sends attempts at random moments, at a pace that gives
+   ORDERS_PER_S and READS_PER_S over all clients, or with all others when they
+   come at once. */
 static void *
 run_client(void *arg)
 {
--- a/tests/unit/quota_test.c
+++ b/tests/unit/quota_test.c
@@ -178,6 +178,7 @@
     int64_t latency_ms;
     bool (*hears)(int to, int from, int64_t now);
     double (*demand)(int64_t now); /* per second */
+    double factor;                 /* of two_to_six_times() */
     mg_rng rng;
     mg_quota q[ENTRIES_MAX];
     uint64_t used[ENTRIES_MAX][ENTRIES_MAX]; /* as heard, by hearer */
@@ -332,6 +333,13 @@
     return 10 * sim.rate;
 }
 
+static double
+two_to_six_times(int64_t now)
+{
+    (void)now;
+    return sim.factor * sim.rate;
+}
+
 /* from calm to seven times the rate and back, twice */
 static double
 hot_times(int64_t now)
@@ -484,6 +492,126 @@
                : NULL;
 }
 
+/* Limits without a tolerated excess. */
+static mg_quota_limits
+exact_limits(double rate, double burst, int64_t window_ms)
+{
+    return (mg_quota_limits){
+        .rate = rate,
+        .rate_apart = rate,
+        .burst = burst,
+        .ceiling = rate * (double)window_ms / 1000 + burst,
+        .window_ms = window_ms,
+    };
+}
+
+/* Four entries, any delay of reports: in any window they admit at most what
+   the rate and the burst allow, and the demand of one report interval; and no
+   less than nine tenths of what they may. */
+#define FEW 4
+#define FEW_END_MS 12000
+
+static const char *
+few_history(uint64_t seed)
+{
+    static double admitted[FEW_END_MS];
+    mg_quota q[FEW] = {0};
+    uint64_t reported[FEW] = {0};
+    uint64_t refused[FEW] = {0};
+    mg_rng r;
+    mg_rng_init(&r, seed);
+    memset(admitted, 0, sizeof(admitted));
+    double rate = 500 + mg_rng_below(&r, 2000);
+    double burst = 200 + mg_rng_below(&r, 2000);
+    double cost = 1 + mg_rng_below(&r, 100);
+    int64_t delay = 20 + mg_rng_below(&r, 200);
+    double demand_per_ms = rate / 1000 * (0.5 + 8 * mg_rng_unit(&r));
+    double demand = 0;
+    double total = 0;
+    mg_quota_limits limits = exact_limits(rate, burst, WINDOW_MS);
+    for (int i = 0; i < FEW; i++) {
+        mg_quota_set(&q[i], &limits);
+        mg_quota_set_view(&q[i], delay, 1, FEW - 1);
+    }
+    for (int64_t now = 0; now < FEW_END_MS; now++) {
+        for (demand += demand_per_ms; demand >= cost; demand -= cost) {
+            uint32_t i = mg_rng_below(&r, FEW);
+            bool taken = mg_quota_take(&q[i], cost, mg_rng_unit(&r), now);
+            admitted[now] += taken ? cost : 0;
+        }
+        total += admitted[now];
+        for (int i = 0; now % delay == 0 && i < FEW; i++) {
+            for (int k = 0; k < FEW; k++) {
+                if (k != i) {
+                    mg_quota_add_remote(
+                        &q[k], (double)(q[i].used_total - reported[i]), now);
+                    mg_quota_add_remote_refused(
+                        &q[k], (double)(q[i].refused_total - refused[i]), now);
+                }
+            }
+            reported[i] = q[i].used_total;
+            refused[i] = q[i].refused_total;
+        }
+    }
+    int64_t window = WINDOW_MS - q[0].slice_ms;
+    double excess = demand_per_ms * (double)delay + FEW * cost;
+    double limit = rate * WINDOW_MS / 1000 + burst + excess;
+    double sum = 0;
+    for (int64_t now = 0; now < FEW_END_MS; now++) {
+        sum += admitted[now] - (now >= window ? admitted[now - window] : 0);
+        if (sum > limit) {
+            return "admitted more than the quota and the demand during a "
+                   "report interval";
+        }
+    }
+    double wanted = demand_per_ms * FEW_END_MS;
+    double entitled = rate * FEW_END_MS / 1000;
+    entitled = wanted < entitled ? wanted : entitled;
+    return total < 0.9 * entitled - FEW * cost
+               ? "admitted far less than the quota"
+               : NULL;
+}
+
+/* Twenty entries that report every 0.6 s, with a demand of two to six times
+   the quota: they admit at most 110 % of it in any window, and at least 80 %.
+ */
+static const char *
+twenty_history(uint64_t seed)
+{
+    mg_rng r;
+    memset(&sim, 0, sizeof(sim));
+    mg_rng_init(&r, seed);
+    sim.entries = 20;
+    sim.rate = 50000 + mg_rng_below(&r, 200000);
+    sim.burst = sim.rate;
+    sim.cost = 1000 + mg_rng_below(&r, 2000);
+    sim.interval_ms = 600;
+    sim.hears = always_hears;
+    sim.demand = two_to_six_times;
+    sim.factor = 2 + 4 * mg_rng_unit(&r);
+    sim_run(seed);
+    double limit = sim.rate * RULE_WINDOW_MS / 1000 + sim.burst;
+    if (most_in_a_window() > limit * 1.1 + sim.entries * sim.cost) {
+        return "admitted more than 110 % of the quota";
+    }
+    double entitled = sim.rate * (END_MS - RULE_WINDOW_MS) / 1000;
+    return admitted_between(RULE_WINDOW_MS, END_MS) < 0.8 * entitled
+               ? "admitted far less than the quota"
+               : NULL;
+}
+
+static void
+test_few(void)
+{
+    run_histories(few_history, 300);
+}
+
+static void
+test_twenty(void)
+{
+    run_histories(twenty_history, 100);
+}
+
 static void
 test_pressed(void)
 {
@@ -537,6 +665,8 @@
         {"a second use of a request", test_charge},
         {"an entry that starts", test_start},
         {"histories against a token bucket", test_bucket},
+        {"histories of entries with delayed reports", test_few},
+        {"many entries that report rarely", test_twenty},
         {"84 entries, ten times the quota", test_pressed},
         {"84 entries, a hot workspace", test_hot},
         {"a calm workspace", test_calm},
