--- a/src/control/store.c
+++ b/src/control/store.c
@@ -505,7 +505,7 @@
     s->count = (size_t)(index - s->first_index);
     off_t end = s->offsets[s->count];
     if (end >= s->log_end) {
-        /* the file has none of the records that go, and gets none */
+        /* the records that go are only in memory */
         s->pending.n = (size_t)(end - s->log_end);
         return MG_OK;
     }
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -9,7 +9,8 @@
 #define RATE_SLICES 5
 /* below this part of the bucket, an entry admits a part of the demand */
 #define FULL_PART 0.5
-/* so many requests within a lag may come by chance to one entry alone */
+/* so many requests within a lag may come to one entry without others having
+ * any */
 #define BURST_REQUESTS 1
 /* what the bucket holds is spread over so many lags */
 #define SPREAD_LAGS 2
@@ -217,7 +218,7 @@
     return room;
 }
 
-/* The part of the demand that is admitted. */
+/* The part of the demand that is admitted now; 1 or more: all of it. */
 static double
 admitted_part(mg_quota *q, int64_t now)
 {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -426,7 +426,7 @@
     }
 }
 
-/* Whether all nodes have run for long enough: a host with a disk may lose it.
+/* Whether all nodes have run for CAUGHT_UP_MS, so that one may lose its disk.
  */
 static bool
 all_caught_up(void)
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -248,7 +248,8 @@
 
 /* ------------------------------------------------------------- gateway */
 
-/* as a node does it, but for telling the others */
+/* Marks the target as draining, as a node does; a node tells others as well.
+ */
 static inline void
 world_on_leaving(void *user, const mg_instance *i)
 {
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -357,7 +357,7 @@
             last -= 2;
         }
         else if (term % 7 == 0) {
-            /* the record that is being synced, too */
+            /* also removes the record that the other thread writes */
             CU_ASSERT_EQUAL(mg_store_truncate(s, last - 2), MG_OK);
             last -= 3;
         }
