Comments of the quota and of statements say what the code does

The header of the quota spoke of half a window for an excess (it is a quarter) and of the rate alone (the burst is spread over the window as well). Comments only; the machine code of quota.c and admit.c is the same, that of node.c but for a line number. Lint and the quota suite pass.

--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -340,7 +340,8 @@
 mg_gw_target_states(mg_gw_target *t, const mg_capacity_statement *s,
                     int64_t sent_ms);
 /* Takes note that the target leaves, if it says so in any response, also in
-   one that belongs to another request. */
+   one that belongs to another request. Logs statements that can't be read,
+   once a minute. */
 void
 mg_gw_target_leaves(mg_gw_target *t, const mg_response_head *res);
 /* Takes note of what another entry reports about the target. */
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -1,17 +1,19 @@
 /*
  * quota - a workspace's quota over all entries
  *
- * A workspace may use its burst at once and its rate from then on. Every entry
- * counts what all entries have admitted in the last window: local use at once,
- * remote use from reports, which carry totals that only grow. From these
- * counts follows the level of a token bucket that all entries share.
+ * A workspace may use its burst at once, and then as much per second as its
+ * rate and burst allow on average over a window. Every entry counts what all
+ * entries have admitted in the last window: local use at once, remote use from
+ * reports, which carry totals that only grow. From these counts follows the
+ * level of a token bucket that all entries share.
  *
  * Entries learn of each other's use late. If each admitted all it can while
  * the bucket holds something, all would empty it at the same moment, many
  * times over. So an entry admits only a part of what is asked once the bucket
  * is less than half full: as much as all entries together may admit, divided
  * by the demand at all entries. The use that is not known yet is estimated,
- * and an excess is paid back over half a window instead of at once.
+ * and an excess is paid back over a quarter of a window instead of at once.
+ * What is left of the window's sum is spread in the same way.
  *
  * An entry that hears nothing from others keeps to its share of the quota, as
  * they do: see mg_quota_set_view().
@@ -42,7 +44,7 @@
     double rate;       /* refills the bucket, per second; 0: unlimited */
     double rate_apart; /* likewise, while not all entries are heard */
     double burst;      /* size of the bucket */
-    double ceiling;    /* of a window */
+    double ceiling;    /* of the use in a window */
     int64_t window_ms;
 } mg_quota_limits;
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -162,8 +162,7 @@
     mg_registry_each(n->registry, visit_instance, &v);
 }
 
-/* a target says in a response that it leaves, before or without announcing it
- */
+/* callback of the gateway: a target says in a response that it leaves */
 static void
 on_leaving(void *user, const mg_instance *i)
 {
--- a/tests/unit/quota_test.c
+++ b/tests/unit/quota_test.c
@@ -340,7 +340,8 @@
     return sim.factor * sim.rate;
 }
 
-/* from calm to seven times the rate and back, twice */
+/* demand that alternates: 8 s at 0.7 of the rate, 8 s at seven times the rate
+ */
 static double
 hot_times(int64_t now)
 {
