--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -117,11 +117,20 @@
     }
 }
 
+void
+mg_flow_channel_ended(mg_flow *f)
+{
+    if (f->channel != NULL) {
+        mg_channel_describe_end(f->channel, f->channel_end);
+    }
+    f->channel = NULL;
+}
+
 void
 mg_flow_close_channel(mg_flow *f)
 {
     mg_channel *c = f->channel;
-    f->channel = NULL;
+    mg_flow_channel_ended(f);
     if (c != NULL) {
         mg_channel_close(c);
     }
@@ -193,9 +202,9 @@
 static void
 abort_response(mg_flow *f, const char *why)
 {
-    mg_log(MG_EV_REQ_CUT, "id=%.*s why=%s last=%" PRIu64 " ms=%" PRId64,
+    mg_log(MG_EV_REQ_CUT, "id=%.*s why=%s last=%" PRIu64 " ms=%" PRId64 " %s",
            MG_STR_FMT(f->request.id), why, f->last_id,
-           now_of(f) - f->arrived_ms);
+           now_of(f) - f->arrived_ms, f->channel_end);
     mg_count(MG_C_TRUNCATED, 1);
     leave_queue(f);
     mg_http_abort(f->request.http);
@@ -243,10 +252,10 @@
 {
     mg_log(MG_EV_REQ_ANSWERED,
            "id=%.*s status=%d target=%s sends=%u sent_ms=%" PRId64
-           " first_ms=%" PRId64 " ms=%" PRId64,
+           " first_ms=%" PRId64 " ms=%" PRId64 " last=%" PRIu64 " %s",
            MG_STR_FMT(f->request.id), f->status, from, f->sends,
            f->sent_ms - f->arrived_ms, f->first_byte_ms - f->arrived_ms,
-           now_of(f) - f->arrived_ms);
+           now_of(f) - f->arrived_ms, f->last_id, f->channel_end);
     mg_count(MG_C_COMPLETED, 1);
     mg_observe(MG_H_FIRST_BYTE, (f->first_byte_ms - f->arrived_ms) * 1000);
 }
@@ -618,7 +627,7 @@
     mg_flow *f = (mg_flow *)cb;
     bool stale_channel = f->reused_channel && result == MG_CHANNEL_TRUNCATED &&
                          f->state == MG_FLOW_SENT;
-    f->channel = NULL;
+    mg_flow_channel_ended(f);
     if (result == MG_CHANNEL_COMPLETE) {
         if (f->streaming) {
             end_stream(f);
@@ -629,9 +638,10 @@
         return;
     }
     mg_log(MG_EV_REQ_CONNECT_FAILED,
-           "id=%.*s target=%s why=%s kept=%d ms=%" PRId64,
+           "id=%.*s target=%s why=%s kept=%d ms=%" PRId64 " %s",
            MG_STR_FMT(f->request.id), f->target->instance->info.id,
-           result_name(result), f->reused_channel, now_of(f) - f->arrived_ms);
+           result_name(result), f->reused_channel, now_of(f) - f->arrived_ms,
+           f->channel_end);
     if (result == MG_CHANNEL_CONNECT_FAILED) {
         mg_reach_failed(&f->pool->reach);
         mg_gw_target_failed(f->target, false);
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -186,6 +186,7 @@
     int64_t first_event_ms;   /* from the current target, 0: none */
     int64_t last_received_ms; /* from the current target, 0: none */
     uint32_t event_count;     /* from the current target */
+    char channel_end[MG_CHANNEL_END_SIZE]; /* of the last channel, for logs */
     int status;
     bool not_run; /* the current response reports that it did not run */
     bool streaming;
@@ -261,6 +262,9 @@
 /* Logs and counts a complete response; from: the target or entry. */
 void
 mg_flow_log_response(mg_flow *f, const char *from);
+/* The last channel has ended: notes how, for the logs, and forgets it. */
+void
+mg_flow_channel_ended(mg_flow *f);
 void
 mg_flow_close_channel(mg_flow *f);
 /* Keeps the header lines for the client. */
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -210,7 +210,7 @@
 on_end(mg_channel_callbacks *cb, mg_channel_result result)
 {
     mg_flow *f = (mg_flow *)cb;
-    f->channel = NULL;
+    mg_flow_channel_ended(f);
     if (result == MG_CHANNEL_CONNECT_FAILED) {
         try_entry(f);
         return;
--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -43,6 +44,10 @@
     bool connect_failed; /* uv_tcp_connect() failed; on_closed() reports it */
     bool keep_alive;     /* the connection stays open after this response */
     size_t unsent_bytes;
+    /* libuv error codes, 0: none so far */
+    int read_error; /* UV_EOF: an orderly end, as far as libuv can tell */
+    int write_error;
+    int socket_error; /* what the socket itself reports at its end */
     int64_t idle_since_ms;
     int64_t keep_alive_ms;
 };
@@ -249,6 +254,20 @@
     }
 }
 
+/* the error that the socket holds, as a libuv error code */
+static int
+take_socket_error(mg_channel *c)
+{
+    uv_os_fd_t fd;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0 ||
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+        return 0;
+    }
+    return uv_translate_sys_error(error);
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -257,6 +276,8 @@
         return;
     }
     if (n < 0) {
+        c->read_error = (int)n;
+        c->socket_error = take_socket_error(c);
         on_eof(c, n == UV_EOF);
         return;
     }
@@ -343,6 +364,7 @@
     channel_write *w = (channel_write *)req;
     mg_channel *c = w->channel;
     c->unsent_bytes -= w->buf.n;
+    c->write_error = status;
     if (status < 0 && c->state != CHANNEL_CLOSING && !c->response_started) {
         close_with_result(c, MG_CHANNEL_TRUNCATED);
     }
@@ -365,6 +387,7 @@
     int n = uv_try_write((uv_stream_t *)&c->tcp, b, body.n > 0 ? 2 : 1);
     size_t sent = n > 0 ? (size_t)n : 0;
     if (n < 0 && n != UV_EAGAIN) {
+        c->write_error = n;
         close_with_result(c, MG_CHANNEL_TRUNCATED);
         return;
     }
@@ -395,6 +418,28 @@
     close_channel(c);
 }
 
+static const char *
+error_name(int error)
+{
+    return error == 0 ? "none" : uv_err_name(error);
+}
+
+void
+mg_channel_describe_end(const mg_channel *c, char out[MG_CHANNEL_END_SIZE])
+{
+    static const char *const framings[] = {
+        [MG_H1_NO_BODY] = "none",
+        [MG_H1_LENGTH] = "length",
+        [MG_H1_CHUNKED] = "chunks",
+        [MG_H1_CLOSE_DELIMITED] = "close",
+    };
+    snprintf(out, MG_CHANNEL_END_SIZE,
+             "framing=%s read=%s write=%s socket=%s unsent=%zu",
+             framings[c->body.framing], error_name(c->read_error),
+             error_name(c->write_error), error_name(c->socket_error),
+             c->unsent_bytes);
+}
+
 int64_t
 mg_channel_idle_ms(const mg_channel *c)
 {
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -18,6 +18,9 @@
 #include "base/list.h"
 #include "wire/h1.h"
 
+/* of a text that mg_channel_describe_end() writes */
+#define MG_CHANNEL_END_SIZE 112
+
 typedef struct mg_channel mg_channel;
 
 typedef enum mg_channel_result {
@@ -68,6 +71,11 @@
 /* Closes the channel; on_end is not called. */
 void
 mg_channel_close(mg_channel *c);
+/* Writes how the last response was framed and how the connection has ended, as
+   fields of a log line: "framing=close read=EOF write=none socket=none
+   unsent=0". Also valid in on_end. */
+void
+mg_channel_describe_end(const mg_channel *c, char out[MG_CHANNEL_END_SIZE]);
 /* Milliseconds since an idle channel completed its last response. */
 int64_t
 mg_channel_idle_ms(const mg_channel *c);
