--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -5,6 +5,7 @@
 
 static const char *faulty; /* response to a request for /faulty */
 static unsigned faulty_sent;
+static uint32_t attempts_max = 2;
 static bool close_after; /* the faulty response ends with its connection */
 
 /* The first request for /faulty gets the faulty response; it is served when
@@ -31,7 +32,7 @@
         .timeout_ms = 2000,
         .goal_ms = 500,
         .gap_goal_ms = 300,
-        .attempts_max = 2,
+        .attempts_max = attempts_max,
         .stream = stream,
     };
     faulty = response;
@@ -143,6 +144,103 @@
     world_shut();
 }
 
+/* --------------------------- streams that end with their connection */
+
+#define WITHOUT_LENGTH "HTTP/1.1 200 OK\r\n\r\n"
+
+/* Guards against a stream that is framed as complete although its target has
+   died between two events: the client is told no more than the target told. */
+static void
+test_stream_without_chunks(void)
+{
+    open_answers_world(MG_RETRY_NEVER, true, WITHOUT_LENGTH EVENT_1);
+    close_after = true;
+    CU_ASSERT_EQUAL(world_get("/faulty"), 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_TRUNCATED);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), EVENT_1));
+    world_shut();
+}
+
+/* a target that sends a response and ends its connection, by turns */
+static const char *const *answers;
+
+static void
+serve_in_turn(world_conn *c, mg_str head)
+{
+    (void)head;
+    world_write(c, answers[faulty_sent++]);
+    world_close(c);
+}
+
+/* Guards against the last chunk after a run whose end can't be known: it is
+   sent only once another run has confirmed that nothing is left. */
+static void
+test_resumed_without_chunks(void)
+{
+    static const char *const in_turn[] = {
+        CHUNKED "f\r\n" EVENT_1 "\r\n",
+        WITHOUT_LENGTH EVENT_2,
+        CHUNKED "0\r\n\r\n",
+    };
+    for (uint32_t attempts = 2; attempts <= 3; attempts++) {
+        attempts_max = attempts;
+        open_answers_world(MG_RETRY_RESUME, true, NULL);
+        world.serve = serve_in_turn;
+        answers = in_turn;
+        CU_ASSERT_EQUAL(world_get("/"), 200);
+        CU_ASSERT_EQUAL(world.executed, attempts);
+        CU_ASSERT_EQUAL(world.answer.result == MG_HTTP_COMPLETE,
+                        attempts == 3);
+        CU_ASSERT_TRUE(
+            mg_str_is(mg_str_buf(&world.answer.body), EVENT_1 EVENT_2));
+        world_shut();
+    }
+    attempts_max = 2;
+}
+
+/* a response that the client gets without chunks may be resumed in chunks */
+static void
+test_resumed_with_chunks(void)
+{
+    static const char *const in_turn[] = {
+        WITHOUT_LENGTH EVENT_1 "id: 2\nda",
+        CHUNKED "f\r\n" EVENT_2 "\r\n0\r\n\r\n",
+    };
+    open_answers_world(MG_RETRY_RESUME, true, NULL);
+    world.serve = serve_in_turn;
+    answers = in_turn;
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    CU_ASSERT_EQUAL(world.executed, 2);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_TRUNCATED);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), EVENT_1 EVENT_2));
+    world_shut();
+}
+
+/* --------------------------------------- responses that are reset */
+
+static void
+serve_reset(world_conn *c, mg_str head)
+{
+    (void)head;
+    world_write(c, WITHOUT_LENGTH EVENT_1);
+    list_del(&c->link);
+    uv_tcp_close_reset(&c->tcp, world_free_handle);
+}
+
+/* the bytes and the reset arrive together */
+static void
+test_reset_response(void)
+{
+    for (int stream = 0; stream < 2; stream++) {
+        open_answers_world(MG_RETRY_NEVER, stream, NULL);
+        world.serve = serve_reset;
+        CU_ASSERT_EQUAL(world_get("/"), stream ? 200 : 502);
+        CU_ASSERT_EQUAL(world.answer.result,
+                        stream ? MG_HTTP_TRUNCATED : MG_HTTP_COMPLETE);
+        world_shut();
+    }
+}
+
 /* ------------------------------------------------- repeated refusals */
 
 #define REFUSAL                                                        \
@@ -221,6 +319,10 @@
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
+        {"a stream without chunks", test_stream_without_chunks},
+        {"a stream resumed without chunks", test_resumed_without_chunks},
+        {"a stream resumed with chunks", test_resumed_with_chunks},
+        {"a response that is reset", test_reset_response},
         {"a refusal that is written twice", test_repeated_refusal},
         {"a refusal without an id on a reused channel",
          test_refusal_without_id},
