A reset that comes with data or is met by a write isn't taken for a FIN

Cause: reset and orderly end were told apart by the result of one read. libuv reports an end of file, without reading again, when a poll says hung up and the bytes before were fewer than its buffer; and a socket reports its error once, so that after a failed write the read gets an end of file, too.

Evidence: ends, 'resets' and 'resets during an upload', with the log's fields read=EOF write=none socket=ECONNRESET and read=EOF write=ECONNRESET socket=none.

Change: an end of file counts as orderly only if no write has failed and the socket holds no error. A connection whose write failed isn't reused either.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -112,7 +112,8 @@
     mg_channel_callbacks *cb = c->callbacks;
     /* not reusable if bytes follow the response or part of the request is
        unsent */
-    bool reusable = c->keep_alive && c->in.n == 0 && c->unsent_bytes == 0;
+    bool reusable = c->keep_alive && c->in.n == 0 && c->unsent_bytes == 0 &&
+                    c->write_error == 0;
     c->callbacks = NULL;
     if (reusable) {
         c->state = CHANNEL_IDLE;
@@ -239,14 +240,24 @@
     }
 }
 
-/* the connection has ended, which may be the regular end of a body;
-   orderly: by the peer's FIN, not by an error */
+/* Whether the connection has ended by the peer's FIN, not by an error. The end
+   of file alone doesn't tell: libuv reports it for a reset, too, that comes
+   together with data, and so does the socket once a failed write has taken its
+   error. */
+static bool
+has_orderly_end(const mg_channel *c)
+{
+    return c->read_error == UV_EOF && c->write_error == 0 &&
+           c->socket_error == 0;
+}
+
+/* the connection has ended, which may be the regular end of a body */
 static void
-on_eof(mg_channel *c, bool orderly)
+on_eof(mg_channel *c)
 {
-    bool ends_body = c->state == CHANNEL_BODY && orderly && !c->skipping &&
+    bool ends_body = c->state == CHANNEL_BODY && !c->skipping &&
                      c->body.framing == MG_H1_CLOSE_DELIMITED;
-    if (ends_body) {
+    if (ends_body && has_orderly_end(c)) {
         close_with_result(c, MG_CHANNEL_COMPLETE);
     }
     else {
@@ -278,7 +289,7 @@
     if (n < 0) {
         c->read_error = (int)n;
         c->socket_error = take_socket_error(c);
-        on_eof(c, n == UV_EOF);
+        on_eof(c);
         return;
     }
     if (c->callbacks == NULL || c->state == CHANNEL_OPEN) {
@@ -364,7 +375,7 @@
     channel_write *w = (channel_write *)req;
     mg_channel *c = w->channel;
     c->unsent_bytes -= w->buf.n;
-    c->write_error = status;
+    c->write_error = status < 0 ? status : c->write_error;
     if (status < 0 && c->state != CHANNEL_CLOSING && !c->response_started) {
         close_with_result(c, MG_CHANNEL_TRUNCATED);
     }
