A response that ends during the upload counts once the upload is written

Cause: the FIN alone made the response complete while the request was still being written.

Evidence: ends, 'resets during an upload': read=EOF write=none socket=none unsent=, then the reset.

Change: such a response waits until the rest of the request is written, and is truncated if that fails. One whose server takes the rest ('an answer during an upload') stays complete.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -23,6 +23,8 @@
     CHANNEL_OPEN,    /* connected, no request written yet */
     CHANNEL_HEADERS, /* waits for the header section of a response */
     CHANNEL_BODY,    /* receives the body of a response */
+    CHANNEL_ENDED,   /* the peer has ended a close-delimited body, the rest of
+                        the request is being written */
     CHANNEL_IDLE,
     CHANNEL_CLOSING,
 } channel_state;
@@ -257,11 +259,15 @@
 {
     bool ends_body = c->state == CHANNEL_BODY && !c->skipping &&
                      c->body.framing == MG_H1_CLOSE_DELIMITED;
-    if (ends_body && has_orderly_end(c)) {
-        close_with_result(c, MG_CHANNEL_COMPLETE);
+    if (!ends_body || !has_orderly_end(c)) {
+        close_with_result(c, MG_CHANNEL_TRUNCATED);
+    }
+    else if (c->unsent_bytes > 0) {
+        /* a peer that has closed resets when it gets the rest */
+        c->state = CHANNEL_ENDED;
     }
     else {
-        close_with_result(c, MG_CHANNEL_TRUNCATED);
+        close_with_result(c, MG_CHANNEL_COMPLETE);
     }
 }
 
@@ -376,7 +382,12 @@
     mg_channel *c = w->channel;
     c->unsent_bytes -= w->buf.n;
     c->write_error = status < 0 ? status : c->write_error;
-    if (status < 0 && c->state != CHANNEL_CLOSING && !c->response_started) {
+    if (c->state == CHANNEL_ENDED) {
+        close_with_result(c, status < 0 ? MG_CHANNEL_TRUNCATED
+                                        : MG_CHANNEL_COMPLETE);
+    }
+    else if (status < 0 && c->state != CHANNEL_CLOSING &&
+             !c->response_started) {
         close_with_result(c, MG_CHANNEL_TRUNCATED);
     }
     mg_buf_free(&w->buf);
