A stream whose target sends no chunks is passed on without chunks

Cause: every stream was sent in chunks. A target's stream may have neither a length nor chunks; then the kernel of a target that dies ends it like one that is done. The entry can't know, but its last chunk said that the stream was whole. Plain responses were passed on without a length already.

Change: the client's response is framed like that of its first target: without chunks it ends with the connection, which is reset if the stream breaks off.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -446,6 +446,18 @@
     return MG_CHANNEL_ACCEPT;
 }
 
+void
+mg_flow_start_response(mg_flow *f)
+{
+    if (f->close_delimited) {
+        mg_http_start_close_delimited(f->request.http, f->status, NULL,
+                                      f->headers.p);
+    }
+    else {
+        mg_http_start(f->request.http, f->status, NULL, f->headers.p);
+    }
+}
+
 static void
 forward_event(mg_flow *f, const mg_sse_event *ev)
 {
@@ -460,7 +472,7 @@
     if (!f->response_started) {
         f->response_started = true;
         f->first_byte_ms = now_of(f);
-        mg_http_start(f->request.http, f->status, NULL, f->headers.p);
+        mg_flow_start_response(f);
     }
     mg_http_write(f->request.http, ev->bytes);
     f->last_received_ms = now_of(f);
@@ -564,10 +576,7 @@
         mg_http_reply(f->request.http, f->status, NULL, f->headers.p, body);
         return;
     }
-    /* maybe truncated, as a target that crashes closes its connections like
-       one that is done: the client's response is close-delimited, too */
-    mg_http_start_close_delimited(f->request.http, f->status, NULL,
-                                  f->headers.p);
+    mg_flow_start_response(f);
     mg_http_write(f->request.http, body);
     mg_http_finish(f->request.http);
 }
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -273,6 +273,11 @@
 /* Counts what is held of the response; ends the request if it is too much. */
 void
 mg_flow_hold_response(mg_flow *f);
+/* Sends the header section of a response whose length isn't known. A response
+   that the target delimits by its connection is sent so, too: it may be
+   truncated, as a target that crashes closes like one that is done. */
+void
+mg_flow_start_response(mg_flow *f);
 /* Sends the response that is held as a whole. */
 void
 mg_flow_send_buffered(mg_flow *f);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -154,13 +154,7 @@
     if (f->streaming || f->close_delimited) {
         f->response_started = true;
         f->first_byte_ms = now_of(f);
-        if (f->streaming) {
-            mg_http_start(f->request.http, f->status, NULL, f->headers.p);
-        }
-        else {
-            mg_http_start_close_delimited(f->request.http, f->status, NULL,
-                                          f->headers.p);
-        }
+        mg_flow_start_response(f);
     }
     return MG_CHANNEL_ACCEPT;
 }
