The last chunk isn't sent after a run whose end is unproven

A stream that began in chunks and is resumed at a target that sends neither a length nor chunks got its last chunk at that run's FIN, which a dying target sends, too.

Evidence: answers, 'a stream resumed without chunks': result COMPLETE after sends=2 framing=close read=EOF.

Change: such a run isn't taken for the end. Another one goes on after the last event, if attempts and the retry budget allow; if it has nothing to add, its chunks prove the end. Otherwise the response is aborted (why=end_unproven), and the client may resume it. Before / after: 2 attempts: complete / broken off; 3 attempts: complete after 2 sends / complete after 3.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -551,6 +551,15 @@
     return f->sse_parser.pending.n > f->sse_parser.consumed;
 }
 
+/* Whether the end of the current run shows no more than that its connection
+   has ended, while the client would take the end of its response, which began
+   with another run, as proof that it is complete. */
+static bool
+end_is_unproven(const mg_flow *f)
+{
+    return f->close_delimited && mg_http_is_chunked(f->request.http);
+}
+
 static void
 end_stream(mg_flow *f)
 {
@@ -562,6 +571,13 @@
         }
         return;
     }
+    if (end_is_unproven(f)) {
+        /* another run goes on after the last event, if there is more */
+        if (!retry(f)) {
+            mg_flow_fail(f, "end_unproven");
+        }
+        return;
+    }
     target_served(f);
     mg_flow_log_response(f, f->target->instance->info.id);
     mg_http_finish(f->request.http);
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -111,6 +111,10 @@
                               const char *extra);
 void
 mg_http_write(mg_http_req *r, mg_str data);
+/* Whether the response, which has started, is sent in chunks, so that its
+   client sees whether it is complete. */
+bool
+mg_http_is_chunked(const mg_http_req *r);
 void
 mg_http_finish(mg_http_req *r);
 void
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -854,6 +854,12 @@
     schedule_flush(c);
 }
 
+bool
+mg_http_is_chunked(const mg_http_req *r)
+{
+    return r->chunked;
+}
+
 void
 mg_http_finish(mg_http_req *r)
 {
