Streams without chunks that another entry passes on: a test

On the code before the fixes 'streams without chunks through another entry' fails (a reset stream counts as complete at both entries), now it passes.

--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -33,6 +33,17 @@
         world_close(c);
         return;
     }
+    if (strstr(head.p, "unframed") != NULL) {
+        world_write(c, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n");
+        if (strstr(head.p, "reset") != NULL) {
+            list_del(&c->link);
+            uv_tcp_close_reset(&c->tcp, world_free_handle);
+        }
+        else {
+            world_close(c);
+        }
+        return;
+    }
     if (strstr(head.p, "hold") != NULL) {
         return;
     }
@@ -286,6 +297,28 @@
     close_entries();
 }
 
+/* Guards against a response that looks complete to the client, or to the entry
+   that passed its request on, although its target has reset it. */
+static void
+test_unframed_streams_through_another_entry(void)
+{
+    other.stream = true;
+    open_entries(MG_RETRY_NEVER, false, true);
+    use_other();
+    serve_requests("/");
+    uint64_t complete = mg_counter_value(MG_C_COMPLETED);
+    CU_ASSERT_EQUAL(world_get("/unframed"), 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_TRUNCATED);
+    /* at both entries */
+    CU_ASSERT_EQUAL(mg_counter_value(MG_C_COMPLETED), complete + 2);
+    uint64_t truncated = mg_counter_value(MG_C_TRUNCATED);
+    CU_ASSERT_EQUAL(world_get("/unframed-reset"), 200);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_TRUNCATED);
+    CU_ASSERT_EQUAL(mg_counter_value(MG_C_COMPLETED), complete + 2);
+    CU_ASSERT_EQUAL(mg_counter_value(MG_C_TRUNCATED), truncated + 2);
+    close_entries();
+}
+
 /* an entry that reaches its targets doesn't pass on */
 static void
 test_entries_that_reach_their_targets(void)
@@ -504,6 +537,8 @@
         {"requests that are passed on run once", test_at_most_once},
         {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
+        {"streams without chunks through another entry",
+         test_unframed_streams_through_another_entry},
         {"entries that reach their targets",
          test_entries_that_reach_their_targets},
         {"refusals of a request that may have run", test_refusals_after_a_run},
