A response whose status is none is malformed

What callers saw: a target in trouble wrote a response with the status 000, 099, 101, 600 or 999. Through the gateway, the client of a request that isn't retried got 600 and 999 as they were, with their body; after 000, 099 and 101 the next bytes of the target were taken for the answer (200 "bad" in the test), and 000 with a body waited until the deadline (504). Through another entry it was the same, whether the target behind that entry wrote it or the entry itself.

Cause: the parser takes any three digits, and the channel skipped everything below 200 as an interim response.

Change: mg_h1_parse_response() refuses a status outside 100..599. The channel ends a request that is answered with 101: no request asks for an upgrade (the field isn't passed on), and what follows a 101 is not HTTP.

Why it works: MALFORMED ends the request like a broken connection: the target may have run it, so it is retried where the route allows it, else 502. Not covered: a head that is incomplete is judged when it is complete.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -14,6 +14,7 @@
 #define HEADER_BYTES_MAX 32768
 /* interim responses (1xx) to one request before the final one */
 #define INTERIM_RESPONSES_MAX 16
+#define STATUS_SWITCHING_PROTOCOLS 101
 /* the kernel closes a connection after about this time without an ACK, ms */
 #define PEER_TIMEOUT_MS 2500
 
@@ -189,6 +190,11 @@
         close_malformed(c, "head", c->in.n);
         return false;
     }
+    if (headers.status == STATUS_SWITCHING_PROTOCOLS) {
+        /* no request asks for it, and what follows is not HTTP */
+        close_malformed(c, "upgrade", headers.size);
+        return false;
+    }
     if (headers.status < 200) {
         return skip_interim(c, headers.size);
     }
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -5,7 +5,8 @@
  * whether it may be retried even if it is not idempotent: it distinguishes a
  * request of which nothing was written, a complete response and a truncated
  * one. The user can skip a response that belongs to another request; bytes
- * that arrive while no response is expected close the channel.
+ * that arrive while no response is expected close the channel. Interim
+ * responses are skipped; 101 is malformed, as no request asks for an upgrade.
  *
  * A channel owns its socket. After on_end it is either idle or closing; its
  * former user must not use it unless it takes it over by mg_channel_reuse().
--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -27,6 +27,9 @@
 
 #define PHR_PARTIAL (-2)
 
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 bool
 mg_h1_name_is(mg_str name, const char *s)
 {
@@ -181,7 +184,9 @@
     int rc = phr_parse_response(in.p, in.n, &h->minor_version, &h->status,
                                 &reason.p, &reason.n, headers,
                                 &h->header_count, seen);
-    return finish_headers(h, headers, rc);
+    mg_rc result = finish_headers(h, headers, rc);
+    bool valid = h->status >= STATUS_MIN && h->status <= STATUS_MAX;
+    return result == MG_OK && !valid ? MG_E_INPUT : result;
 }
 
 static void
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -5,7 +5,7 @@
  * addition, a header section is rejected if it leaves the end of the message
  * ambiguous (request smuggling): more than one Content-Length, Content-Length
  * together with Transfer-Encoding, a coding other than chunked, folded lines,
- * whitespace before the colon.
+ * whitespace before the colon. The status of a response is 100 to 599.
  *
  * Nothing here owns memory: strings point into the bytes that were parsed.
  */
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -60,6 +60,46 @@
     }
 }
 
+/* What is no answer of a target reaches no client as one. */
+static void
+check_malformed(const char *response)
+{
+    open_answers_world(MG_RETRY_NEVER, false, response);
+    int status = world_get("/faulty");
+    if (status != 502) {
+        printf("\n  client got %d \"%.*s\" for:\n%s", status,
+               MG_STR_FMT(mg_str_buf(&world.answer.body)), response);
+    }
+    CU_ASSERT_EQUAL(status, 502);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_EQUAL(world.answer.body.n, 0);
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    world_shut();
+    open_answers_world(MG_RETRY_BEFORE_RESPONSE, false, response);
+    CU_ASSERT_EQUAL(world_get("/faulty"), 200);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), "ok"));
+    CU_ASSERT_EQUAL(world.executed, 2);
+    world_shut();
+}
+
+#define AFTER_STATUS "\r\nContent-Length: 3\r\n\r\nbad"
+
+static void
+test_status(void)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 000 X" AFTER_STATUS,
+        "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 600 X" AFTER_STATUS,
+        "HTTP/1.1 999 X" AFTER_STATUS,
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        check_malformed(rows[i]);
+    }
+}
+
 /* a target stops in the middle of its header section and closes */
 static void
 test_partial_headers(void)
@@ -218,6 +258,7 @@
 {
     static const CU_TestInfo tests[] = {
         {"malformed chunks", test_malformed_chunks},
+        {"answers without a valid status", test_status},
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
--- a/tests/unit/channel_test.c
+++ b/tests/unit/channel_test.c
@@ -223,6 +223,26 @@
     reset();
 }
 
+/* what has no valid status is no response, not even an interim one */
+static void
+test_status(void)
+{
+    static const char *const rows[] = {"000", "001", "099",
+                                       "101", "600", "999"};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        reset();
+        mg_buf_printf(&world.response,
+                      "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n%s", rows[i],
+                      FINAL);
+        run_request();
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result, MG_CHANNEL_MALFORMED);
+        CU_ASSERT_EQUAL(world.body.n, 0);
+        CU_ASSERT_FALSE(world.idle);
+    }
+    reset();
+}
+
 /* the response is complete; nobody waits for what follows */
 static void
 test_bytes_after_the_last_chunk(void)
@@ -245,6 +265,7 @@
          test_final_response_after_interim},
         {"interim responses without end", test_interim_responses_without_end},
         {"malformed chunks", test_malformed_chunks},
+        {"responses without a valid status", test_status},
         {"bytes after the last chunk", test_bytes_after_the_last_chunk},
         CU_TEST_INFO_NULL,
     };
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -81,6 +81,32 @@
     CU_ASSERT_EQUAL(b.framing, MG_H1_NO_BODY);
 }
 
+/* a status is three digits, from 100 to 599 */
+static void
+test_status(void)
+{
+    static const struct {
+        const char *status;
+        mg_rc rc;
+    } rows[] = {
+        {"100", MG_OK},      {"103", MG_OK},       {"200", MG_OK},
+        {"599", MG_OK},      {"000", MG_E_INPUT},  {"001", MG_E_INPUT},
+        {"099", MG_E_INPUT}, {"600", MG_E_INPUT},  {"999", MG_E_INPUT},
+        {"20", MG_E_INPUT},  {"2x0", MG_E_INPUT},  {"2000", MG_E_INPUT},
+        {"-20", MG_E_INPUT}, {" 200", MG_E_INPUT},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        mg_h1_headers h;
+        char text[64];
+        snprintf(text, sizeof(text), "HTTP/1.1 %s X\r\n\r\n", rows[i].status);
+        mg_rc rc = mg_h1_parse_response(mg_str_of(text), 0, &h);
+        if (rc != rows[i].rc) {
+            printf("\n  status %s: %d", rows[i].status, (int)rc);
+        }
+        CU_ASSERT_EQUAL(rc, rows[i].rc);
+    }
+}
+
 /* decodes a random body that arrives in fragments of random size */
 static const char *
 decode_random_body(uint64_t seed)
@@ -176,6 +202,7 @@
         {"ambiguous header sections are rejected",
          test_ambiguous_header_sections},
         {"framing of responses", test_response_framing},
+        {"status of responses", test_status},
         {"fragmented bodies", test_fragmented_bodies},
         {"outputs for malformed chunks", test_outputs_for_malformed_chunks},
         CU_TEST_INFO_NULL,
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -24,9 +24,15 @@
     bool stream;
 } other;
 
+static const char *raw; /* bytes that answer a request for /raw */
+
 static void
 serve(world_conn *c, mg_str head)
 {
+    if (strstr(head.p, "raw") != NULL) {
+        world_write(c, raw);
+        return;
+    }
     if (strstr(head.p, "cut") != NULL) {
         world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "9\r\ndata: a\n\n\r\n");
@@ -227,6 +233,53 @@
     check_relay(MG_RETRY_RESUME, true);
 }
 
+/* Puts serve() in the place of the other entry, which still claims to reach
+   the service. */
+static void
+replace_other_entry(void)
+{
+    mg_http_stop_listening(other.relay);
+    other.claims = true;
+    world_crash(0);
+    world_pass(20);
+    snprintf(world.addrs[0], sizeof(world.addrs[0]), "%s:%d", other_node,
+             WORLD_RELAY_PORT);
+    world_listen(0);
+}
+
+static const char *const no_statuses[] = {
+    "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
+    "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad",
+};
+
+/* bytes that are no answer, of a target behind another entry, and of that
+   entry */
+static void
+test_malformed_answers(void)
+{
+    other.stream = false;
+    for (int of_entry = 0; of_entry < 2; of_entry++) {
+        open_entries(MG_RETRY_NEVER, false, true);
+        use_other();
+        serve_requests("/");
+        if (of_entry) {
+            replace_other_entry();
+        }
+        for (size_t i = 0; i < sizeof(no_statuses) / sizeof(no_statuses[0]);
+             i++) {
+            unsigned before = world.executed;
+            raw = no_statuses[i];
+            CU_ASSERT_EQUAL(world_get("/raw"), 502);
+            CU_ASSERT_EQUAL(world.executed, before + 1);
+            CU_ASSERT_EQUAL(world.answer.body.n, 0);
+            use_other();
+        }
+        close_entries();
+    }
+}
+
 /* a request that must not be repeated reaches targets once, whatever fails */
 static void
 test_at_most_once(void)
@@ -501,6 +554,7 @@
          test_requests_go_through_another_entry},
         {"streams go through another entry",
          test_streams_go_through_another_entry},
+        {"malformed answers through another entry", test_malformed_answers},
         {"requests that are passed on run once", test_at_most_once},
         {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
