Chunks are read strictly, and their lines have an end

What callers saw: the body of a malformed answer was passed on as an answer of the target, with status 200: "0x3 CR LF bad" became an empty body, "3x CR LF bad" and bodies with bare CR or LF were taken as if they were well formed, and so were trailers of any bytes. A client could hold a connection to the server in the same way.

Cause: the decoder of picohttpparser skips whatever follows the digits of a size up to LF, skips trailers unseen, and counts neither.

Change: a decoder of our own (wire/chunks.c) takes only the forms of RFC 9112, section 7.1, with CR LF; blanks after a size stay allowed. A line with a size is limited to 4 KB, all trailers to 16 KB; trailers are dropped as before.

Why it works: each byte is in one state, so that a body has one reading; what belongs to no body is counted where it is read, by targets and clients alike.

--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -22,14 +22,29 @@
                    int *status, const char **msg, size_t *msg_len,
                    struct phr_header *headers, size_t *num_headers,
                    size_t last_len);
-ssize_t
-phr_decode_chunked(void *decoder, char *buf, size_t *bufsz);
-
 #define PHR_PARTIAL (-2)
 
+#define DEL 0x7f
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 
+bool
+mg_h1_is_name_byte(char c)
+{
+    if ((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+        (c >= 'A' && c <= 'Z')) {
+        return true;
+    }
+    return c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL;
+}
+
+bool
+mg_h1_is_value_byte(char c)
+{
+    unsigned char byte = (unsigned char)c;
+    return c == '\t' || (byte >= ' ' && byte != DEL);
+}
+
 bool
 mg_h1_name_is(mg_str name, const char *s)
 {
@@ -234,7 +249,6 @@
     *b = (mg_h1_body){0};
     if (h->chunked) {
         b->framing = MG_H1_CHUNKED;
-        b->chunks.consume_trailer = 1;
     }
     else if (h->has_content_length && h->content_length > 0) {
         b->framing = MG_H1_LENGTH;
@@ -258,20 +272,16 @@
 static mg_rc
 decode_chunks(mg_h1_body *b, char *p, size_t n, mg_str *data, mg_str *rest)
 {
-    size_t size = n;
-    ssize_t rc = phr_decode_chunked(&b->chunks, p, &size);
-    if (rc == -1) {
-        *data = (mg_str){p, 0};
-        *rest = (mg_str){p + n, 0};
-        return MG_E_INPUT;
+    size_t size;
+    size_t used;
+    mg_rc rc = mg_chunks_decode(&b->chunks, p, n, &size, &used);
+    if (rc == MG_E_INPUT) {
+        size = 0;
+        used = n;
     }
     *data = (mg_str){p, size};
-    if (rc < 0) {
-        *rest = (mg_str){p + n, 0};
-        return MG_E_IN_PROGRESS;
-    }
-    *rest = (mg_str){p + size, (size_t)rc};
-    return MG_OK;
+    *rest = (mg_str){p + used, n - used};
+    return rc;
 }
 
 mg_rc
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -14,6 +14,7 @@
 
 #include "base/bytes.h"
 #include "base/outcome.h"
+#include "wire/chunks.h"
 
 #define MG_H1_HEADERS_MAX 64
 
@@ -54,6 +55,12 @@
 /* Value of the first header with this name, empty if there is none. */
 mg_str
 mg_h1_get(const mg_h1_headers *h, const char *name);
+/* Whether the byte may be part of a name of a field (RFC 9110, token), and of
+   the value of one: no control byte but HTAB. */
+bool
+mg_h1_is_name_byte(char c);
+bool
+mg_h1_is_value_byte(char c);
 /* Compares without regard to ASCII case. */
 bool
 mg_h1_name_is(mg_str name, const char *s);
@@ -76,12 +83,7 @@
 typedef struct mg_h1_body {
     mg_h1_framing framing;
     uint64_t remaining; /* bytes, with MG_H1_LENGTH */
-    struct {
-        size_t bytes_left_in_chunk;
-        char consume_trailer;
-        char hex_count;
-        char state;
-    } chunks; /* same layout as struct phr_chunked_decoder */
+    mg_chunks chunks;
 } mg_h1_body;
 
 void
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -82,6 +82,16 @@
     world_shut();
 }
 
+static void
+test_forms_of_chunks(void)
+{
+    check_malformed(CHUNKED "0x3\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3x\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3\nbad\n0\n\n");
+    check_malformed(CHUNKED "3;a\rb\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3\r\nbad\r\n0\r\nT T: v\r\n\r\n");
+}
+
 #define AFTER_STATUS "\r\nContent-Length: 3\r\n\r\nbad"
 
 static void
@@ -259,6 +269,7 @@
     static const CU_TestInfo tests[] = {
         {"malformed chunks", test_malformed_chunks},
         {"answers without a valid status", test_status},
+        {"forms of chunks", test_forms_of_chunks},
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
--- a/tests/unit/channel_test.c
+++ b/tests/unit/channel_test.c
@@ -1,8 +1,7 @@
 /*
  * A channel to a server that writes given bytes for each request. Guards
  * against a response that is not read because it came together with an interim
- * one, against interim responses without end, and against malformed chunks
- * that end the process.
+ * one, against malformed responses, and against bytes without end.
  */
 #include "suite.h"
 
@@ -26,11 +25,16 @@
     uv_write_t write;
     mg_channel *channel;
     mg_buf response;
+    mg_buf block; /* repeated after the response; empty: not */
+    size_t flooded;
     mg_buf body;
     bool accepted;
     unsigned ended;
     mg_channel_result result;
     bool idle;
+    bool keeps_idle; /* the channel stays open after the response */
+    bool timed_out;
+    bool closed; /* by the channel itself */
     char in[4096];
 } world;
 
@@ -82,22 +86,27 @@
     (void)cb;
     world.ended++;
     world.result = result;
-    end();
+    if (!world.keeps_idle) {
+        end();
+    }
 }
 
 static void
 on_timeout(uv_timer_t *t)
 {
     (void)t;
+    world.timed_out = true;
     mg_channel_close(world.channel);
     end();
 }
 
 static void
-on_channel_event(void *owner, mg_channel *c)
+on_closed(void *owner, mg_channel *c)
 {
     (void)owner;
     (void)c;
+    world.closed = !world.timed_out;
+    end();
 }
 
 static void
@@ -105,7 +114,9 @@
 {
     (void)owner;
     world.idle = true;
-    mg_channel_close(c);
+    if (!world.keeps_idle) {
+        mg_channel_close(c);
+    }
 }
 
 static void
@@ -116,6 +127,16 @@
     *b = uv_buf_init(world.in, sizeof(world.in));
 }
 
+static void
+on_written(uv_write_t *req, int status)
+{
+    if (status == 0 && world.block.n > 0) {
+        uv_buf_t out = uv_buf_init(world.block.p, (unsigned)world.block.n);
+        world.flooded += world.block.n;
+        uv_write(&world.write, req->handle, &out, 1, on_written);
+    }
+}
+
 static void
 on_request(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
 {
@@ -123,7 +144,7 @@
     if (n > 0) {
         uv_buf_t out =
             uv_buf_init(world.response.p, (unsigned)world.response.n);
-        uv_write(&world.write, s, &out, 1, NULL);
+        uv_write(&world.write, s, &out, 1, on_written);
     }
 }
 
@@ -156,7 +177,7 @@
         &(mg_channel_options){
             .loop = &world.loop,
             .addr = addr,
-            .on_closed = on_channel_event,
+            .on_closed = on_closed,
             .on_idle = on_idle,
         },
         &world.callbacks);
@@ -168,6 +189,7 @@
 reset(void)
 {
     mg_buf_free(&world.response);
+    mg_buf_free(&world.block);
     mg_buf_free(&world.body);
     memset(&world, 0, sizeof(world));
 }
@@ -210,6 +232,12 @@
         {CHUNKED "fffffffffffffffff\r\n", 0},
         {INTERIM CHUNKED "x", 0},
         {INTERIM CHUNKED "2\r\nokX", 2},
+        {CHUNKED "0x2\r\nok\r\n0\r\n\r\n", 0},
+        {CHUNKED "2x\r\nok\r\n0\r\n\r\n", 0},
+        {CHUNKED "2\nok\n0\n\n", 0},
+        {CHUNKED "2;a\rb\r\nok\r\n0\r\n\r\n", 0},
+        {CHUNKED "2\r\nok\r\n0\r\nT T: v\r\n\r\n", 2},
+        {CHUNKED "2\r\nok\r\n0\r\nT: v\x01\r\n\r\n", 2},
     };
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
         reset();
@@ -243,6 +271,73 @@
     reset();
 }
 
+/* bytes that a server sends before it sees that the channel is closed, at
+   most */
+#define FLOOD_MAX (8u << 20)
+
+/* The server sends start and then the block without end. */
+static void
+run_flood(const char *start, const char *block)
+{
+    reset();
+    world.keeps_idle = true;
+    mg_buf_printf(&world.response, "%s", start);
+    for (int i = 0; i < 1000; i++) {
+        mg_buf_printf(&world.block, "%s", block);
+    }
+    run_request();
+}
+
+static void
+test_floods_that_are_no_response(void)
+{
+    static const struct {
+        const char *start;
+        const char *block;
+    } rows[] = {
+        {"HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789abcdef\r\n"},
+        {"HTTP/1.1 200 OK\r\nX-Filler: ", "0123456789abcdef"},
+        {"HTTP/1.1 200 ", "OK"},
+        {"", INTERIM},
+        {CHUNKED, "0000000000000000"},
+        {CHUNKED "2", "        "},
+        {CHUNKED "2;", "x=0123456789abcdef"},
+        {CHUNKED "0\r\n", "X-Filler: 0123456789abcdef\r\n"},
+        {CHUNKED "0\r\nX-Filler: ", "0123456789abcdef"},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        run_flood(rows[i].start, rows[i].block);
+        if (world.ended == 0) {
+            printf("\n  flood %zu: not ended, %zu KB sent", i,
+                   world.flooded >> 10);
+        }
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result, MG_CHANNEL_MALFORMED);
+        CU_ASSERT_TRUE(world.closed);
+        CU_ASSERT_TRUE(world.flooded <= FLOOD_MAX);
+        CU_ASSERT_EQUAL(world.body.n, 0);
+    }
+    reset();
+}
+
+/* what follows a response ends the connection */
+static void
+test_floods_after_a_response(void)
+{
+    static const char *const rows[] = {
+        FINAL, CHUNKED "2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        run_flood(rows[i], FINAL);
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result, MG_CHANNEL_COMPLETE);
+        CU_ASSERT_TRUE(world.closed);
+        CU_ASSERT_TRUE(world.flooded <= FLOOD_MAX);
+        CU_ASSERT_EQUAL(world.body.n, i < 2 ? 2 : 0);
+    }
+    reset();
+}
+
 /* the response is complete; nobody waits for what follows */
 static void
 test_bytes_after_the_last_chunk(void)
@@ -267,6 +362,8 @@
         {"malformed chunks", test_malformed_chunks},
         {"responses without a valid status", test_status},
         {"bytes after the last chunk", test_bytes_after_the_last_chunk},
+        {"floods that are no response", test_floods_that_are_no_response},
+        {"floods after a response", test_floods_after_a_response},
         CU_TEST_INFO_NULL,
     };
     return run_suite("channel", tests);
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -194,6 +194,170 @@
     }
 }
 
+/* what is decoded of a body, with the bytes after it; NULL: malformed */
+static const char *
+decode_text(const char *body, size_t n, size_t piece)
+{
+    static mg_buf out;
+    mg_h1_body b;
+    mg_rc rc = MG_E_IN_PROGRESS;
+    out.n = 0;
+    mg_h1_body_init_request(&b, &(mg_h1_headers){.chunked = true});
+    for (size_t i = 0; i < n && rc == MG_E_IN_PROGRESS; i += piece) {
+        mg_buf in = {0};
+        mg_str data;
+        mg_str rest;
+        mg_buf_put(&in, body + i, piece < n - i ? piece : n - i);
+        rc = mg_h1_body_decode(&b, in.p, in.n, &data, &rest);
+        mg_buf_put(&out, data.p, data.n);
+        mg_buf_put(&out, rest.p, rest.n);
+        mg_buf_free(&in);
+    }
+    mg_buf_put(&out, rc == MG_OK ? "." : "", 2);
+    return rc == MG_E_INPUT ? NULL : out.p;
+}
+
+#define END "0\r\n\r\n"
+
+static void
+test_forms_of_chunks(void)
+{
+    static const struct {
+        const char *body;
+        const char *decoded; /* a full stop: complete; NULL: malformed */
+    } rows[] = {
+        {"2\r\nok\r\n" END, "ok."},
+        {"02\r\nok\r\n" END, "ok."},
+        {"2 \t\r\nok\r\n" END, "ok."},
+        {"2;a=b;c=\"d\"\r\nok\r\n" END, "ok."},
+        {"2 ; a\r\nok\r\n" END, "ok."},
+        {"A\r\n0123456789\r\n" END, "0123456789."},
+        {"2\r\nok\r\n0\r\nT: v\r\nU:\tw\r\n\r\n", "ok."},
+        {"2\r\nok\r\n00\r\n\r\n", "ok."},
+        {"2\r\nok\r\n", "ok"},
+        {"ffffffffffffffff\r\nok", "ok"},
+        /* sizes */
+        {"2x\r\nok\r\n" END, NULL},
+        {"2 x\r\nok\r\n" END, NULL},
+        {"2,3\r\nok\r\n" END, NULL},
+        {"0x2\r\nok\r\n" END, NULL},
+        {"+2\r\nok\r\n" END, NULL},
+        {"-2\r\nok\r\n" END, NULL},
+        {" 2\r\nok\r\n" END, NULL},
+        {"\r\n", NULL},
+        {";a\r\n", NULL},
+        {"10000000000000000\r\n", NULL},
+        /* ends of lines */
+        {"2\nok\r\n" END, NULL},
+        {"2\r\nok\n" END, NULL},
+        {"2\r\nok\r\n0\n\r\n", NULL},
+        {"2\r\nok\r\n0\r\n\n", NULL},
+        {"2\r\nok\r\r\n" END, NULL},
+        {"2\r\r\nok\r\n" END, NULL},
+        {"2\rok\r\n" END, NULL},
+        {"2\r\nok" END, NULL},
+        {"2;a\nok\r\n" END, NULL},
+        {"2;a\rb\r\nok\r\n" END, NULL},
+        {"2;a=\x01\r\nok\r\n" END, NULL},
+        /* trailers */
+        {"0\r\nT: v\n\r\n", NULL},
+        {"0\r\nT\r\n\r\n", NULL},
+        {"0\r\n: v\r\n\r\n", NULL},
+        {"0\r\nT T: v\r\n\r\n", NULL},
+        {"0\r\nT : v\r\n\r\n", NULL},
+        {"0\r\nT\x01: v\r\n\r\n", NULL},
+        {"0\r\nT: \x01\r\n\r\n", NULL},
+        {"0\r\nT: v\r\n w\r\n\r\n", NULL},
+        {"0\r\nT: v\rU: w\r\n\r\n", NULL},
+        {"0\r\n\r\r\n", NULL},
+        {"0\r\n\rX\r\n\r\n", NULL},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        size_t n = strlen(rows[i].body);
+        for (size_t piece = 1; piece <= n; piece++) {
+            const char *s = decode_text(rows[i].body, n, piece);
+            bool same = s != NULL && rows[i].decoded != NULL
+                            ? strcmp(s, rows[i].decoded) == 0
+                            : s == rows[i].decoded;
+            if (!same && piece == n) {
+                printf("\n  row %zu is decoded to \"%s\"", i,
+                       s != NULL ? s : "(malformed)");
+            }
+            CU_ASSERT_TRUE(same);
+        }
+    }
+}
+
+/* Decodes start and then a byte without end; returns after how many bytes it
+   is malformed, 0: never. */
+static size_t
+endless(const char *start, char byte)
+{
+    mg_buf in = {0};
+    mg_buf_printf(&in, "%s", start);
+    mg_h1_body b;
+    mg_h1_body_init_request(&b, &(mg_h1_headers){.chunked = true});
+    mg_str data;
+    mg_str rest;
+    size_t n = 0;
+    while (n < 1u << 20) {
+        n += in.n;
+        if (mg_h1_body_decode(&b, in.p, in.n, &data, &rest) !=
+            MG_E_IN_PROGRESS) {
+            mg_buf_free(&in);
+            return n;
+        }
+        in.n = 0;
+        mg_buf_put(&in, &byte, 1);
+    }
+    mg_buf_free(&in);
+    return 0;
+}
+
+/* lines that belong to no body have an end */
+static void
+test_endless_lines_of_chunks(void)
+{
+    static const struct {
+        const char *start;
+        char byte;
+        size_t max;
+    } rows[] = {
+        {"", '0', 17},          {"2", ' ', 4100},
+        {"2;", 'x', 4100},      {"2\r\nok\r\n3;", 'x', 4110},
+        {"0\r\nT", 'x', 16400}, {"0\r\nT:", ' ', 16400},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        size_t n = endless(rows[i].start, rows[i].byte);
+        if (n == 0) {
+            printf("\n  row %zu has no end", i);
+        }
+        CU_ASSERT_TRUE(n > 0 && n <= rows[i].max);
+    }
+    CU_ASSERT_EQUAL(endless("fffffffff\r\n", 'x'), 0);
+}
+
+/* many short lines are like a long one, in trailers but not in extensions */
+static void
+test_many_lines_of_chunks(void)
+{
+    mg_buf chunks = {0};
+    mg_buf trailers = {0};
+    for (int i = 0; i < 10000; i++) {
+        mg_buf_printf(&chunks, "1;x=y\r\nz\r\n");
+    }
+    mg_buf_printf(&chunks, END);
+    mg_buf_printf(&trailers, "0\r\n");
+    for (int i = 0; i < 4000; i++) {
+        mg_buf_printf(&trailers, "T: v\r\n");
+    }
+    const char *s = decode_text(chunks.p, chunks.n, 1000);
+    CU_ASSERT_TRUE(s != NULL && strlen(s) == 10001);
+    CU_ASSERT_PTR_NULL(decode_text(trailers.p, trailers.n, 1000));
+    mg_buf_free(&chunks);
+    mg_buf_free(&trailers);
+}
+
 int
 main(void)
 {
@@ -205,6 +369,9 @@
         {"status of responses", test_status},
         {"fragmented bodies", test_fragmented_bodies},
         {"outputs for malformed chunks", test_outputs_for_malformed_chunks},
+        {"forms of chunks", test_forms_of_chunks},
+        {"lines of chunks without end", test_endless_lines_of_chunks},
+        {"many lines of chunks", test_many_lines_of_chunks},
         CU_TEST_INFO_NULL,
     };
     return run_suite("h1", tests);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -455,6 +455,31 @@
     close_world();
 }
 
+#define CHUNKED_BYTES (32u << 10)
+
+/* lines that belong to no body are limited like a head */
+static void
+test_long_lines_of_chunks(void)
+{
+    static const char head[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+    static const char *const starts[] = {"2;", "2", "0\r\nT: "};
+    static char filler[CHUNKED_BYTES];
+    char first[256];
+    memset(filler, ' ', sizeof(filler));
+    for (size_t i = 0; i < sizeof(starts) / sizeof(starts[0]); i++) {
+        open_world();
+        connect_client(0);
+        send_all(0, head, sizeof(head) - 1);
+        send_all(0, starts[i], strlen(starts[i]));
+        send_all(0, filler, sizeof(filler));
+        receive(0, first, sizeof(first));
+        CU_ASSERT_EQUAL(strncmp(first, "HTTP/1.1 400", 12), 0);
+        CU_ASSERT_EQUAL(world.served, 0);
+        close_world();
+    }
+}
+
 int
 main(void)
 {
@@ -462,6 +487,7 @@
         {"bodies that arrive slowly", test_bodies},
         {"one large body", test_one_large_body},
         {"responses that are not read", test_slow_readers},
+        {"long lines of chunks", test_long_lines_of_chunks},
         {"a closed connection with output", test_closed_with_output},
         {"responses without a length", test_without_length},
         {"many requests in one write", test_pipelined},
