Names, values and start lines are checked by our own code as well

What callers may have seen: elsewhere, answers in whose head the name of a field held a blank or a control byte were passed on. Here they weren't: the parser of libh2o refuses every byte that isn't one of a token, in requests and responses, and the client got 502 before this change too. The test of each byte at 20 places of a name and of a value (41,000 assertions) passed on the code before, and so did answers_test "forms of fields" (16 heads through a gateway).

What failed: requests with an empty method, an empty target, or a method that is no token were accepted (h1_test "start lines", 4 of 21 rows).

Change: h1.c checks names, values and the method itself, with one function for each, used for requests and responses alike. The parser comes without a header and with whatever version libh2o has; what a proxy must refuse shouldn't depend on it.

Listed and tested, refused before and now: folded lines, a blank before the colon, empty names, lines without a colon, bare CR; Content-Length with a sign, blank, comma list, 0x, 19 digits, empty, twice, or with a coding; any Transfer-Encoding but one "chunked"; chunked in HTTP/1.0. Accepted, as RFC 9112 (2.2) allows: a bare LF at the end of a line of a head.

--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -45,6 +45,29 @@
     return c == '\t' || (byte >= ' ' && byte != DEL);
 }
 
+/* false for an empty name, which is what the parser gives a folded line */
+static bool
+is_token(mg_str s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        if (!mg_h1_is_name_byte(s.p[i])) {
+            return false;
+        }
+    }
+    return s.n > 0;
+}
+
+static bool
+is_value(mg_str s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        if (!mg_h1_is_value_byte(s.p[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 mg_h1_name_is(mg_str name, const char *s)
 {
@@ -107,18 +130,17 @@
     return false;
 }
 
-/* Sets the framing of the body. Rejects ambiguous framing headers, some of
-   which the parser accepts. */
+/* Sets the framing of the body. Rejects malformed names and values, and
+   ambiguous framing headers, some of which the parser accepts. */
 static mg_rc
-validate_framing(mg_h1_headers *h)
+validate_fields(mg_h1_headers *h)
 {
     bool has_coding = false;
     h->close = h->minor_version == 0;
     for (size_t i = 0; i < h->header_count; i++) {
         mg_str name = h->headers[i].name;
         mg_str value = h->headers[i].value;
-        if (name.n == 0 || name.p[name.n - 1] == ' ' ||
-            name.p[name.n - 1] == '\t') {
+        if (!is_token(name) || !is_value(value)) {
             return MG_E_INPUT;
         }
         if (mg_h1_name_is(name, "content-length")) {
@@ -164,7 +186,7 @@
         h->headers[i].name = (mg_str){from[i].name, from[i].name_len};
         h->headers[i].value = (mg_str){from[i].value, from[i].value_len};
     }
-    return validate_framing(h);
+    return validate_fields(h);
 }
 
 static void
@@ -187,7 +209,9 @@
     int rc = phr_parse_request(in.p, in.n, &h->method.p, &h->method.n,
                                &h->target.p, &h->target.n, &h->minor_version,
                                headers, &h->header_count, seen);
-    return finish_headers(h, headers, rc);
+    mg_rc result = finish_headers(h, headers, rc);
+    bool valid = is_token(h->method) && h->target.n > 0;
+    return result == MG_OK && !valid ? MG_E_INPUT : result;
 }
 
 mg_rc
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -2,10 +2,12 @@
  * h1 - parses header sections and bodies of HTTP/1.1 messages
  *
  * Header sections are parsed by picohttpparser, which libh2o exports. In
- * addition, a header section is rejected if it leaves the end of the message
+ * addition, a header section is rejected if a name, a value or the method
+ * holds a byte that it must not hold, or if it leaves the end of the message
  * ambiguous (request smuggling): more than one Content-Length, Content-Length
  * together with Transfer-Encoding, a coding other than chunked, folded lines,
- * whitespace before the colon. The status of a response is 100 to 599.
+ * whitespace before the colon. A bare LF may end a line, a bare CR may not.
+ * The status of a response is 100 to 599.
  *
  * Nothing here owns memory: strings point into the bytes that were parsed.
  */
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -92,6 +92,36 @@
     check_malformed(CHUNKED "3\r\nbad\r\n0\r\nT T: v\r\n\r\n");
 }
 
+static void
+test_forms_of_fields(void)
+{
+    static const char *const fields[] = {
+        "X y: z",
+        "X\x01y: z",
+        "X : z",
+        ": z",
+        "Transfer Encoding: chunked",
+        "Content-Length\x0b: 3",
+        "X: y\x01z",
+        "X: y\r z",
+        "X: y\r\n z",
+        "Content-Length: +3",
+        "Content-Length: 3, 3",
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: identity",
+    };
+    for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+        char response[256];
+        snprintf(response, sizeof(response),
+                 "HTTP/1.1 200 OK\r\n%s\r\n\r\nbad", fields[i]);
+        check_malformed(response);
+    }
+    check_malformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nbad\r\n0\r\n\r\n");
+}
+
 #define AFTER_STATUS "\r\nContent-Length: 3\r\n\r\nbad"
 
 static void
@@ -270,6 +300,7 @@
         {"malformed chunks", test_malformed_chunks},
         {"answers without a valid status", test_status},
         {"forms of chunks", test_forms_of_chunks},
+        {"forms of fields", test_forms_of_fields},
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -61,6 +61,181 @@
     }
 }
 
+/* parses a header section with these lines, without the last CR LF */
+static mg_rc
+parse_lines(bool request, const char *lines, size_t n, mg_h1_headers *h)
+{
+    mg_buf text = {0};
+    mg_buf_printf(&text,
+                  request ? "POST / HTTP/1.1\r\n" : "HTTP/1.1 200 OK\r\n");
+    mg_buf_put(&text, lines, n);
+    mg_buf_put(&text, "\r\n\r\n", 4);
+    mg_rc rc = request ? mg_h1_parse_request(mg_str_buf(&text), 0, h)
+                       : mg_h1_parse_response(mg_str_buf(&text), 0, h);
+    mg_buf_free(&text);
+    return rc;
+}
+
+static bool
+is_token_byte(int c)
+{
+    return c > ' ' && c < 127 && strchr("\"(),/:;<=>?@[\\]{}", c) == NULL;
+}
+
+/* Each byte at each place of a name and of a value, of lengths on both sides
+   of what the parser compares at once. LF and the colon end a line and a name.
+ */
+static void
+test_bytes_of_fields(void)
+{
+    mg_h1_headers h;
+    for (int i = 0; i < 2 * 20 * 256; i++) {
+        bool request = i % 2;
+        size_t at = (size_t)(i / 2 % 20);
+        int c = i / 40;
+        char name[] = "nnnnnnnnnnnnnnnnnnnn: v";
+        char value[] = "A: vvvvvvvvvvvvvvvvvvvv";
+        name[at] = (char)c;
+        value[3 + at] = (char)c;
+        bool in_value = c == '\t' || (c >= ' ' && c != 127);
+        if (c != ':' && c != '\n') {
+            mg_rc rc = parse_lines(request, name, sizeof(name) - 1, &h);
+            CU_ASSERT_EQUAL(rc, is_token_byte(c) ? MG_OK : MG_E_INPUT);
+            CU_ASSERT_EQUAL(mg_h1_is_name_byte((char)c), is_token_byte(c));
+        }
+        if (c != '\n') {
+            mg_rc rc = parse_lines(request, value, sizeof(value) - 1, &h);
+            CU_ASSERT_EQUAL(rc, in_value ? MG_OK : MG_E_INPUT);
+            CU_ASSERT_EQUAL(mg_h1_is_value_byte((char)c), in_value);
+        }
+    }
+}
+
+/* readings of fields, in requests and responses alike */
+static void
+test_forms_of_fields(void)
+{
+    static const struct {
+        const char *lines;
+        mg_rc rc;
+    } rows[] = {
+        {"A:", MG_OK},
+        {"A:\tb c\t", MG_OK},
+        {"A: \x80", MG_OK},
+        {"A: b\nC: d", MG_OK}, /* RFC 9112, 2.2: a bare LF may end a line */
+        {"Content-Length: 0", MG_OK},
+        {"Content-Length: 002", MG_OK},
+        {"Content-Length: 999999999999999999", MG_OK},
+        {"Transfer-Encoding: CHUNKED", MG_OK},
+        /* names and lines */
+        {": 1", MG_E_INPUT},
+        {"A", MG_E_INPUT},
+        {"A : 1", MG_E_INPUT},
+        {"A\t: 1", MG_E_INPUT},
+        {" A: 1", MG_E_INPUT},
+        {"\tA: 1", MG_E_INPUT},
+        {"Transfer Encoding: chunked", MG_E_INPUT},
+        {"Transfer-Encoding\x0b: chunked", MG_E_INPUT},
+        {"Content\x00Length: 1", MG_E_INPUT},
+        {"A: b\r\n c", MG_E_INPUT},
+        {"A: b\r\n\tc", MG_E_INPUT},
+        {"A: b\r\n \r\nC: d", MG_E_INPUT},
+        {"A: b\rC: d", MG_E_INPUT},
+        {"A: b\r\r\nC: d", MG_E_INPUT},
+        {"A: b\r", MG_E_INPUT},
+        /* lengths */
+        {"Content-Length:", MG_E_INPUT},
+        {"Content-Length: +1", MG_E_INPUT},
+        {"Content-Length: -1", MG_E_INPUT},
+        {"Content-Length: 0x2", MG_E_INPUT},
+        {"Content-Length: 1 2", MG_E_INPUT},
+        {"Content-Length: 2, 2", MG_E_INPUT},
+        {"Content-Length: 2,", MG_E_INPUT},
+        {"Content-Length: 9999999999999999999", MG_E_INPUT},
+        {"Content-Length: 2\r\nContent-Length: 2", MG_E_INPUT},
+        {"Content-Length: 2\r\ncontent-length: 3", MG_E_INPUT},
+        {"Content-Length: 2\r\nTransfer-Encoding: chunked", MG_E_INPUT},
+        {"Transfer-Encoding: chunked\r\nContent-Length: 2", MG_E_INPUT},
+        /* codings */
+        {"Transfer-Encoding:", MG_E_INPUT},
+        {"Transfer-Encoding: identity", MG_E_INPUT},
+        {"Transfer-Encoding: gzip, chunked", MG_E_INPUT},
+        {"Transfer-Encoding: chunked, gzip", MG_E_INPUT},
+        {"Transfer-Encoding: ,chunked", MG_E_INPUT},
+        {"Transfer-Encoding: chunked,", MG_E_INPUT},
+        {"Transfer-Encoding: chunked;q=1", MG_E_INPUT},
+        {"Transfer-Encoding: \"chunked\"", MG_E_INPUT},
+        {"Transfer-Encoding: \x0b"
+         "chunked",
+         MG_E_INPUT},
+        {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+         MG_E_INPUT},
+        {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", MG_E_INPUT},
+    };
+    mg_h1_headers h;
+    for (size_t i = 0; i < 2 * sizeof(rows) / sizeof(rows[0]); i++) {
+        const char *lines = rows[i / 2].lines;
+        /* one row has a NUL in it */
+        size_t n = strcmp(lines, "Content") == 0 ? 17 : strlen(lines);
+        mg_rc rc = parse_lines(i % 2, lines, n, &h);
+        if (rc != rows[i / 2].rc) {
+            printf("\n  %s, row %zu: %d", i % 2 ? "request" : "response",
+                   i / 2, (int)rc);
+        }
+        CU_ASSERT_EQUAL(rc, rows[i / 2].rc);
+    }
+    CU_ASSERT_EQUAL(
+        mg_h1_parse_response(mg_str_of("HTTP/1.0 200 OK\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"),
+                             0, &h),
+        MG_E_INPUT);
+}
+
+static void
+test_start_lines(void)
+{
+    static const char *const malformed[] = {
+        " / HTTP/1.1",
+        "GET  HTTP/1.1",
+        "G(T / HTTP/1.1",
+        "GE\x80 / HTTP/1.1",
+        "G\x01T / HTTP/1.1",
+        "GET /\x01 HTTP/1.1",
+        "GET / a HTTP/1.1",
+        "GET / HTTP/2.0",
+        "GET / HTTP/1.1 ",
+        "GET / HTTP/1.1\r",
+        "GET /",
+        "GET /a\rb HTTP/1.1",
+    };
+    static const char *const malformed_responses[] = {
+        "HTTP/1.1  200 OK",  "HTTP/1.1 200OK",    "HTTP/2.0 200 OK",
+        "HTTP/1.1 200 \x01", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\r",
+        " HTTP/1.1 200 OK",  "http/1.1 200 OK",   "HTTP/1.1\t200 OK",
+    };
+    mg_h1_headers h;
+    char text[64];
+    for (size_t i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
+        snprintf(text, sizeof(text), "%s\r\nHost: h\r\n\r\n", malformed[i]);
+        mg_rc rc = mg_h1_parse_request(mg_str_of(text), 0, &h);
+        if (rc != MG_E_INPUT) {
+            printf("\n  request %zu: %d", i, (int)rc);
+        }
+        CU_ASSERT_EQUAL(rc, MG_E_INPUT);
+    }
+    for (size_t i = 0;
+         i < sizeof(malformed_responses) / sizeof(malformed_responses[0]);
+         i++) {
+        snprintf(text, sizeof(text), "%s\r\nA: b\r\n\r\n",
+                 malformed_responses[i]);
+        mg_rc rc = mg_h1_parse_response(mg_str_of(text), 0, &h);
+        if (rc != MG_E_INPUT) {
+            printf("\n  response %zu: %d", i, (int)rc);
+        }
+        CU_ASSERT_EQUAL(rc, MG_E_INPUT);
+    }
+}
+
 static void
 test_response_framing(void)
 {
@@ -365,6 +540,9 @@
         {"valid header sections", test_valid_header_sections},
         {"ambiguous header sections are rejected",
          test_ambiguous_header_sections},
+        {"bytes of fields", test_bytes_of_fields},
+        {"forms of fields", test_forms_of_fields},
+        {"start lines", test_start_lines},
         {"framing of responses", test_response_framing},
         {"status of responses", test_status},
         {"fragmented bodies", test_fragmented_bodies},
