Fields that a Connection field names are not passed on

What callers saw: an answer with "Connection: keep-alive, X-One" reached the client with its field X-One, which concerns only the connection between target and gateway. The fields that are listed in the code (Keep-Alive, TE, Trailer, Upgrade, the Proxy- ones, framing) weren't passed on, and no trailer was.

Cause: mg_h1_is_hop_by_hop() knew a fixed list and didn't see the message.

Change: it gets the header section and looks at all Connection fields in it (RFC 9110, 7.6.1).

"trailers" passed before and now.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -394,7 +394,7 @@
     f->headers.n = 0;
     for (size_t i = 0; i < headers->header_count; i++) {
         const mg_h1_header *h = &headers->headers[i];
-        if (mg_h1_is_hop_by_hop(h->name)) {
+        if (mg_h1_is_hop_by_hop(headers, h->name)) {
             continue;
         }
         mg_buf_put(&f->headers, h->name.p, h->name.n);
--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -85,8 +85,51 @@
     return (mg_str){"", 0};
 }
 
+/* takes the first item off a comma-separated list, without blanks around it */
+static mg_str
+next_item(mg_str *list)
+{
+    mg_str one = mg_str_split(*list, ',', list);
+    while (one.n > 0 && (*one.p == ' ' || *one.p == '\t')) {
+        one.p++;
+        one.n--;
+    }
+    while (one.n > 0 &&
+           (one.p[one.n - 1] == ' ' || one.p[one.n - 1] == '\t')) {
+        one.n--;
+    }
+    return one;
+}
+
+/* whether a comma-separated list contains the token, ignoring ASCII case */
+static bool
+list_has_token(mg_str list, mg_str token)
+{
+    while (list.n > 0) {
+        mg_str one = next_item(&list);
+        if (one.n == token.n && strncasecmp(one.p, token.p, one.n) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* whether a Connection field of the message names the field */
+static bool
+is_connection_option(const mg_h1_headers *h, mg_str name)
+{
+    for (size_t i = 0; i < h->header_count; i++) {
+        const mg_h1_header *field = &h->headers[i];
+        if (mg_h1_name_is(field->name, "connection") &&
+            list_has_token(field->value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
-mg_h1_is_hop_by_hop(mg_str name)
+mg_h1_is_hop_by_hop(const mg_h1_headers *h, mg_str name)
 {
     static const char *const names[] = {
         "connection",
@@ -106,28 +149,7 @@
             return true;
         }
     }
-    return false;
-}
-
-/* whether a comma-separated list contains the token, ignoring ASCII case */
-static bool
-list_has_token(mg_str list, const char *token)
-{
-    while (list.n > 0) {
-        mg_str one = mg_str_split(list, ',', &list);
-        while (one.n > 0 && (*one.p == ' ' || *one.p == '\t')) {
-            one.p++;
-            one.n--;
-        }
-        while (one.n > 0 &&
-               (one.p[one.n - 1] == ' ' || one.p[one.n - 1] == '\t')) {
-            one.n--;
-        }
-        if (mg_h1_name_is(one, token)) {
-            return true;
-        }
-    }
-    return false;
+    return is_connection_option(h, name);
 }
 
 /* Sets the framing of the body. Rejects malformed names and values, and
@@ -158,10 +180,10 @@
             h->chunked = true;
         }
         else if (mg_h1_name_is(name, "connection")) {
-            if (list_has_token(value, "close")) {
+            if (list_has_token(value, mg_str_of("close"))) {
                 h->close = true;
             }
-            else if (list_has_token(value, "keep-alive") &&
+            else if (list_has_token(value, mg_str_of("keep-alive")) &&
                      h->minor_version == 0) {
                 h->close = false;
             }
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -66,9 +66,10 @@
 /* Compares without regard to ASCII case. */
 bool
 mg_h1_name_is(mg_str name, const char *s);
-/* Whether a proxy must not forward the header: hop-by-hop or framing. */
+/* Whether a proxy must not forward the field of h with this name: hop-by-hop,
+   also because a Connection field of h names it, or framing. */
 bool
-mg_h1_is_hop_by_hop(mg_str name);
+mg_h1_is_hop_by_hop(const mg_h1_headers *h, mg_str name);
 /* The timeout parameter of Keep-Alive in seconds, -1 if there is none. */
 int
 mg_h1_keep_alive_s(const mg_h1_headers *h);
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -1,6 +1,9 @@
 /* Responses of faulty targets, from the target to the client. */
 #include "flow_world.h"
 
+#include <errno.h>
+#include <sys/socket.h>
+
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static const char *faulty; /* response to a request for /faulty */
@@ -122,6 +125,98 @@
                     "3\r\nbad\r\n0\r\n\r\n");
 }
 
+/* ------------------------------------ fields of one connection only */
+
+/* Sends a request on a connection of its own and returns all bytes of the
+   response, in a buffer that is used again; NULL: it didn't come. */
+static const char *
+get_bytes(const char *path, const char *fields)
+{
+    static char out[4096];
+    struct sockaddr_in addr;
+    char request[512];
+    size_t n = 0;
+    mg_addr_parse(world.addrs[WORLD_TARGETS], &addr);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int rc = connect(fd, (struct sockaddr *)&addr, sizeof(addr));
+    CU_ASSERT_TRUE_FATAL(rc == 0 || errno == EINPROGRESS);
+    snprintf(request, sizeof(request),
+             "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n", path,
+             fields);
+    world_pass(5);
+    CU_ASSERT_EQUAL(send(fd, request, strlen(request), 0),
+                    (ssize_t)strlen(request));
+    uint64_t end = uv_hrtime() + (uint64_t)WORLD_RUN_MAX_MS * 1000000;
+    ssize_t got = -1;
+    while (got != 0 && n < sizeof(out) - 1 && uv_hrtime() < end) {
+        uv_run(&world_loop, UV_RUN_NOWAIT);
+        got = recv(fd, out + n, sizeof(out) - 1 - n, 0);
+        n += got > 0 ? (size_t)got : 0;
+    }
+    out[n] = '\0';
+    close(fd);
+    return got == 0 ? out : NULL;
+}
+
+#define HOP_BY_HOP                                               \
+    "Connection: keep-alive, X-One\r\nKeep-Alive: timeout=5\r\n" \
+    "X-One: 1\r\nConnection: x-two ,\tX-Three\r\nx-two: 2\r\n"   \
+    "X-Three: 3\r\nUpgrade: x\r\nTrailer: X-Four\r\nTE: x\r\n"   \
+    "Proxy-Authenticate: x\r\nProxy-Connection: x\r\nX-Two-: 5\r\n"
+
+/* whether a field of one connection is in what is passed on */
+static bool
+has_hop_by_hop(const char *bytes)
+{
+    static const char *const names[] = {
+        "X-One",
+        "X-Two:",
+        "X-Three",
+        "Keep-Alive",
+        "Upgrade",
+        "Trailer",
+        "Proxy-Authenticate",
+        "Proxy-Connection",
+        "\nTE:",
+    };
+    bool found = false;
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcasestr(bytes, names[i]) != NULL) {
+            printf("\n  passed on: %s", names[i]);
+            found = true;
+        }
+    }
+    return found;
+}
+
+static void
+test_hop_by_hop_fields_of_answers(void)
+{
+    open_answers_world(MG_RETRY_NEVER, false,
+                       "HTTP/1.1 200 OK\r\n" HOP_BY_HOP
+                       "Content-Length: 2\r\n\r\nok");
+    const char *bytes = get_bytes("/faulty", "");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, " 200 "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "X-Two-: 5"));
+    CU_ASSERT_FALSE(has_hop_by_hop(bytes));
+    world_shut();
+}
+
+/* trailers are no part of the answer, whatever they are called */
+static void
+test_trailers_of_answers(void)
+{
+    open_answers_world(MG_RETRY_NEVER, false,
+                       CHUNKED "2\r\nok\r\n0\r\nX-Trailer: 1\r\n"
+                               "Content-Length: 9\r\n\r\n");
+    const char *bytes = get_bytes("/faulty", "");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
+    CU_ASSERT_PTR_NULL(strcasestr(bytes, "x-trailer"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "content-length: 2\r\n\r\nok"));
+    world_shut();
+}
+
 #define AFTER_STATUS "\r\nContent-Length: 3\r\n\r\nbad"
 
 static void
@@ -300,6 +395,8 @@
         {"malformed chunks", test_malformed_chunks},
         {"answers without a valid status", test_status},
         {"forms of chunks", test_forms_of_chunks},
+        {"fields of one connection", test_hop_by_hop_fields_of_answers},
+        {"trailers", test_trailers_of_answers},
         {"forms of fields", test_forms_of_fields},
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -191,6 +191,37 @@
         MG_E_INPUT);
 }
 
+static void
+test_hop_by_hop(void)
+{
+    static const char lines[] = "Connection: keep-alive, X-One,,\r\n"
+                                "connection:\tx-two ,X-Three\t\r\nX-One: 1";
+    static const char *const of_one_connection[] = {
+        "x-one",   "X-TWO", "X-Three", "Connection",    "Keep-Alive",
+        "Trailer", "TE",    "Upgrade", "Content-Length"};
+    static const char *const passed_on[] = {"X-On", "X-One-", "X-Four", "Date",
+                                            "X-Two ,X-Three"};
+    mg_h1_headers h;
+    for (int request = 0; request < 2; request++) {
+        mg_buf text = {0};
+        mg_buf_printf(&text, "%s\r\n%s\r\n\r\n",
+                      request ? "GET / HTTP/1.1" : "HTTP/1.1 200 OK", lines);
+        mg_rc rc = request ? mg_h1_parse_request(mg_str_buf(&text), 0, &h)
+                           : mg_h1_parse_response(mg_str_buf(&text), 0, &h);
+        CU_ASSERT_EQUAL_FATAL(rc, MG_OK);
+        for (size_t i = 0;
+             i < sizeof(of_one_connection) / sizeof(of_one_connection[0]);
+             i++) {
+            CU_ASSERT_TRUE(
+                mg_h1_is_hop_by_hop(&h, mg_str_of(of_one_connection[i])));
+        }
+        for (size_t i = 0; i < sizeof(passed_on) / sizeof(passed_on[0]); i++) {
+            CU_ASSERT_FALSE(mg_h1_is_hop_by_hop(&h, mg_str_of(passed_on[i])));
+        }
+        mg_buf_free(&text);
+    }
+}
+
 static void
 test_start_lines(void)
 {
@@ -542,6 +573,7 @@
          test_ambiguous_header_sections},
         {"bytes of fields", test_bytes_of_fields},
         {"forms of fields", test_forms_of_fields},
+        {"fields of one connection", test_hop_by_hop},
         {"start lines", test_start_lines},
         {"framing of responses", test_response_framing},
         {"status of responses", test_status},
