Skipped responses of other requests have a limit

What callers saw: a target that answered with responses of other requests without end (other id), or with the endless body of one, was read until the deadline, and the caller got 504 as late as that.

Cause: a channel discards such a response and waits for the next one, as often as they come.

Change: for one request a channel skips 16 responses and 8 MB of their bodies (as much as a held response may have), then the response is malformed, and the connection ends.

Why it works: a late answer of a request that was given up comes once, so that 16 leave room; whatever is discarded is counted.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -14,6 +14,10 @@
 #define HEADER_BYTES_MAX 32768
 /* interim responses (1xx) to one request before the final one */
 #define INTERIM_RESPONSES_MAX 16
+/* what is discarded for the sake of one request: responses that belong to
+   other requests, and bytes of their bodies; as large as a held response */
+#define SKIPPED_RESPONSES_MAX 16
+#define SKIPPED_BYTES_MAX (8u << 20)
 #define STATUS_SWITCHING_PROTOCOLS 101
 /* the kernel closes a connection after about this time without an ACK, ms */
 #define PEER_TIMEOUT_MS 2500
@@ -37,6 +41,8 @@
     mg_buf in;
     size_t header_bytes_seen;
     unsigned interim_count; /* interim responses to the current request */
+    unsigned skipped_count; /* responses skipped for the current request */
+    size_t skipped_bytes;   /* of their bodies */
     mg_h1_body body;
     bool is_head;
     bool skipping; /* the response being received is discarded */
@@ -137,6 +143,17 @@
     }
 }
 
+/* Closes the channel if too much has been skipped. */
+static void
+count_skipped(mg_channel *c, size_t bytes)
+{
+    c->skipped_bytes += bytes;
+    if (c->skipped_bytes > SKIPPED_BYTES_MAX ||
+        c->skipped_count > SKIPPED_RESPONSES_MAX) {
+        close_malformed(c, "other_responses", c->skipped_bytes);
+    }
+}
+
 static void
 decode_body(mg_channel *c)
 {
@@ -151,11 +168,14 @@
         return;
     }
     mg_buf_put(&c->in, rest.p, rest.n);
-    if (data.n > 0 && !c->skipping) {
+    if (c->skipping) {
+        count_skipped(c, data.n);
+    }
+    else if (data.n > 0) {
         c->callbacks->on_data(c->callbacks, data);
     }
     mg_buf_free(&in);
-    /* on_data may have closed the channel */
+    /* the channel may have been closed */
     if (rc == MG_OK && c->state == CHANNEL_BODY) {
         finish_response(c);
     }
@@ -213,6 +233,7 @@
         close_malformed(c, "rejected", headers.size);
         return false;
     }
+    c->skipped_count += c->skipping;
     mg_buf_skip(&c->in, headers.size);
     c->header_bytes_seen = 0;
     return true;
@@ -363,6 +384,8 @@
     c->state = CHANNEL_HEADERS;
     c->header_bytes_seen = 0;
     c->interim_count = 0;
+    c->skipped_count = 0;
+    c->skipped_bytes = 0;
     c->is_head = is_head;
     uv_buf_t b[2] = {
         uv_buf_init((char *)headers.p, (unsigned)headers.n),
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -7,6 +7,8 @@
  * one. The user can skip a response that belongs to another request; bytes
  * that arrive while no response is expected close the channel. Interim
  * responses are skipped; 101 is malformed, as no request asks for an upgrade.
+ * What is skipped for one request is limited, and so is a header section; the
+ * user limits the body.
  *
  * A channel owns its socket. After on_end it is either idle or closing; its
  * former user must not use it unless it takes it over by mg_channel_reuse().
