A large header section is refused in one piece, too

What callers saw: nothing wrong; a header section of up to 64 KB (64 fields) from a target was accepted if it came in one read, and refused above 32 KB if it came in two.

Cause: the limit was looked at only while the section was incomplete.

Change: it holds for a complete section, final or interim.

Evidence, before / after: channel_test "large header sections", 3 of 5 rows (40 KB, 40 KB interim, 60 KB) COMPLETE / MALFORMED; 30 KB passes in both.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -206,7 +206,7 @@
     if (rc == MG_E_IN_PROGRESS && c->in.n <= HEADER_BYTES_MAX) {
         return false;
     }
-    if (rc != MG_OK) {
+    if (rc != MG_OK || headers.size > HEADER_BYTES_MAX) {
         close_malformed(c, "head", c->in.n);
         return false;
     }
--- a/tests/unit/channel_test.c
+++ b/tests/unit/channel_test.c
@@ -338,6 +338,36 @@
     reset();
 }
 
+/* A header section is limited whether it arrives in one piece or not. */
+static void
+test_large_header_section(void)
+{
+    static const struct {
+        unsigned fields;
+        bool interim;
+        mg_channel_result result;
+    } rows[] = {
+        {30, false, MG_CHANNEL_COMPLETE},  {30, true, MG_CHANNEL_COMPLETE},
+        {40, false, MG_CHANNEL_MALFORMED}, {40, true, MG_CHANNEL_MALFORMED},
+        {60, false, MG_CHANNEL_MALFORMED},
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        reset();
+        mg_buf_printf(&world.response, "HTTP/1.1 %s\r\n",
+                      rows[i].interim ? "103 Early Hints" : "200 OK");
+        for (unsigned k = 0; k < rows[i].fields; k++) {
+            mg_buf_printf(&world.response, "X-Filler: %01000u\r\n", k);
+        }
+        mg_buf_printf(&world.response, "%s",
+                      rows[i].interim ? "\r\n" FINAL
+                                      : "Content-Length: 2\r\n\r\nok");
+        run_request();
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result, rows[i].result);
+    }
+    reset();
+}
+
 /* the response is complete; nobody waits for what follows */
 static void
 test_bytes_after_the_last_chunk(void)
@@ -362,6 +392,7 @@
         {"malformed chunks", test_malformed_chunks},
         {"responses without a valid status", test_status},
         {"bytes after the last chunk", test_bytes_after_the_last_chunk},
+        {"large header sections", test_large_header_section},
         {"floods that are no response", test_floods_that_are_no_response},
         {"floods after a response", test_floods_after_a_response},
         CU_TEST_INFO_NULL,
