What a client doesn't read of a relayed response is counted, without a length, too

What callers saw: nothing, until the process ran out of memory. A response without a length that came through another entry and went on without end was written for a client that didn't read: 66 MB in a fraction of a second, when the test stopped it; only the deadline would have.

Cause: unsent bytes of a response in progress were counted for streams only. A relayed response that is delimited by the end of its connection is passed on as it arrives, too, but wasn't marked as a stream.

Change: the unsent bytes are counted once the response has started.

The flood writer of floods_test moves to flow_world.h.

Why it works: a started response is what mg_http_unsent() describes; there is no other place where such a response waits.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -491,7 +491,7 @@
         reject_response(f, "event_too_large");
         return;
     }
-    if (f->streaming && f->response_started) {
+    if (f->response_started) {
         bytes += mg_http_unsent(f->request.http);
     }
     if (!mg_response_memory_hold(&f->gw->response_memory, &f->held, bytes)) {
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -1,9 +1,6 @@
 /* Responses of faulty targets, from the target to the client. */
 #include "flow_world.h"
 
-#include <errno.h>
-#include <sys/socket.h>
-
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 static const char *faulty; /* response to a request for /faulty */
@@ -130,22 +127,11 @@
 /* Sends a request on a connection of its own and returns all bytes of the
    response, in a buffer that is used again; NULL: it didn't come. */
 static const char *
-get_bytes(const char *path, const char *fields)
+get_bytes(const char *path)
 {
     static char out[4096];
-    struct sockaddr_in addr;
-    char request[512];
     size_t n = 0;
-    mg_addr_parse(world.addrs[WORLD_TARGETS], &addr);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    int rc = connect(fd, (struct sockaddr *)&addr, sizeof(addr));
-    CU_ASSERT_TRUE_FATAL(rc == 0 || errno == EINPROGRESS);
-    snprintf(request, sizeof(request),
-             "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n", path,
-             fields);
-    world_pass(5);
-    CU_ASSERT_EQUAL(send(fd, request, strlen(request), 0),
-                    (ssize_t)strlen(request));
+    int fd = world_connect(path);
     uint64_t end = uv_hrtime() + (uint64_t)WORLD_RUN_MAX_MS * 1000000;
     ssize_t got = -1;
     while (got != 0 && n < sizeof(out) - 1 && uv_hrtime() < end) {
@@ -195,7 +181,7 @@
     open_answers_world(MG_RETRY_NEVER, false,
                        "HTTP/1.1 200 OK\r\n" HOP_BY_HOP
                        "Content-Length: 2\r\n\r\nok");
-    const char *bytes = get_bytes("/faulty", "");
+    const char *bytes = get_bytes("/faulty");
     CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, " 200 "));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "X-Two-: 5"));
@@ -210,7 +196,7 @@
     open_answers_world(MG_RETRY_NEVER, false,
                        CHUNKED "2\r\nok\r\n0\r\nX-Trailer: 1\r\n"
                                "Content-Length: 9\r\n\r\n");
-    const char *bytes = get_bytes("/faulty", "");
+    const char *bytes = get_bytes("/faulty");
     CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
     CU_ASSERT_PTR_NULL(strcasestr(bytes, "x-trailer"));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "content-length: 2\r\n\r\nok"));
--- a/tests/unit/floods_test.c
+++ b/tests/unit/floods_test.c
@@ -5,54 +5,20 @@
  */
 #include "flow_world.h"
 
-#include <errno.h>
-#include <sys/socket.h>
-
 #define OK "HTTP/1.1 200 OK\r\n"
 #define OTHER OK "x-id: other\r\n"
 #define LENGTH "Content-Length: 999999999999\r\n\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
-#define BLOCK_BYTES 65536
 /* a test ends the flood by the deadline only if nothing else does */
 #define DEADLINE_MS 2500
 /* what a gateway holds at most, with what arrives in one read */
-#define HELD_MAX (MG_RESPONSES_BYTES_MAX + BLOCK_BYTES)
+#define HELD_MAX (MG_RESPONSES_BYTES_MAX + WORLD_BLOCK_BYTES)
 #define UNREAD_S 10
 
-typedef struct flood {
-    uv_write_t req;
-    size_t size;
-    char block[BLOCK_BYTES];
-} flood;
-
 static const char *start;
 static const char *repeated;
 static size_t held_max;
 
-static void
-on_flood_written(uv_write_t *req, int status)
-{
-    flood *f = req->data;
-    uv_buf_t b = uv_buf_init(f->block, (unsigned)f->size);
-    if (status < 0 || uv_write(req, req->handle, &b, 1, on_flood_written)) {
-        free(f);
-    }
-}
-
-/* Writes text again and again until the connection ends. */
-static void
-write_flood(world_conn *c, const char *text)
-{
-    flood *f = mg_alloc(sizeof(*f));
-    size_t n = strlen(text);
-    for (f->size = 0; f->size + n <= BLOCK_BYTES; f->size += n) {
-        memcpy(f->block + f->size, text, n);
-    }
-    f->req.data = f;
-    uv_buf_t b = uv_buf_init(f->block, (unsigned)f->size);
-    uv_write(&f->req, (uv_stream_t *)&c->tcp, &b, 1, on_flood_written);
-}
-
 static void
 serve(world_conn *c, mg_str head)
 {
@@ -61,7 +27,7 @@
         return;
     }
     world_write(c, start);
-    write_flood(c, repeated);
+    world_flood(c, repeated);
 }
 
 static void
@@ -182,28 +148,12 @@
     }
 }
 
-/* Sends a request on a connection that is not read. */
-static int
-connect_and_send(void)
-{
-    static const char request[] = "GET /flood HTTP/1.1\r\nHost: h\r\n\r\n";
-    struct sockaddr_in addr;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    mg_addr_parse(world.addrs[WORLD_TARGETS], &addr);
-    int rc = connect(fd, (struct sockaddr *)&addr, sizeof(addr));
-    CU_ASSERT_TRUE_FATAL(rc == 0 || errno == EINPROGRESS);
-    world_pass(5);
-    CU_ASSERT_EQUAL(send(fd, request, sizeof(request) - 1, 0),
-                    (ssize_t)sizeof(request) - 1);
-    return fd;
-}
-
 /* events without end, to a client that doesn't read them */
 static void
 test_events_that_are_not_read(void)
 {
     open_world(true, OK CHUNKED, "10\r\ndata: 01234567\n\n\r\n");
-    int fd = connect_and_send();
+    int fd = world_connect("/flood");
     uint64_t end = uv_hrtime() + (uint64_t)UNREAD_S * 1000000000;
     size_t unsent_max = 0;
     do {
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -15,7 +15,9 @@
 
 #include "suite.h"
 
+#include <errno.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/addr.h"
@@ -28,6 +30,7 @@
 #define WORLD_RUN_MAX_MS 5000
 #define WORLD_HEADERS_MAX 4096
 #define WORLD_TURNS_MIN 50
+#define WORLD_BLOCK_BYTES 65536
 
 typedef struct world_conn {
     uv_tcp_t tcp; /* must be first: cast to world_conn */
@@ -156,6 +159,39 @@
     world_write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
+typedef struct world_flood_write {
+    uv_write_t req;
+    size_t size;
+    char block[WORLD_BLOCK_BYTES];
+} world_flood_write;
+
+static inline void
+world_on_flood_written(uv_write_t *req, int status)
+{
+    world_flood_write *w = req->data;
+    uv_buf_t b = uv_buf_init(w->block, (unsigned)w->size);
+    if (status < 0 ||
+        uv_write(req, req->handle, &b, 1, world_on_flood_written) != 0) {
+        free(w);
+    }
+}
+
+/* Writes text again and again until the connection ends. */
+static inline void
+world_flood(world_conn *c, const char *text)
+{
+    world_flood_write *w = mg_alloc(sizeof(*w));
+    size_t n = strlen(text);
+    for (w->size = 0; w->size + n <= sizeof(w->block); w->size += n) {
+        memcpy(w->block + w->size, text, n);
+    }
+    w->req.data = w;
+    uv_buf_t b = uv_buf_init(w->block, (unsigned)w->size);
+    CU_ASSERT_EQUAL(uv_write(&w->req, (uv_stream_t *)&c->tcp, &b, 1,
+                             world_on_flood_written),
+                    0);
+}
+
 static inline void
 world_crash(int target)
 {
@@ -446,6 +482,24 @@
     }
 }
 
+/* Sends a request on a connection that nobody reads; returns its socket. */
+static inline int
+world_connect(const char *path)
+{
+    char request[256];
+    struct sockaddr_in addr;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    mg_addr_parse(world.addrs[WORLD_TARGETS], &addr);
+    int rc = connect(fd, (struct sockaddr *)&addr, sizeof(addr));
+    CU_ASSERT_TRUE_FATAL(rc == 0 || errno == EINPROGRESS);
+    world_pass(5);
+    int n = snprintf(request, sizeof(request),
+                     "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                     path);
+    CU_ASSERT_EQUAL(send(fd, request, (size_t)n, 0), n);
+    return fd;
+}
+
 /* Sends a request and returns the status that the client got. */
 static inline int
 world_get(const char *path)
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -24,13 +24,17 @@
     bool stream;
 } other;
 
-static const char *raw; /* bytes that answer a request for /raw */
+static const char *raw;      /* bytes that answer a request for /raw */
+static const char *repeated; /* sent after them without end; NULL: nothing */
 
 static void
 serve(world_conn *c, mg_str head)
 {
     if (strstr(head.p, "raw") != NULL) {
         world_write(c, raw);
+        if (repeated != NULL) {
+            world_flood(c, repeated);
+        }
         return;
     }
     if (strstr(head.p, "cut") != NULL) {
@@ -280,6 +284,55 @@
     }
 }
 
+/* held for a response, with what arrives in one read */
+#define HELD_MAX (MG_RESPONSE_BYTES_MAX + 2 * WORLD_BLOCK_BYTES)
+#define UNREAD_S 10
+
+/* Another entry sends without end, to a client that doesn't read. */
+static void
+test_unread_floods_of_entries(void)
+{
+    static const char *const rows[][2] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "10\r\n0123456789abcdef\r\n"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+         "0123456789abcdef"},
+    };
+    other.stream = false;
+    open_entries(MG_RETRY_NEVER, false, true);
+    use_other();
+    serve_requests("/");
+    replace_other_entry();
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        unsigned executed = world.executed;
+        size_t unread = 0;
+        raw = rows[i][0];
+        repeated = rows[i][1];
+        int fd = world_connect("/raw");
+        uint64_t end = uv_hrtime() + (uint64_t)UNREAD_S * 1000000000;
+        do {
+            uv_run(&world_loop, UV_RUN_NOWAIT);
+            size_t n = mg_http_unwritten(world.front) +
+                       world.gateway->response_memory.held;
+            unread = n > unread ? n : unread;
+        } while ((world.executed == executed ||
+                  mg_http_open_requests(world.front) > 0) &&
+                 unread <= 8 * HELD_MAX && uv_hrtime() < end);
+        if (unread > 2 * HELD_MAX) {
+            printf("\n  row %zu: %zu KB unread", i, unread >> 10);
+        }
+        CU_ASSERT_TRUE(world.executed > executed);
+        /* what waits to be written is counted as held, too */
+        CU_ASSERT_TRUE(unread <= 2 * HELD_MAX);
+        close(fd);
+        world_pass(50);
+        CU_ASSERT_EQUAL(mg_http_open_requests(world.front), 0);
+    }
+    repeated = NULL;
+    close_entries();
+}
+
 /* a request that must not be repeated reaches targets once, whatever fails */
 static void
 test_at_most_once(void)
@@ -555,6 +608,8 @@
         {"streams go through another entry",
          test_streams_go_through_another_entry},
         {"malformed answers through another entry", test_malformed_answers},
+        {"responses of entries without end, not read",
+         test_unread_floods_of_entries},
         {"requests that are passed on run once", test_at_most_once},
         {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
