More ways to send without end in the flood test; chunks against a naive twin

flood-test.sh had no target that announces a length and never reaches it, that sends a chunk extension or trailers without end, responses to other requests, or responses that nobody asked for.

--- a/scripts/flood-test.sh
+++ b/scripts/flood-test.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # flood-test.sh BUILD - memory of a node whose target sends without end
 #
-# A node and a target that never stops sending, in the head, in the body or in
-# a stream of events; 40 requests at a time for each way, also from clients
-# that read slowly. The node must stay below MEMORY_MAX_KB, the smallest
+# A node and a target that never stops sending, in the head, in the body, around
+# it or in a stream of events; 40 requests at a time for each way, also from
+# clients that read slowly. The node must stay below MEMORY_MAX_KB, the smallest
 # memory of a host, and must still answer.
 set -euo pipefail
 build=$1
@@ -35,7 +35,8 @@
 node=$!
 pids+=("$node")
 # a target for each way: one that fails is avoided for a while
-ways=(head interim body close event events)
+ways=(head interim body close length line trailer other after event
+    events)
 for i in "${!ways[@]}"; do
     "$build/fake-flood" "127.0.0.1:$((24920 + i))" &
     pids+=($!)
--- a/tests/fakes/flood.c
+++ b/tests/fakes/flood.c
@@ -8,6 +8,11 @@
  *   /interim/ interim responses (100) without end
  *   /body/    a chunked body without end
  *   /close/   a body that only the end of the connection would end
+ *   /length/  a body with a length that it never reaches
+ *   /line/    a chunk extension without end
+ *   /trailer/ trailers without end
+ *   /other/   responses to other requests without end
+ *   /after/   a whole response, and others that nobody asked for without end
  *   /event/   a stream with one event without end
  *   /events/  a stream of events without end
  */
@@ -37,6 +42,17 @@
     {"/body/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
      "10\r\n0123456789abcdef\r\n"},
     {"/close/", "HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
+    {"/length/", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+     "0123456789abcdef"},
+    {"/line/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;",
+     "0123456789abcdef"},
+    {"/trailer/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "X-Filler: 0123456789abcdef\r\n"},
+    {"/other/", "",
+     "HTTP/1.1 200 OK\r\nMarigoldgw-Attempt-Id: other\r\n"
+     "Content-Length: 2\r\n\r\nok"},
+    {"/after/", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
     {"/event/",
      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
      "Transfer-Encoding: chunked\r\n\r\n",
--- a/tests/unit/fuzz_test.c
+++ b/tests/unit/fuzz_test.c
@@ -6,6 +6,7 @@
  */
 #include "flow_world.h"
 
+#include <regex.h>
 #include <sys/stat.h>
 
 #include "base/pack.h"
@@ -132,6 +133,25 @@
     "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
 };
 
+/* whether the names, and the status of a response, are what a proxy may pass
+   on */
+static bool
+may_be_passed_on(const mg_h1_headers *h, bool request)
+{
+    for (size_t i = 0; i < h->header_count; i++) {
+        const mg_h1_header *field = &h->headers[i];
+        char name[256];
+        mg_str_copy(name, sizeof(name), field->name);
+        if (field->name.n == 0 || field->name.n >= sizeof(name) ||
+            strspn(name, "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+                         "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != field->name.n) {
+            return false;
+        }
+    }
+    return request ? h->method.n > 0 && h->target.n > 0
+                   : h->status >= 100 && h->status <= 599;
+}
+
 static const char *
 fuzz_headers(uint64_t seed)
 {
@@ -152,6 +172,9 @@
             error = "a header outside of the input";
         }
     }
+    if (rc == MG_OK && !may_be_passed_on(&h, request)) {
+        error = "a malformed name or status is accepted";
+    }
     if (rc == MG_OK) {
         mg_response_head out = {0};
         mg_platform_dialect()->read_response(mg_platform_dialect(), &h, &out);
@@ -185,6 +208,80 @@
     return rc;
 }
 
+/* Takes a line off in that ends with CR LF and matches; NULL: there is none.
+ */
+static const char *
+naive_line(mg_str *in, const char *pattern)
+{
+    static char line[4096];
+    regex_t re;
+    const char *end = in->n > 0 ? memmem(in->p, in->n, "\r\n", 2) : NULL;
+    if (end == NULL || memchr(in->p, '\0', (size_t)(end - in->p)) != NULL) {
+        return NULL;
+    }
+    mg_str text = {in->p, (size_t)(end - in->p)};
+    mg_str_copy(line, sizeof(line), text);
+    in->p += text.n + 2;
+    in->n -= text.n + 2;
+    regcomp(&re, pattern, REG_EXTENDED | REG_NOSUB);
+    bool matches = regexec(&re, line, 0, NULL, 0) == 0;
+    regfree(&re);
+    return matches ? line : NULL;
+}
+
+/* Whether all of RFC 9112, 7.1, holds for the start of in; appends the body to
+   out. */
+static bool
+naive_chunks(mg_str in, mg_buf *out)
+{
+    static const char size_line[] = "^[0-9A-Fa-f]{1,16}[ \t]*"
+                                    "(;[^\x01-\x08\x0a-\x1f\x7f]*)?$";
+    static const char trailer[] =
+        "^([-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\x01-\x08\x0a-\x1f\x7f]*)?$";
+    const char *line = naive_line(&in, size_line);
+    while (line != NULL && strtoull(line, NULL, 16) > 0) {
+        uint64_t n = strtoull(line, NULL, 16);
+        if (n > in.n || in.n - n < 2 || memcmp(in.p + n, "\r\n", 2) != 0) {
+            return false;
+        }
+        mg_buf_put(out, in.p, n);
+        in.p += n + 2;
+        in.n -= n + 2;
+        line = naive_line(&in, size_line);
+    }
+    while (line != NULL) {
+        line = naive_line(&in, trailer);
+        if (line != NULL && line[0] == '\0') {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* chunks are decoded if, and only if, they have the form of the RFC */
+static const char *
+fuzz_forms_of_chunks(uint64_t seed)
+{
+    static const char *const corpus[] = {
+        "4\r\nbody\r\n0\r\n\r\n",
+        "1;x=y\r\na\r\n00f  \r\n0123456789abcde\r\n0\r\nT: v\r\nU:\r\n\r\n",
+        "A ; a\r\n0123456789\r\n00;b\r\n\r\nnext",
+    };
+    mg_rng r;
+    mg_buf decoded = {0};
+    mg_buf naive = {0};
+    mg_rng_init(&r, seed);
+    mg_buf b = mutated_text(&r, corpus, COUNT(corpus));
+    bool ok = decode_body(&r, b.p, b.n, UINT32_MAX, &decoded) == MG_OK;
+    bool naive_ok = naive_chunks(mg_str_buf(&b), &naive);
+    bool same = ok == naive_ok &&
+                (!ok || mg_str_eq(mg_str_buf(&decoded), mg_str_buf(&naive)));
+    mg_buf_free(&b);
+    mg_buf_free(&decoded);
+    mg_buf_free(&naive);
+    return same ? NULL : "chunks are read in another way than by the RFC";
+}
+
 static const char *
 fuzz_chunks(uint64_t seed)
 {
@@ -581,6 +678,7 @@
 
 FUZZ_TEST(headers, 1)
 FUZZ_TEST(chunks, 1)
+FUZZ_TEST(forms_of_chunks, 1)
 FUZZ_TEST(events, 1)
 FUZZ_TEST(messages, 1)
 FUZZ_TEST(frames, 1)
@@ -596,6 +694,7 @@
     static const CU_TestInfo tests[] = {
         {"header sections", test_headers},
         {"chunks", test_chunks},
+        {"forms of chunks", test_forms_of_chunks},
         {"events", test_events},
         {"messages", test_messages},
         {"frames", test_frames},
