--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -125,7 +125,7 @@
 /* ------------------------------------ fields of one connection only */
 
 /* Sends a request on a connection of its own and returns all bytes of the
-   response, in a buffer that is used again; NULL: it didn't come. */
+   response, in a buffer that is used again. */
 static const char *
 get_bytes(const char *path)
 {
@@ -141,7 +141,8 @@
     }
     out[n] = '\0';
     close(fd);
-    return got == 0 ? out : NULL;
+    CU_ASSERT_EQUAL(got, 0);
+    return out;
 }
 
 #define HOP_BY_HOP                                               \
@@ -182,7 +183,6 @@
                        "HTTP/1.1 200 OK\r\n" HOP_BY_HOP
                        "Content-Length: 2\r\n\r\nok");
     const char *bytes = get_bytes("/faulty");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, " 200 "));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "X-Two-: 5"));
     CU_ASSERT_FALSE(has_hop_by_hop(bytes));
@@ -197,7 +197,6 @@
                        CHUNKED "2\r\nok\r\n0\r\nX-Trailer: 1\r\n"
                                "Content-Length: 9\r\n\r\n");
     const char *bytes = get_bytes("/faulty");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(bytes);
     CU_ASSERT_PTR_NULL(strcasestr(bytes, "x-trailer"));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "content-length: 2\r\n\r\nok"));
     world_shut();
