--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -403,7 +403,7 @@
     f->headers.n = 0;
     for (size_t i = 0; i < headers->header_count; i++) {
         const mg_h1_header *h = &headers->headers[i];
-        if (mg_h1_is_hop_by_hop(h->name)) {
+        if (mg_h1_is_hop_by_hop(headers, h->name)) {
             continue;
         }
         mg_buf_put(&f->headers, h->name.p, h->name.n);
@@ -512,7 +512,7 @@
         reject_response(f, "event_too_large");
         return;
     }
-    if (f->streaming && f->response_started) {
+    if (f->response_started) {
         bytes += mg_http_unsent(f->request.http);
     }
     if (!mg_response_memory_hold(&f->gw->response_memory, &f->held, bytes)) {
--- a/src/wire/h1.c
+++ b/src/wire/h1.c
@@ -22,11 +22,52 @@
                    int *status, const char **msg, size_t *msg_len,
                    struct phr_header *headers, size_t *num_headers,
                    size_t last_len);
-ssize_t
-phr_decode_chunked(void *decoder, char *buf, size_t *bufsz);
-
 #define PHR_PARTIAL (-2)
 
+#define DEL 0x7f
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
+bool
+mg_h1_is_name_byte(char c)
+{
+    if ((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+        (c >= 'A' && c <= 'Z')) {
+        return true;
+    }
+    return c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL;
+}
+
+bool
+mg_h1_is_value_byte(char c)
+{
+    unsigned char byte = (unsigned char)c;
+    return c == '\t' || (byte >= ' ' && byte != DEL);
+}
+
+/* false for an empty name, which is what the parser gives a folded line */
+static bool
+is_token(mg_str s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        if (!mg_h1_is_name_byte(s.p[i])) {
+            return false;
+        }
+    }
+    return s.n > 0;
+}
+
+static bool
+is_value(mg_str s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        if (!mg_h1_is_value_byte(s.p[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 mg_h1_name_is(mg_str name, const char *s)
 {
@@ -44,8 +85,51 @@
     return (mg_str){"", 0};
 }
 
+/* takes the first item off a comma-separated list, without blanks around it */
+static mg_str
+next_item(mg_str *list)
+{
+    mg_str one = mg_str_split(*list, ',', list);
+    while (one.n > 0 && (*one.p == ' ' || *one.p == '\t')) {
+        one.p++;
+        one.n--;
+    }
+    while (one.n > 0 &&
+           (one.p[one.n - 1] == ' ' || one.p[one.n - 1] == '\t')) {
+        one.n--;
+    }
+    return one;
+}
+
+/* whether a comma-separated list contains the token, ignoring ASCII case */
+static bool
+list_has_token(mg_str list, mg_str token)
+{
+    while (list.n > 0) {
+        mg_str one = next_item(&list);
+        if (one.n == token.n && strncasecmp(one.p, token.p, one.n) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* whether a Connection field of the message names the field */
+static bool
+is_connection_option(const mg_h1_headers *h, mg_str name)
+{
+    for (size_t i = 0; i < h->header_count; i++) {
+        const mg_h1_header *field = &h->headers[i];
+        if (mg_h1_name_is(field->name, "connection") &&
+            list_has_token(field->value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
-mg_h1_is_hop_by_hop(mg_str name)
+mg_h1_is_hop_by_hop(const mg_h1_headers *h, mg_str name)
 {
     static const char *const names[] = {
         "connection",
@@ -65,42 +149,20 @@
             return true;
         }
     }
-    return false;
-}
-
-/* whether a comma-separated list contains the token, ignoring ASCII case */
-static bool
-list_has_token(mg_str list, const char *token)
-{
-    while (list.n > 0) {
-        mg_str one = mg_str_split(list, ',', &list);
-        while (one.n > 0 && (*one.p == ' ' || *one.p == '\t')) {
-            one.p++;
-            one.n--;
-        }
-        while (one.n > 0 &&
-               (one.p[one.n - 1] == ' ' || one.p[one.n - 1] == '\t')) {
-            one.n--;
-        }
-        if (mg_h1_name_is(one, token)) {
-            return true;
-        }
-    }
-    return false;
+    return is_connection_option(h, name);
 }
 
-/* Sets the framing of the body. Rejects ambiguous framing headers, some of
-   which the parser accepts. */
+/* Sets the framing of the body. Rejects malformed names and values, and
+   ambiguous framing headers, some of which the parser accepts. */
 static mg_rc
-validate_framing(mg_h1_headers *h)
+validate_fields(mg_h1_headers *h)
 {
     bool has_coding = false;
     h->close = h->minor_version == 0;
     for (size_t i = 0; i < h->header_count; i++) {
         mg_str name = h->headers[i].name;
         mg_str value = h->headers[i].value;
-        if (name.n == 0 || name.p[name.n - 1] == ' ' ||
-            name.p[name.n - 1] == '\t') {
+        if (!is_token(name) || !is_value(value)) {
             return MG_E_INPUT;
         }
         if (mg_h1_name_is(name, "content-length")) {
@@ -118,10 +180,10 @@
             h->chunked = true;
         }
         else if (mg_h1_name_is(name, "connection")) {
-            if (list_has_token(value, "close")) {
+            if (list_has_token(value, mg_str_of("close"))) {
                 h->close = true;
             }
-            else if (list_has_token(value, "keep-alive") &&
+            else if (list_has_token(value, mg_str_of("keep-alive")) &&
                      h->minor_version == 0) {
                 h->close = false;
             }
@@ -146,7 +208,7 @@
         h->headers[i].name = (mg_str){from[i].name, from[i].name_len};
         h->headers[i].value = (mg_str){from[i].value, from[i].value_len};
     }
-    return validate_framing(h);
+    return validate_fields(h);
 }
 
 static void
@@ -169,7 +231,9 @@
     int rc = phr_parse_request(in.p, in.n, &h->method.p, &h->method.n,
                                &h->target.p, &h->target.n, &h->minor_version,
                                headers, &h->header_count, seen);
-    return finish_headers(h, headers, rc);
+    mg_rc result = finish_headers(h, headers, rc);
+    bool valid = is_token(h->method) && h->target.n > 0;
+    return result == MG_OK && !valid ? MG_E_INPUT : result;
 }
 
 mg_rc
@@ -181,7 +245,9 @@
     int rc = phr_parse_response(in.p, in.n, &h->minor_version, &h->status,
                                 &reason.p, &reason.n, headers,
                                 &h->header_count, seen);
-    return finish_headers(h, headers, rc);
+    mg_rc result = finish_headers(h, headers, rc);
+    bool valid = h->status >= STATUS_MIN && h->status <= STATUS_MAX;
+    return result == MG_OK && !valid ? MG_E_INPUT : result;
 }
 
 static void
@@ -229,7 +295,6 @@
     *b = (mg_h1_body){0};
     if (h->chunked) {
         b->framing = MG_H1_CHUNKED;
-        b->chunks.consume_trailer = 1;
     }
     else if (h->has_content_length && h->content_length > 0) {
         b->framing = MG_H1_LENGTH;
@@ -253,20 +318,16 @@
 static mg_rc
 decode_chunks(mg_h1_body *b, char *p, size_t n, mg_str *data, mg_str *rest)
 {
-    size_t size = n;
-    ssize_t rc = phr_decode_chunked(&b->chunks, p, &size);
-    if (rc == -1) {
-        *data = (mg_str){p, 0};
-        *rest = (mg_str){p + n, 0};
-        return MG_E_INPUT;
+    size_t size;
+    size_t used;
+    mg_rc rc = mg_chunks_decode(&b->chunks, p, n, &size, &used);
+    if (rc == MG_E_INPUT) {
+        size = 0;
+        used = n;
     }
     *data = (mg_str){p, size};
-    if (rc < 0) {
-        *rest = (mg_str){p + n, 0};
-        return MG_E_IN_PROGRESS;
-    }
-    *rest = (mg_str){p + size, (size_t)rc};
-    return MG_OK;
+    *rest = (mg_str){p + used, n - used};
+    return rc;
 }
 
 mg_rc
--- a/src/wire/h1.h
+++ b/src/wire/h1.h
@@ -2,10 +2,12 @@
  * h1 - parses header sections and bodies of HTTP/1.1 messages
  *
  * Header sections are parsed by picohttpparser, which libh2o exports. In
- * addition, a header section is rejected if it leaves the end of the message
+ * addition, a header section is rejected if a name, a value or the method
+ * holds a byte that it must not hold, or if it leaves the end of the message
  * ambiguous (request smuggling): more than one Content-Length, Content-Length
  * together with Transfer-Encoding, a coding other than chunked, folded lines,
- * whitespace before the colon.
+ * whitespace before the colon. A bare LF may end a line, a bare CR may not.
+ * The status of a response is 100 to 599.
  *
  * Nothing here owns memory: strings point into the bytes that were parsed.
  */
@@ -14,6 +16,7 @@
 
 #include "base/bytes.h"
 #include "base/outcome.h"
+#include "wire/chunks.h"
 
 #define MG_H1_HEADERS_MAX 64
 
@@ -54,12 +57,19 @@
 /* Value of the first header with this name, empty if there is none. */
 mg_str
 mg_h1_get(const mg_h1_headers *h, const char *name);
+/* Whether the byte may be part of a name of a field (RFC 9110, token), and of
+   the value of one: no control byte but HTAB. */
+bool
+mg_h1_is_name_byte(char c);
+bool
+mg_h1_is_value_byte(char c);
 /* Compares without regard to ASCII case. */
 bool
 mg_h1_name_is(mg_str name, const char *s);
-/* Whether a proxy must not forward the header: hop-by-hop or framing. */
+/* Whether a proxy must not forward the field of h with this name: hop-by-hop,
+   also because a Connection field of h names it, or framing. */
 bool
-mg_h1_is_hop_by_hop(mg_str name);
+mg_h1_is_hop_by_hop(const mg_h1_headers *h, mg_str name);
 /* The timeout parameter of Keep-Alive in seconds, -1 if there is none. */
 int
 mg_h1_keep_alive_s(const mg_h1_headers *h);
@@ -76,12 +86,7 @@
 typedef struct mg_h1_body {
     mg_h1_framing framing;
     uint64_t remaining; /* bytes, with MG_H1_LENGTH */
-    struct {
-        size_t bytes_left_in_chunk;
-        char consume_trailer;
-        char hex_count;
-        char state;
-    } chunks; /* same layout as struct phr_chunked_decoder */
+    mg_chunks chunks;
 } mg_h1_body;
 
 void
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -61,6 +61,166 @@
     }
 }
 
+/* What is no answer of a target reaches no client as one. */
+static void
+check_malformed(const char *response)
+{
+    open_answers_world(MG_RETRY_NEVER, false, response);
+    int status = world_get("/faulty");
+    if (status != 502) {
+        printf("\n  client got %d \"%.*s\" for:\n%s", status,
+               MG_STR_FMT(mg_str_buf(&world.answer.body)), response);
+    }
+    CU_ASSERT_EQUAL(status, 502);
+    CU_ASSERT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_EQUAL(world.answer.body.n, 0);
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    world_shut();
+    open_answers_world(MG_RETRY_BEFORE_RESPONSE, false, response);
+    CU_ASSERT_EQUAL(world_get("/faulty"), 200);
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), "ok"));
+    CU_ASSERT_EQUAL(world.executed, 2);
+    world_shut();
+}
+
+static void
+test_forms_of_chunks(void)
+{
+    check_malformed(CHUNKED "0x3\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3x\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3\nbad\n0\n\n");
+    check_malformed(CHUNKED "3;a\rb\r\nbad\r\n0\r\n\r\n");
+    check_malformed(CHUNKED "3\r\nbad\r\n0\r\nT T: v\r\n\r\n");
+}
+
+static void
+test_forms_of_fields(void)
+{
+    static const char *const fields[] = {
+        "X y: z",
+        "X\x01y: z",
+        "X : z",
+        ": z",
+        "Transfer Encoding: chunked",
+        "Content-Length\x0b: 3",
+        "X: y\x01z",
+        "X: y\r z",
+        "X: y\r\n z",
+        "Content-Length: +3",
+        "Content-Length: 3, 3",
+        "Content-Length: 3\r\nContent-Length: 3",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: identity",
+    };
+    for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
+        char response[256];
+        snprintf(response, sizeof(response),
+                 "HTTP/1.1 200 OK\r\n%s\r\n\r\nbad", fields[i]);
+        check_malformed(response);
+    }
+    check_malformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "3\r\nbad\r\n0\r\n\r\n");
+}
+
+/* ------------------------------------ fields of one connection only */
+
+/* Sends a request on a connection of its own and returns all bytes of the
+   response, in a buffer that is used again. */
+static const char *
+get_bytes(const char *path)
+{
+    static char out[4096];
+    size_t n = 0;
+    int fd = world_connect(path);
+    uint64_t end = uv_hrtime() + (uint64_t)WORLD_RUN_MAX_MS * 1000000;
+    ssize_t got = -1;
+    while (got != 0 && n < sizeof(out) - 1 && uv_hrtime() < end) {
+        uv_run(&world_loop, UV_RUN_NOWAIT);
+        got = recv(fd, out + n, sizeof(out) - 1 - n, 0);
+        n += got > 0 ? (size_t)got : 0;
+    }
+    out[n] = '\0';
+    close(fd);
+    CU_ASSERT_EQUAL(got, 0);
+    return out;
+}
+
+#define HOP_BY_HOP                                               \
+    "Connection: keep-alive, X-One\r\nKeep-Alive: timeout=5\r\n" \
+    "X-One: 1\r\nConnection: x-two ,\tX-Three\r\nx-two: 2\r\n"   \
+    "X-Three: 3\r\nUpgrade: x\r\nTrailer: X-Four\r\nTE: x\r\n"   \
+    "Proxy-Authenticate: x\r\nProxy-Connection: x\r\nX-Two-: 5\r\n"
+
+/* whether a field of one connection is in what is passed on */
+static bool
+has_hop_by_hop(const char *bytes)
+{
+    static const char *const names[] = {
+        "X-One",
+        "X-Two:",
+        "X-Three",
+        "Keep-Alive",
+        "Upgrade",
+        "Trailer",
+        "Proxy-Authenticate",
+        "Proxy-Connection",
+        "\nTE:",
+    };
+    bool found = false;
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcasestr(bytes, names[i]) != NULL) {
+            printf("\n  passed on: %s", names[i]);
+            found = true;
+        }
+    }
+    return found;
+}
+
+static void
+test_hop_by_hop_fields_of_answers(void)
+{
+    open_answers_world(MG_RETRY_NEVER, false,
+                       "HTTP/1.1 200 OK\r\n" HOP_BY_HOP
+                       "Content-Length: 2\r\n\r\nok");
+    const char *bytes = get_bytes("/faulty");
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, " 200 "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "X-Two-: 5"));
+    CU_ASSERT_FALSE(has_hop_by_hop(bytes));
+    world_shut();
+}
+
+/* trailers are no part of the answer, whatever they are called */
+static void
+test_trailers_of_answers(void)
+{
+    open_answers_world(MG_RETRY_NEVER, false,
+                       CHUNKED "2\r\nok\r\n0\r\nX-Trailer: 1\r\n"
+                               "Content-Length: 9\r\n\r\n");
+    const char *bytes = get_bytes("/faulty");
+    CU_ASSERT_PTR_NULL(strcasestr(bytes, "x-trailer"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "content-length: 2\r\n\r\nok"));
+    world_shut();
+}
+
+#define AFTER_STATUS "\r\nContent-Length: 3\r\n\r\nbad"
+
+static void
+test_status(void)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 000 X" AFTER_STATUS,
+        "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK" AFTER_STATUS,
+        "HTTP/1.1 600 X" AFTER_STATUS,
+        "HTTP/1.1 999 X" AFTER_STATUS,
+    };
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        check_malformed(rows[i]);
+    }
+}
+
 /* a target stops in the middle of its header section and closes */
 static void
 test_partial_headers(void)
@@ -316,6 +476,11 @@
 {
     static const CU_TestInfo tests[] = {
         {"malformed chunks", test_malformed_chunks},
+        {"answers without a valid status", test_status},
+        {"forms of chunks", test_forms_of_chunks},
+        {"fields of one connection", test_hop_by_hop_fields_of_answers},
+        {"trailers", test_trailers_of_answers},
+        {"forms of fields", test_forms_of_fields},
         {"a header section that breaks off", test_partial_headers},
         {"a response without a length", test_response_without_length},
         {"an error after a broken stream", test_error_after_a_broken_stream},
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -24,9 +24,19 @@
     bool stream;
 } other;
 
+static const char *raw;      /* bytes that answer a request for /raw */
+static const char *repeated; /* sent after them without end; NULL: nothing */
+
 static void
 serve(world_conn *c, mg_str head)
 {
+    if (strstr(head.p, "raw") != NULL) {
+        world_write(c, raw);
+        if (repeated != NULL) {
+            world_flood(c, repeated);
+        }
+        return;
+    }
     if (strstr(head.p, "cut") != NULL) {
         world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "9\r\ndata: a\n\n\r\n");
@@ -238,6 +248,102 @@
     check_relay(MG_RETRY_RESUME, true);
 }
 
+/* Puts serve() in the place of the other entry, which still claims to reach
+   the service. */
+static void
+replace_other_entry(void)
+{
+    mg_http_stop_listening(other.relay);
+    other.claims = true;
+    world_crash(0);
+    world_pass(20);
+    snprintf(world.addrs[0], sizeof(world.addrs[0]), "%s:%d", other_node,
+             WORLD_RELAY_PORT);
+    world_listen(0);
+}
+
+static const char *const no_statuses[] = {
+    "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nbad",
+    "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 999 X\r\nContent-Length: 3\r\n\r\nbad",
+};
+
+/* bytes that are no answer, of a target behind another entry, and of that
+   entry */
+static void
+test_malformed_answers(void)
+{
+    other.stream = false;
+    for (int of_entry = 0; of_entry < 2; of_entry++) {
+        open_entries(MG_RETRY_NEVER, false, true);
+        use_other();
+        serve_requests("/");
+        if (of_entry) {
+            replace_other_entry();
+        }
+        for (size_t i = 0; i < sizeof(no_statuses) / sizeof(no_statuses[0]);
+             i++) {
+            unsigned before = world.executed;
+            raw = no_statuses[i];
+            CU_ASSERT_EQUAL(world_get("/raw"), 502);
+            CU_ASSERT_EQUAL(world.executed, before + 1);
+            CU_ASSERT_EQUAL(world.answer.body.n, 0);
+            use_other();
+        }
+        close_entries();
+    }
+}
+
+/* held for a response, with what arrives in one read */
+#define HELD_MAX (MG_RESPONSE_BYTES_MAX + 2 * WORLD_BLOCK_BYTES)
+#define UNREAD_S 10
+
+/* Another entry sends without end, to a client that doesn't read. */
+static void
+test_unread_floods_of_entries(void)
+{
+    static const char *const rows[][2] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "10\r\n0123456789abcdef\r\n"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+         "0123456789abcdef"},
+    };
+    other.stream = false;
+    open_entries(MG_RETRY_NEVER, false, true);
+    use_other();
+    serve_requests("/");
+    replace_other_entry();
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        unsigned executed = world.executed;
+        size_t unread = 0;
+        raw = rows[i][0];
+        repeated = rows[i][1];
+        int fd = world_connect("/raw");
+        uint64_t end = uv_hrtime() + (uint64_t)UNREAD_S * 1000000000;
+        do {
+            uv_run(&world_loop, UV_RUN_NOWAIT);
+            size_t n = mg_http_unwritten(world.front) +
+                       world.gateway->response_memory.held;
+            unread = n > unread ? n : unread;
+        } while ((world.executed == executed ||
+                  mg_http_open_requests(world.front) > 0) &&
+                 unread <= 8 * HELD_MAX && uv_hrtime() < end);
+        if (unread > 2 * HELD_MAX) {
+            printf("\n  row %zu: %zu KB unread", i, unread >> 10);
+        }
+        CU_ASSERT_TRUE(world.executed > executed);
+        /* what waits to be written is counted as held, too */
+        CU_ASSERT_TRUE(unread <= 2 * HELD_MAX);
+        close(fd);
+        world_pass(50);
+        CU_ASSERT_EQUAL(mg_http_open_requests(world.front), 0);
+    }
+    repeated = NULL;
+    close_entries();
+}
+
 /* a request that must not be repeated reaches targets once, whatever fails */
 static void
 test_at_most_once(void)
@@ -534,6 +640,9 @@
          test_requests_go_through_another_entry},
         {"streams go through another entry",
          test_streams_go_through_another_entry},
+        {"malformed answers through another entry", test_malformed_answers},
+        {"responses of entries without end, not read",
+         test_unread_floods_of_entries},
         {"requests that are passed on run once", test_at_most_once},
         {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
