Failing tests from a review: ends that are taken as proof, answers that are destroyed, an unbounded one

ends: resets of an upload that the kernel holds; a status that isn't one. answers: events without ids are resumed. crash: crashes that end an unframed answer. reach: an endless answer without a length that is passed on. http_server: bytes after the response, a client that has ended its sending side. response_reader: a body that breaks off where it parses.

--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -216,6 +216,28 @@
     world_shut();
 }
 
+/* Guards against two runs that are joined at an unknown place: events without
+   ids can't be resumed. */
+static void
+test_resumed_without_ids(void)
+{
+    static const char *const in_turn[] = {
+        CHUNKED "9\r\ndata: a\n\n\r\n",
+        CHUNKED "12\r\ndata: a\n\ndata: b\n\n\r\n0\r\n\r\n",
+    };
+    open_answers_world(MG_RETRY_RESUME, true, NULL);
+    world.serve = serve_in_turn;
+    answers = in_turn;
+    CU_ASSERT_EQUAL(world_get("/"), 200);
+    printf("\n  executed %u, result %d, body %.*s", world.executed,
+           world.answer.result, (int)world.answer.body.n, world.answer.body.p);
+    CU_ASSERT_EQUAL(world.executed, 1);
+    CU_ASSERT_NOT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
+    CU_ASSERT_TRUE(
+        mg_str_is(mg_str_buf(&world.answer.body), "data: a\n\n"));
+    world_shut();
+}
+
 /* --------------------------------------- responses that are reset */
 
 static void
@@ -322,6 +344,7 @@
         {"a stream without chunks", test_stream_without_chunks},
         {"a stream resumed without chunks", test_resumed_without_chunks},
         {"a stream resumed with chunks", test_resumed_with_chunks},
+        {"a stream without ids that breaks off", test_resumed_without_ids},
         {"a response that is reset", test_reset_response},
         {"a refusal that is written twice", test_repeated_refusal},
         {"a refusal without an id on a reused channel",
--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -126,6 +126,20 @@
     world_shut();
 }
 
+/* Guards against a crash that counts as a sound answer: the end of an answer
+   without a length, or of a stream between two events, may be one, too. */
+static void
+test_unframed_ends(void)
+{
+    for (int stream = 0; stream < 2; stream++) {
+        open_crash_world(MG_RETRY_NEVER, stream);
+        partial_response = "HTTP/1.1 200 OK\r\n\r\ndata: a\n\n";
+        CU_ASSERT_EQUAL(run_rounds(true), 503);
+        CU_ASSERT_TRUE(crashes <= MG_STRIKES_MAX);
+        world_shut();
+    }
+}
+
 /* a request in progress is not retried after its copies have crashed three
    targets */
 static void
@@ -226,6 +240,8 @@
         {"crashes on new channels are counted", test_new_channels},
         {"crashes on reused channels are counted", test_reused_channels},
         {"crashes in unframed streams are counted", test_unframed_streams},
+        {"crashes that end an unframed answer are counted",
+         test_unframed_ends},
         {"no retry after three crashes", test_refused_meanwhile},
         {"a prompt part that crashes its targets", test_crashing_part},
         CU_TEST_INFO_NULL,
--- a/tests/unit/ends_test.c
+++ b/tests/unit/ends_test.c
@@ -325,6 +325,35 @@
     }
 }
 
+/* Guards against an upload that counts as written because the kernel has taken
+   it: the server closes after an early answer, and resets when it gets the
+   rest. */
+static void
+test_resets_during_a_buffered_upload(void)
+{
+    for (size_t upload = 512 << 10; upload <= 4 << 20; upload *= 2) {
+        const end_row row = {WITHOUT_LENGTH "part", END_FIN_THEN_RESET, upload,
+                             MG_CHANNEL_TRUNCATED, 0};
+        check_rows(&row, 1);
+        printf("  upload %zu: result %d, %s\n", upload, world.result,
+               world.end);
+    }
+}
+
+/* Guards against a status that isn't one (000) and is taken for an interim
+   response: what its body holds isn't an answer. */
+static void
+test_invalid_status(void)
+{
+    static const end_row rows[] = {
+        {"HTTP/1.1 000 X\r\nContent-Length: 42\r\n\r\n" SIZED "body", END_FIN,
+         0, MG_CHANNEL_MALFORMED, 0},
+        {"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok", END_FIN, 0,
+         MG_CHANNEL_MALFORMED, 0},
+    };
+    check_rows(rows, COUNT(rows));
+}
+
 static void
 test_early_answer(void)
 {
@@ -348,7 +377,10 @@
         {"orderly ends", test_orderly_ends},
         {"resets", test_resets},
         {"resets during an upload", test_resets_during_an_upload},
+        {"resets during an upload that the kernel holds",
+         test_resets_during_a_buffered_upload},
         {"an answer during an upload", test_early_answer},
+        {"a status that isn't one", test_invalid_status},
         CU_TEST_INFO_NULL,
     };
     return run_suite("ends", tests);
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <pthread.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -334,6 +335,94 @@
     }
 }
 
+/* Whole responses of this size, which the kernel takes at once, to a client
+   that reads them late. */
+#define HELD_BYTES (200u << 10)
+
+static bool without_length;
+
+static void
+on_request_held(void *user, mg_http_req *r)
+{
+    if (!without_length) {
+        on_request(user, r);
+        return;
+    }
+    mg_http_start_close_delimited(r, 200, NULL, NULL);
+    mg_http_write(r, mg_str_buf(&world.response));
+    mg_http_finish(r);
+}
+
+/* Returns whether the client gets the whole response, in order, if it reads it
+   after it has sent late (may be NULL: it ends its sending side at once). */
+static bool
+gets_held_response(const char *late)
+{
+    static const char get[] =
+        "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    char bytes[4096];
+    size_t received = 0;
+    ssize_t n;
+    mg_error err;
+    open_world();
+    mg_http_stop_listening(world.server);
+    run_loop_ms(20);
+    CU_ASSERT_EQUAL_FATAL(
+        mg_http_open(&world.server,
+                     &(mg_http_options){.loop = &world.loop,
+                                        .listen_addr = test_addr(),
+                                        .on_request = on_request_held},
+                     &err),
+        MG_OK);
+    char *body = mg_alloc(HELD_BYTES);
+    mg_buf_put(&world.response, body, HELD_BYTES);
+    free(body);
+    connect_client(0);
+    send_all(0, get, sizeof(get) - 1);
+    if (late == NULL) {
+        shutdown(world.clients[0], SHUT_WR);
+        run_loop_ms(100);
+    }
+    else {
+        run_loop_ms(1500);
+        send_all(0, late, strlen(late));
+        run_loop_ms(50);
+    }
+    while ((n = recv(world.clients[0], bytes, sizeof(bytes), MSG_DONTWAIT)) >
+               0 ||
+           (n < 0 && errno == EAGAIN)) {
+        received += n > 0 ? (size_t)n : 0;
+        run_loop_ms(1);
+    }
+    printf("\n  %s, %s: %zu bytes, then %s", without_length ? "close" : "sized",
+           late == NULL ? "half-closed" : "late bytes", received,
+           n == 0 ? "FIN" : strerror(errno));
+    close_world();
+    return n == 0 && received > HELD_BYTES;
+}
+
+/* Guards against a whole response that is destroyed by the reset with which
+   the kernel answers bytes that arrive after the server has closed. */
+static void
+test_late_bytes(void)
+{
+    for (int i = 0; i < 2; i++) {
+        without_length = i == 1;
+        CU_ASSERT_TRUE(gets_held_response("\r\n"));
+    }
+}
+
+/* Guards against a whole response without a length that is reset since its
+   client has ended its sending side after the request. */
+static void
+test_half_closed(void)
+{
+    for (int i = 0; i < 2; i++) {
+        without_length = i == 1;
+        CU_ASSERT_TRUE(gets_held_response(NULL));
+    }
+}
+
 #define TINY "GET / HTTP/1.1\r\n\r\n"
 #define TINY_BYTES (sizeof(TINY) - 1)
 #define TINY_COUNT 20000
@@ -464,6 +553,8 @@
         {"responses that are not read", test_slow_readers},
         {"a closed connection with output", test_closed_with_output},
         {"responses without a length", test_without_length},
+        {"bytes after the response", test_late_bytes},
+        {"a client that has ended its sending side", test_half_closed},
         {"many requests in one write", test_pipelined},
         {"many requests in pieces", test_pipelined_in_pieces},
         {"many requests, responses not read", test_pipelined_unread},
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -4,6 +4,8 @@
  */
 #include "flow_world.h"
 
+#include <sys/socket.h>
+
 #include "base/counter.h"
 #include "gateway/reach.h"
 
@@ -24,9 +26,16 @@
     bool stream;
 } other;
 
+static world_conn *endless; /* answers without a length and without end */
+
 static void
 serve(world_conn *c, mg_str head)
 {
+    if (strstr(head.p, "endless") != NULL) {
+        endless = c;
+        world_write(c, "HTTP/1.1 200 OK\r\n\r\ndata: a\n\n");
+        return;
+    }
     if (strstr(head.p, "cut") != NULL) {
         world_write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "9\r\ndata: a\n\n\r\n");
@@ -227,6 +236,59 @@
     check_relay(MG_RETRY_RESUME, true);
 }
 
+#define ENDLESS_PIECE (1u << 20)
+#define ENDLESS_PIECES 48
+
+/* Guards against an answer without a length that is passed on and outgrows the
+   memory since its client doesn't read. */
+static void
+test_endless_answer_without_length(void)
+{
+    static const char get[] = "GET /endless HTTP/1.1\r\nHost: h\r\n\r\n";
+    struct sockaddr_in sin;
+    other.stream = true;
+    open_entries(MG_RETRY_NEVER, false, true);
+    use_other();
+    serve_requests("/");
+    endless = NULL;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int size = 4096;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    mg_addr_parse(world.addrs[WORLD_TARGETS], &sin);
+    CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+    CU_ASSERT_EQUAL(send(fd, get, sizeof(get) - 1, 0), sizeof(get) - 1);
+    world_pass(100);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(endless);
+    char *piece = mg_alloc(ENDLESS_PIECE);
+    memset(piece, 'x', ENDLESS_PIECE);
+    for (size_t i = 63; i < ENDLESS_PIECE; i += 64) {
+        piece[i - 1] = '\n';
+        piece[i] = '\n';
+    }
+    size_t unwritten = 0;
+    for (int i = 0; i < ENDLESS_PIECES; i++) {
+        for (size_t n = 0; n < ENDLESS_PIECE;) {
+            uv_buf_t b =
+                uv_buf_init(piece + n, (unsigned)(ENDLESS_PIECE - n));
+            int sent = uv_try_write((uv_stream_t *)&endless->tcp, &b, 1);
+            if (sent < 0 && sent != UV_EAGAIN) {
+                break;
+            }
+            n += sent > 0 ? (size_t)sent : 0;
+            uv_run(&world_loop, UV_RUN_NOWAIT);
+        }
+        size_t now = mg_http_unwritten(world.front);
+        unwritten = now > unwritten ? now : unwritten;
+    }
+    printf("\n  %zu bytes held for the client, %zu by the other entry\n",
+           unwritten, mg_http_unwritten(other.relay));
+    CU_ASSERT_TRUE(unwritten <= MG_RESPONSE_BYTES_MAX + ENDLESS_PIECE);
+    free(piece);
+    close(fd);
+    world_pass(50);
+    close_entries();
+}
+
 /* a request that must not be repeated reaches targets once, whatever fails */
 static void
 test_at_most_once(void)
@@ -501,6 +563,8 @@
          test_requests_go_through_another_entry},
         {"streams go through another entry",
          test_streams_go_through_another_entry},
+        {"an endless answer that is passed on",
+         test_endless_answer_without_length},
         {"requests that are passed on run once", test_at_most_once},
         {"streams that are passed on run once", test_streams_at_most_once},
         {"no loops between entries", test_no_loops},
--- a/tests/unit/response_reader_test.c
+++ b/tests/unit/response_reader_test.c
@@ -145,11 +145,33 @@
     mg_response_reader_free(&r);
 }
 
+/* Guards against a body that breaks off between two chunks and is taken as
+   whole since its first part happens to parse. */
+static void
+test_broken_off_where_it_parses(void)
+{
+    static const char *const parts[] = {"12", "{\"line\":1}\n"};
+    static const char *const types[] = {"application/json",
+                                        "application/x-ndjson"};
+    for (size_t i = 0; i < 2; i++) {
+        mg_response_reader r = {0};
+        mg_response_reader_connect(&r, false);
+        mg_response_reader_header(&r, 200, mg_str_of(types[i]), false);
+        mg_response_reader_data(&r, mg_str_of(parts[i]), true);
+        CU_ASSERT_NOT_EQUAL(
+            mg_response_reader_classify(&r, MG_HTTP_NO_LAST_CHUNK),
+            MG_RESPONSE_COMPLETE);
+        mg_response_reader_free(&r);
+    }
+}
+
 int
 main(void)
 {
     static const CU_TestInfo tests[] = {
         {"random histories", test_histories},
+        {"a body that breaks off where it parses",
+         test_broken_off_where_it_parses},
         {"response that reports that the request was not run", test_not_run},
         CU_TEST_INFO_NULL,
     };
