--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -233,8 +233,7 @@
            world.answer.result, (int)world.answer.body.n, world.answer.body.p);
     CU_ASSERT_EQUAL(world.executed, 1);
     CU_ASSERT_NOT_EQUAL(world.answer.result, MG_HTTP_COMPLETE);
-    CU_ASSERT_TRUE(
-        mg_str_is(mg_str_buf(&world.answer.body), "data: a\n\n"));
+    CU_ASSERT_TRUE(mg_str_is(mg_str_buf(&world.answer.body), "data: a\n\n"));
     world_shut();
 }
 
--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -394,7 +394,8 @@
         received += n > 0 ? (size_t)n : 0;
         run_loop_ms(1);
     }
-    printf("\n  %s, %s: %zu bytes, then %s", without_length ? "close" : "sized",
+    printf("\n  %s, %s: %zu bytes, then %s",
+           without_length ? "close" : "sized",
            late == NULL ? "half-closed" : "late bytes", received,
            n == 0 ? "FIN" : strerror(errno));
     close_world();
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -268,8 +268,7 @@
     size_t unwritten = 0;
     for (int i = 0; i < ENDLESS_PIECES; i++) {
         for (size_t n = 0; n < ENDLESS_PIECE;) {
-            uv_buf_t b =
-                uv_buf_init(piece + n, (unsigned)(ENDLESS_PIECE - n));
+            uv_buf_t b = uv_buf_init(piece + n, (unsigned)(ENDLESS_PIECE - n));
             int sent = uv_try_write((uv_stream_t *)&endless->tcp, &b, 1);
             if (sent < 0 && sent != UV_EAGAIN) {
                 break;
