A stream isn't resumed after an event without an id

What callers saw: nothing reported; found by the review. A stream whose events have no ids broke off, and a second run was joined to it from its beginning: events twice, and the response ended as complete (ORDER).

Cause: whether a stream may be resumed was decided by its route alone.

Evidence: answers, 'a stream without ids that breaks off': 2 runs, 'data: a' twice, COMPLETE.

Change: once the client was sent an event without an id, no other run goes on; the response is aborted. Before / after: 2 runs, complete / 1 run, broken off.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -363,7 +363,8 @@
         f->possible_runs >= f->route->attempts_max) {
         return false;
     }
-    return !f->response_started || f->route->retry_policy == MG_RETRY_RESUME;
+    return !f->response_started ||
+           (f->route->retry_policy == MG_RETRY_RESUME && !f->has_no_id);
 }
 
 /* retries a request that failed at its target and may have run, if allowed */
@@ -485,6 +486,9 @@
         f->has_last_id = true;
         f->last_id = ev->id;
     }
+    else {
+        f->has_no_id = true;
+    }
 }
 
 static bool
