The end of a response without a length is no proof that its target is well

What callers saw: a request that crashes its targets in a response without a length or chunks went through again and again (BUDGET).

Cause: the FIN of the dying target counted as a served request, which even took back the strikes that the request had.

Change: such an end has the target probed, as a broken connection has; only if it still listens, the request counts as served. A probe is one connection, and a response of this kind costs one anyway.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -86,21 +86,28 @@
     sample_version(f, true);
 }
 
+/* The connection has broken, maybe since the target has crashed; may_be_whole:
+   otherwise its end was the regular end of the response. */
 static void
-target_served(mg_flow *f)
+suspect(mg_flow *f, bool may_be_whole)
 {
-    mg_gw_target_served(f->target);
-    mg_suspect_served(f);
-    sample_version(f, false);
+    mg_suspect s;
+    mg_suspect_of(f, &s);
+    s.may_be_whole = may_be_whole;
+    mg_suspect_connection_lost(f->gw, f->target, &s);
 }
 
-/* the connection has broken, maybe since the target has crashed */
 static void
-suspect(mg_flow *f)
+target_served(mg_flow *f)
 {
-    mg_suspect s;
-    mg_suspect_of(f, &s);
-    mg_suspect_connection_lost(f->gw, f->target, &s);
+    mg_gw_target_served(f->target);
+    if (f->close_delimited) {
+        suspect(f, true);
+    }
+    else {
+        mg_suspect_served(f);
+    }
+    sample_version(f, false);
 }
 
 static void
@@ -569,7 +576,7 @@
 {
     if (ends_inside_event(f) || !f->response_started) {
         target_failed(f, false);
-        suspect(f);
+        suspect(f, false);
         if (!retry(f)) {
             mg_flow_fail(f, "stream_ended_early");
         }
@@ -577,6 +584,7 @@
     }
     if (end_is_unproven(f)) {
         /* another run goes on after the last event, if there is more */
+        suspect(f, true);
         if (!retry(f)) {
             mg_flow_fail(f, "end_unproven");
         }
@@ -678,7 +686,7 @@
     else {
         /* whether the target has closed an idle channel or crashed shows only
            when it is probed */
-        suspect(f);
+        suspect(f, false);
         if (!stale_channel) {
             target_failed(f, false);
         }
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -254,6 +254,10 @@
         stop_probe(p, "down");
         return;
     }
+    for (size_t i = 0; p->suspect.may_be_whole && i < p->suspect.key_count;
+         i++) {
+        key_served(p->gw, p->suspect.keys[i]);
+    }
     stop_probe(p, "listens");
 }
 
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -1,12 +1,13 @@
 /*
  * suspects - crash suspects: requests that may have crashed their targets
  *
- * When a connection breaks while a request runs, the target may have crashed,
- * and the request may be the cause. A probe connection checks this: if it
- * is refused, no process listens any more. Then the request gets a strike,
- * here and, with the next reports, at all entries (strikes.h). Its key there
- * is its fingerprint: a hash of path, workspace and body, without the id, so
- * that a retry has the same one. Each part of its prompt gets a strike, too,
+ * When a connection breaks while a request runs, or ends a response that has
+ * neither a length nor chunks, the target may have crashed, and the request
+ * may be the cause. A probe connection checks this: if it is refused, no
+ * process listens any more. Then the request gets a strike, here and, with the
+ * next reports, at all entries (strikes.h). Its key there is its fingerprint:
+ * a hash of path, workspace and body, without the id, so that a retry has the
+ * same one. Each part of its prompt gets a strike, too,
  * unless the target had written more than one event; but not the last part,
  * which no other request shares. A request is refused if it or one of these
  * parts has crashed too many targets.
@@ -22,6 +23,8 @@
     size_t key_count;
     uint64_t keys[MG_PARTS_MAX];      /* that get a strike */
     unsigned positions[MG_PARTS_MAX]; /* of parts, in the prompt */
+    /* unless the target has crashed, it has served the request */
+    bool may_be_whole;
 } mg_suspect;
 
 /* Hash of a request's path, workspace or key, and body: its key for strikes;
@@ -35,7 +38,7 @@
 /* Sets the keys that get a strike if the request's target has crashed. */
 void
 mg_suspect_of(mg_flow *f, mg_suspect *out);
-/* Probes t after the connection of a request broke; adds strikes if t is
+/* Probes t after the connection of a request ended; adds strikes if t is
    down. */
 void
 mg_suspect_connection_lost(mg_gateway *gw, mg_gw_target *t,
