System tests send load once the document is in force at the entries

The machine's disk needed 452 and 857 ms for a sync then, so that the acknowledged document reached the entries after the load's start; the test waited for targets only.

Change: the start of a cluster waits until the document is in force, for no longer than the stated 5 s, which is one check more. No bound changes.

--- a/scripts/system-cases.sh
+++ b/scripts/system-cases.sh
@@ -17,6 +17,7 @@
     start_target 4 yard-app --service --domain domain-1
     wait_until 20 entries_serving 3
     wait_until 20 targets_registered 4
+    wait_until $IN_FORCE_MAX_S is_in_force "$(document_rev)"
 }
 
 load() { # load SECONDS SEED [options]
