The HTTP server's responses have a file of their own

What a handler reads of a request and how it responds moves to http_response.c; what both share, to http_server_int.h.

--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -1,7 +1,8 @@
 /*
  * http - HTTP/1.1 server and client on libuv
  *
- * Server (http_server.c): a request handler responds at once or later, either
+ * Server (http_server.c, http_response.c): a request handler responds at once
+ * or later, either
  * by mg_http_reply() or by mg_http_start(), mg_http_write() and
  * mg_http_finish(). mg_http_abort() ends a response that can't be completed:
  * it closes the connection without the last chunk, so that the client detects
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -5,9 +5,7 @@
 #include "base/addr.h"
 #include "base/counter.h"
 #include "base/event.h"
-#include "base/list.h"
-#include "wire/h1.h"
-#include "wire/http.h"
+#include "wire/http_server_int.h"
 #include "wire/scratch.h"
 
 #define BACKLOG 1024
@@ -21,87 +19,27 @@
 #define LINGER_TIMEOUT_MS 1000
 #define CONTINUE_RESPONSE "HTTP/1.1 100 Continue\r\n\r\n"
 
-typedef enum conn_state {
-    CONN_HEADERS, /* waits for or receives a header section */
-    CONN_BODY,    /* receives the body */
-    CONN_BUSY,    /* the handler has not completed the response */
-    CONN_LINGER,  /* sending side is shut down, the peer has to close */
-    CONN_CLOSING, /* uv_close() was called */
-} conn_state;
-
-typedef struct http_conn http_conn;
-
-struct mg_http_req {
-    http_conn *conn;
-    mg_h1_headers headers;
-    char *header_bytes;
-    mg_buf body;
-    bool response_started;
-    bool chunked;
-    void (*on_disconnect)(void *user);
-    void *user;
-};
-
-struct http_conn {
-    struct list_head link; /* in mg_http_server.conns */
-    /* in mg_http_server.pending_flush while there is output to write */
-    struct list_head pending_flush;
-    /* in mg_http_server.pending_input while a pipelined request may be in in
-     */
-    struct list_head pending_input;
-    uv_tcp_t tcp;
-    mg_http_server *server;
-    conn_state state;
-    /* sweep_conn() measures the timeout of the current state from this time */
-    int64_t timeout_start_ms;
-    mg_buf in;
-    size_t header_bytes_seen;
-    mg_buf out;
-    size_t unsent_bytes; /* passed to uv_write(), not yet written */
-    mg_h1_body body;
-    mg_http_req *req;
-    uint64_t served;
-    bool close_after_response;
-    bool waits_for_client; /* to read responses, before its next request */
-    bool reading_stopped;  /* until the input has been worked off */
-};
-
-struct mg_http_server {
-    mg_http_options opts;
-    uv_tcp_t listener;
-    uv_timer_t sweep;
-    uv_prepare_t prepare;
-    uv_idle_t idle; /* active while pending_input is not empty */
-    struct list_head conns;
-    struct list_head pending_flush;
-    struct list_head pending_input;
-    size_t open_requests;
-    size_t body_bytes; /* of all requests */
-    size_t conn_count;
-    bool draining;
-};
-
 typedef struct server_write {
     uv_write_t req;
     mg_buf buf;
-    http_conn *conn;
+    mg_http_conn *conn;
 } server_write;
 
 static void
-process_input(http_conn *c);
+process_input(mg_http_conn *c);
 static void
-schedule_input(http_conn *c);
+schedule_input(mg_http_conn *c);
 static void
 on_idle(uv_idle_t *h);
 
 static int64_t
-now_ms(const http_conn *c)
+now_ms(const mg_http_conn *c)
 {
     return (int64_t)uv_now(c->server->opts.loop);
 }
 
 static void
-set_state(http_conn *c, conn_state state)
+set_state(mg_http_conn *c, mg_http_conn_state state)
 {
     c->state = state;
     c->timeout_start_ms = now_ms(c);
@@ -110,7 +48,7 @@
 /* ------------------------------------------------------------- closing */
 
 static void
-free_request(http_conn *c)
+free_request(mg_http_conn *c)
 {
     mg_http_req *r = c->req;
     if (r == NULL) {
@@ -127,20 +65,20 @@
 static void
 on_closed(uv_handle_t *h)
 {
-    http_conn *c = h->data;
+    mg_http_conn *c = h->data;
     mg_buf_free(&c->in);
     mg_buf_free(&c->out);
     free(c);
 }
 
 static void
-close_conn(http_conn *c)
+close_conn(mg_http_conn *c)
 {
-    if (c->state == CONN_CLOSING) {
+    if (c->state == MG_HTTP_CONN_CLOSING) {
         return;
     }
-    bool was_busy = c->state == CONN_BUSY;
-    c->state = CONN_CLOSING;
+    bool was_busy = c->state == MG_HTTP_CONN_BUSY;
+    c->state = MG_HTTP_CONN_CLOSING;
     list_del(&c->link);
     list_del(&c->pending_flush);
     list_del(&c->pending_input);
@@ -154,11 +92,8 @@
     free_request(c);
 }
 
-/* Sets whether the end of the connection, by the end of the process too,
-   resets it. A body that is delimited by it must not look complete before it
-   is. */
-static void
-set_reset_on_close(http_conn *c, bool on)
+void
+mg_http_conn_reset_on_close(mg_http_conn *c, bool on)
 {
     uv_os_fd_t fd;
     struct linger l = {.l_onoff = on, .l_linger = 0};
@@ -171,16 +106,16 @@
 on_shutdown(uv_shutdown_t *req, int status)
 {
     if (status == 0) {
-        set_reset_on_close(req->data, false);
+        mg_http_conn_reset_on_close(req->data, false);
     }
     free(req);
 }
 
 /* shuts down the sending side; the peer may still be sending */
 static void
-linger(http_conn *c)
+linger(mg_http_conn *c)
 {
-    set_state(c, CONN_LINGER);
+    set_state(c, MG_HTTP_CONN_LINGER);
     mg_buf_free(&c->in);
     uv_shutdown_t *req = mg_alloc(sizeof(*req));
     req->data = c;
@@ -194,16 +129,17 @@
 
 /* Whether the client has read enough of its responses for the next one. */
 static bool
-may_respond(const http_conn *c)
+may_respond(const mg_http_conn *c)
 {
     return c->unsent_bytes + c->out.n <= MG_HTTP_BYTES_SMALL;
 }
 
 /* Takes up the requests of a client that has read responses. */
 static void
-resume_input(http_conn *c)
+resume_input(mg_http_conn *c)
 {
-    if (c->waits_for_client && may_respond(c) && c->state != CONN_CLOSING) {
+    if (c->waits_for_client && may_respond(c) &&
+        c->state != MG_HTTP_CONN_CLOSING) {
         c->waits_for_client = false;
         schedule_input(c);
     }
@@ -223,7 +159,7 @@
 }
 
 static void
-write_out(http_conn *c)
+write_out(mg_http_conn *c)
 {
     uv_buf_t b = uv_buf_init(c->out.p, (unsigned)c->out.n);
     if (c->unsent_bytes == 0) {
@@ -252,11 +188,21 @@
     }
 }
 
+void
+mg_http_conn_abort(mg_http_conn *c)
+{
+    if (c->out.n > 0) {
+        write_out(c);
+    }
+    close_conn(c);
+}
+
 /* whether much of a response that has ended is not taken by its client */
 static bool
-is_read_slowly(const http_conn *c)
+is_read_slowly(const mg_http_conn *c)
 {
-    return c->state != CONN_BUSY && c->unsent_bytes > MG_HTTP_BYTES_SMALL;
+    return c->state != MG_HTTP_CONN_BUSY &&
+           c->unsent_bytes > MG_HTTP_BYTES_SMALL;
 }
 
 /* Closes the connection whose response ended first if clients have left too
@@ -265,10 +211,10 @@
 limit_unsent(mg_http_server *s)
 {
     size_t unsent = 0;
-    http_conn *oldest = NULL;
+    mg_http_conn *oldest = NULL;
     list_for_each(el, &s->conns)
     {
-        http_conn *c = list_entry(el, http_conn, link);
+        mg_http_conn *c = list_entry(el, mg_http_conn, link);
         if (!is_read_slowly(c)) {
             continue;
         }
@@ -286,7 +232,7 @@
 }
 
 static void
-flush_conn(http_conn *c)
+flush_conn(mg_http_conn *c)
 {
     list_del(&c->pending_flush);
     if (c->out.n > 0) {
@@ -295,16 +241,16 @@
     if (is_read_slowly(c)) {
         limit_unsent(c->server);
     }
-    if (c->state == CONN_HEADERS && c->close_after_response) {
+    if (c->state == MG_HTTP_CONN_HEADERS && c->close_after_response) {
         linger(c);
     }
     resume_input(c);
 }
 
-static void
-schedule_flush(http_conn *c)
+void
+mg_http_conn_flush(mg_http_conn *c)
 {
-    if (list_empty(&c->pending_flush) && c->state != CONN_CLOSING) {
+    if (list_empty(&c->pending_flush) && c->state != MG_HTTP_CONN_CLOSING) {
         list_add_tail(&c->pending_flush, &c->server->pending_flush);
     }
 }
@@ -316,7 +262,7 @@
     /* each flush may close, and so remove, any connection of the list */
     while (!list_empty(&s->pending_flush)) {
         flush_conn(
-            list_entry(s->pending_flush.next, http_conn, pending_flush));
+            list_entry(s->pending_flush.next, mg_http_conn, pending_flush));
     }
 }
 
@@ -324,7 +270,7 @@
    response may be called by the handler of a request, so that it must not call
    that handler again. */
 static void
-schedule_input(http_conn *c)
+schedule_input(mg_http_conn *c)
 {
     mg_http_server *s = c->server;
     if (list_empty(&c->pending_input)) {
@@ -335,15 +281,14 @@
     }
 }
 
-/* the response is complete: proceeds to the next request */
-static void
-finish_request(http_conn *c)
+void
+mg_http_conn_finish(mg_http_conn *c)
 {
     free_request(c);
-    set_state(c, CONN_HEADERS);
+    set_state(c, MG_HTTP_CONN_HEADERS);
     c->header_bytes_seen = 0;
     c->served++;
-    schedule_flush(c);
+    mg_http_conn_flush(c);
     if (!c->close_after_response && c->in.n > 0) {
         schedule_input(c);
     }
@@ -352,7 +297,7 @@
 /* rejects input that is invalid or too large, with an error response by the
    server itself */
 static void
-reject_request(http_conn *c, int status, const char *why)
+reject_request(mg_http_conn *c, int status, const char *why)
 {
     mg_count(MG_C_BAD_INPUT, 1);
     mg_log(MG_EV_BAD_INPUT, "listen=%s status=%d what=%s",
@@ -364,16 +309,16 @@
                   status == 503 ? "retry-after: 1\r\n" : "");
     free_request(c);
     c->close_after_response = true;
-    set_state(c, CONN_HEADERS);
-    schedule_flush(c);
+    set_state(c, MG_HTTP_CONN_HEADERS);
+    mg_http_conn_flush(c);
 }
 
 /* ------------------------------------------------------------- reading */
 
 static void
-dispatch_request(http_conn *c)
+dispatch_request(mg_http_conn *c)
 {
-    set_state(c, CONN_BUSY);
+    set_state(c, MG_HTTP_CONN_BUSY);
     c->server->opts.on_request(c->server->opts.user, c->req);
 }
 
@@ -391,7 +336,7 @@
 }
 
 static void
-decode_body(http_conn *c, char *p, size_t n)
+decode_body(mg_http_conn *c, char *p, size_t n)
 {
     mg_str data;
     mg_str rest;
@@ -418,7 +363,7 @@
 }
 
 static void
-start_request(http_conn *c, const mg_h1_headers *headers)
+start_request(mg_http_conn *c, const mg_h1_headers *headers)
 {
     mg_http_req *r = mg_alloc(sizeof(*r));
     c->req = r;
@@ -440,11 +385,11 @@
         dispatch_request(c);
         return;
     }
-    set_state(c, CONN_BODY);
+    set_state(c, MG_HTTP_CONN_BODY);
     if (mg_h1_name_is(mg_h1_get(&r->headers, "expect"), "100-continue") &&
         c->in.n == 0) {
         mg_buf_put(&c->out, CONTINUE_RESPONSE, sizeof(CONTINUE_RESPONSE) - 1);
-        schedule_flush(c);
+        mg_http_conn_flush(c);
     }
     if (c->in.n > 0) {
         mg_buf body = c->in;
@@ -455,7 +400,7 @@
 }
 
 static void
-process_input(http_conn *c)
+process_input(mg_http_conn *c)
 {
     mg_h1_headers headers;
     /* some clients send an empty line after a body */
@@ -482,7 +427,7 @@
 
 /* whether c holds as much input as it may while requests wait in it */
 static bool
-is_input_full(const http_conn *c)
+is_input_full(const mg_http_conn *c)
 {
     return c->in.n > c->server->opts.limits.header_bytes_max + READ_AHEAD_MAX;
 }
@@ -492,9 +437,9 @@
 
 /* Takes up the next request of a connection, if there is a whole one. */
 static void
-take_next(http_conn *c)
+take_next(mg_http_conn *c)
 {
-    if (c->state != CONN_HEADERS || c->close_after_response) {
+    if (c->state != MG_HTTP_CONN_HEADERS || c->close_after_response) {
         return;
     }
     if (!may_respond(c)) {
@@ -502,7 +447,8 @@
         return;
     }
     process_input(c);
-    if (c->reading_stopped && c->state != CONN_CLOSING && !is_input_full(c)) {
+    if (c->reading_stopped && c->state != MG_HTTP_CONN_CLOSING &&
+        !is_input_full(c)) {
         c->reading_stopped = false;
         uv_read_start((uv_stream_t *)&c->tcp, mg_scratch_alloc, on_read);
     }
@@ -514,8 +460,8 @@
     mg_http_server *s = h->data;
     for (int i = 0; i < PIPELINED_PER_TURN && !list_empty(&s->pending_input);
          i++) {
-        http_conn *c =
-            list_entry(s->pending_input.next, http_conn, pending_input);
+        mg_http_conn *c =
+            list_entry(s->pending_input.next, mg_http_conn, pending_input);
         list_del(&c->pending_input);
         take_next(c);
     }
@@ -527,8 +473,8 @@
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
-    http_conn *c = s->data;
-    if (n == 0 || c->state == CONN_CLOSING) {
+    mg_http_conn *c = s->data;
+    if (n == 0 || c->state == MG_HTTP_CONN_CLOSING) {
         return;
     }
     if (n < 0) {
@@ -536,7 +482,7 @@
         return;
     }
     switch (c->state) {
-    case CONN_HEADERS:
+    case MG_HTTP_CONN_HEADERS:
         if (c->close_after_response) {
             return;
         }
@@ -552,10 +498,10 @@
             uv_read_stop(s);
         }
         break;
-    case CONN_BODY:
+    case MG_HTTP_CONN_BODY:
         decode_body(c, buf->base, (size_t)n);
         break;
-    case CONN_BUSY:
+    case MG_HTTP_CONN_BUSY:
         mg_buf_put(&c->in, buf->base, (size_t)n);
         if (is_input_full(c)) {
             close_conn(c);
@@ -573,7 +519,7 @@
     if (status != 0) {
         return;
     }
-    http_conn *c = mg_alloc(sizeof(*c));
+    mg_http_conn *c = mg_alloc(sizeof(*c));
     c->server = s;
     c->tcp.data = c;
     init_list_head(&c->pending_flush);
@@ -581,7 +527,7 @@
     list_add_tail(&c->link, &s->conns);
     s->conn_count++;
     uv_tcp_init(s->opts.loop, &c->tcp);
-    set_state(c, CONN_HEADERS);
+    set_state(c, MG_HTTP_CONN_HEADERS);
     if (uv_accept(listener, (uv_stream_t *)&c->tcp) != 0) {
         close_conn(c);
         return;
@@ -591,12 +537,12 @@
 }
 
 static void
-sweep_conn(http_conn *c, int64_t now)
+sweep_conn(mg_http_conn *c, int64_t now)
 {
     const mg_http_options *o = &c->server->opts;
     int64_t age = now - c->timeout_start_ms;
     switch (c->state) {
-    case CONN_HEADERS:
+    case MG_HTTP_CONN_HEADERS:
         if (c->in.n > 0 && age > o->limits.header_timeout_ms) {
             reject_request(c, 408, "slow_head");
         }
@@ -604,12 +550,12 @@
             close_conn(c);
         }
         break;
-    case CONN_BODY:
+    case MG_HTTP_CONN_BODY:
         if (age > o->limits.idle_timeout_ms) {
             reject_request(c, 408, "slow_body");
         }
         break;
-    case CONN_LINGER:
+    case MG_HTTP_CONN_LINGER:
         if (age > LINGER_TIMEOUT_MS && c->unsent_bytes == 0) {
             close_conn(c);
         }
@@ -626,7 +572,7 @@
     int64_t now = (int64_t)uv_now(s->opts.loop);
     list_for_each_safe(el, el1, &s->conns)
     {
-        sweep_conn(list_entry(el, http_conn, link), now);
+        sweep_conn(list_entry(el, mg_http_conn, link), now);
     }
 }
 
@@ -723,176 +669,8 @@
     size_t n = 0;
     list_for_each(el, &s->conns)
     {
-        const http_conn *c = list_entry(el, http_conn, link);
+        const mg_http_conn *c = list_entry(el, mg_http_conn, link);
         n += c->out.n + c->unsent_bytes;
     }
     return n;
 }
-
-/* ------------------------------------------------------------ requests */
-
-mg_str
-mg_http_method(const mg_http_req *r)
-{
-    return r->headers.method;
-}
-
-mg_str
-mg_http_path(const mg_http_req *r)
-{
-    mg_str query;
-    return mg_str_split(r->headers.target, '?', &query);
-}
-
-mg_str
-mg_http_query(const mg_http_req *r)
-{
-    mg_str query;
-    mg_str_split(r->headers.target, '?', &query);
-    return query;
-}
-
-mg_str
-mg_http_body(const mg_http_req *r)
-{
-    return mg_str_buf(&r->body);
-}
-
-mg_str
-mg_http_header(const mg_http_req *r, const char *name)
-{
-    return mg_h1_get(&r->headers, name);
-}
-
-const mg_h1_headers *
-mg_http_headers(const mg_http_req *r)
-{
-    return &r->headers;
-}
-
-void
-mg_http_on_disconnect(mg_http_req *r, void (*f)(void *user), void *user)
-{
-    r->on_disconnect = f;
-    r->user = user;
-}
-
-static void
-put_extra_headers(mg_buf *out, const char *extra)
-{
-    mg_str rest = mg_str_of(extra);
-    while (rest.n > 0) {
-        mg_str line = mg_str_split(rest, '\n', &rest);
-        mg_buf_put(out, line.p, line.n);
-        mg_buf_put(out, "\r\n", 2);
-    }
-}
-
-static void
-put_headers(mg_http_req *r, int status, const char *type, const char *extra)
-{
-    http_conn *c = r->conn;
-    MG_INVARIANT(!r->response_started);
-    r->response_started = true;
-    c->close_after_response = c->close_after_response || c->server->draining;
-    mg_buf_printf(&c->out, "HTTP/1.1 %d %s\r\n", status, mg_h1_reason(status));
-    if (type != NULL) {
-        mg_buf_printf(&c->out, "content-type: %s\r\n", type);
-    }
-    put_extra_headers(&c->out, extra);
-    if (c->close_after_response) {
-        mg_buf_printf(&c->out, "connection: close\r\n");
-    }
-    schedule_flush(c);
-}
-
-void
-mg_http_start_sized(mg_http_req *r, int status, const char *type,
-                    const char *extra, uint64_t length)
-{
-    put_headers(r, status, type, extra);
-    mg_buf_printf(&r->conn->out, "content-length: %llu\r\n\r\n",
-                  (unsigned long long)length);
-}
-
-void
-mg_http_start_close_delimited(mg_http_req *r, int status, const char *type,
-                              const char *extra)
-{
-    r->conn->close_after_response = true;
-    set_reset_on_close(r->conn, true);
-    put_headers(r, status, type, extra);
-    mg_buf_put(&r->conn->out, "\r\n", 2);
-}
-
-void
-mg_http_start(mg_http_req *r, int status, const char *type, const char *extra)
-{
-    if (r->headers.minor_version == 0) {
-        mg_http_start_close_delimited(r, status, type, extra);
-        return;
-    }
-    put_headers(r, status, type, extra);
-    r->chunked = true;
-    mg_buf_printf(&r->conn->out, "transfer-encoding: chunked\r\n\r\n");
-}
-
-void
-mg_http_write(mg_http_req *r, mg_str data)
-{
-    http_conn *c = r->conn;
-    if (data.n == 0) {
-        return;
-    }
-    if (r->chunked) {
-        mg_buf_printf(&c->out, "%zx\r\n", data.n);
-    }
-    mg_buf_put(&c->out, data.p, data.n);
-    if (r->chunked) {
-        mg_buf_put(&c->out, "\r\n", 2);
-    }
-    schedule_flush(c);
-}
-
-bool
-mg_http_is_chunked(const mg_http_req *r)
-{
-    return r->chunked;
-}
-
-void
-mg_http_finish(mg_http_req *r)
-{
-    if (r->chunked) {
-        mg_buf_put(&r->conn->out, "0\r\n\r\n", 5);
-    }
-    finish_request(r->conn);
-}
-
-void
-mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
-              mg_str body)
-{
-    mg_http_start_sized(r, status, type, extra, body.n);
-    if (!mg_str_is(r->headers.method, "HEAD")) {
-        mg_buf_put(&r->conn->out, body.p, body.n);
-    }
-    finish_request(r->conn);
-}
-
-void
-mg_http_abort(mg_http_req *r)
-{
-    http_conn *c = r->conn;
-    r->on_disconnect = NULL;
-    if (c->out.n > 0) {
-        write_out(c);
-    }
-    close_conn(c);
-}
-
-size_t
-mg_http_unsent(const mg_http_req *r)
-{
-    return r->conn->out.n + r->conn->unsent_bytes;
-}
