A response that has ended isn't destroyed by late bytes or a half-closed client

What callers saw: a whole response of 200 KB that a slow client reads ended in a reset after 4 KB, when the client had sent two more bytes 1.5 s later; without a length, also when the client ended its sending side after its request.

Cause: after its FIN the server waited 1 s, then closed although the kernel had not delivered the response; any byte of the client then draws a reset. And the client's FIN closed the connection at once, while SO_LINGER of 0 was set.

Change: the connection stays until the client's kernel has acknowledged everything, for the idle timeout at most; a client's FIN after the end of the response doesn't stop it from being written. What asks the socket moves to wire/sock.c, which the channel uses, too.

--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -1,18 +1,17 @@
 #include "wire/channel.h"
 
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/addr.h"
 #include "base/counter.h"
 #include "base/event.h"
 #include "wire/scratch.h"
+#include "wire/sock.h"
 
 #define HEADER_BYTES_MAX 32768
 /* interim responses (1xx) to one request before the final one */
@@ -284,33 +283,6 @@
     }
 }
 
-/* the error that the socket holds, as a libuv error code */
-static int
-take_socket_error(mg_channel *c)
-{
-    uv_os_fd_t fd;
-    int error = 0;
-    socklen_t size = sizeof(error);
-    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0 ||
-        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
-        return 0;
-    }
-    return uv_translate_sys_error(error);
-}
-
-/* Whether the peer's kernel has all of the request. */
-static bool
-is_acknowledged(const mg_channel *c)
-{
-    uv_os_fd_t fd;
-    int unacknowledged = 0;
-    if (c->unsent_bytes > 0) {
-        return false;
-    }
-    return uv_fileno((const uv_handle_t *)&c->tcp, &fd) != 0 ||
-           ioctl(fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
-}
-
 /* Whether the connection has ended by the peer's FIN, not by an error. The end
    of file alone doesn't tell: libuv reports it for a reset, too, that comes
    together with data, and so does the socket once a failed write has taken its
@@ -328,12 +300,12 @@
 check_ended(mg_channel *c)
 {
     if (c->socket_error == 0) {
-        c->socket_error = take_socket_error(c);
+        c->socket_error = mg_sock_take_error(&c->tcp);
     }
     if (!has_orderly_end(c)) {
         close_with_result(c, MG_CHANNEL_TRUNCATED);
     }
-    else if (is_acknowledged(c)) {
+    else if (c->unsent_bytes == 0 && mg_sock_is_acknowledged(&c->tcp)) {
         close_with_result(c, MG_CHANNEL_COMPLETE);
     }
 }
@@ -380,7 +352,7 @@
     }
     if (n < 0) {
         c->read_error = (int)n;
-        c->socket_error = take_socket_error(c);
+        c->socket_error = mg_sock_take_error(&c->tcp);
         on_eof(c);
         return;
     }
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -2,13 +2,14 @@
  * http - HTTP/1.1 server and client on libuv
  *
  * Server (http_server.c, http_response.c): a request handler responds at once
- * or later, either
- * by mg_http_reply() or by mg_http_start(), mg_http_write() and
- * mg_http_finish(). mg_http_abort() ends a response that can't be completed:
- * it closes the connection without the last chunk, so that the client detects
- * the truncation. The disconnect callback is called at most once, when the
- * connection is lost before the end of the response. A request must not be
- * used after this callback, nor after its response was finished or aborted.
+ * or later, either by mg_http_reply() or by mg_http_start(), mg_http_write()
+ * and mg_http_finish(). mg_http_abort() ends a response that can't be
+ * completed: it closes the connection without the last chunk, so that the
+ * client detects the truncation. The disconnect callback is called at most
+ * once, when the connection is lost before the end of the response; a client
+ * that ends its sending side then counts as gone, but gets whole what has
+ * ended before. A request must not be used after this callback, nor after its
+ * response was finished or aborted.
  *
  * Client (http_client.c): each request has a connection of its own, which is
  * never reused. A failure to connect therefore proves that the peer has not
--- a/src/wire/http_response.c
+++ b/src/wire/http_response.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "wire/sock.h"
+
 mg_str
 mg_http_method(const mg_http_req *r)
 {
@@ -91,7 +93,8 @@
                               const char *extra)
 {
     r->conn->close_after_response = true;
-    mg_http_conn_reset_on_close(r->conn, true);
+    /* the body must not look complete before it is */
+    mg_sock_reset_on_close(&r->conn->tcp, true);
     put_headers(r, status, type, extra);
     mg_buf_put(&r->conn->out, "\r\n", 2);
 }
--- a/src/wire/http_server.c
+++ b/src/wire/http_server.c
@@ -7,6 +7,7 @@
 #include "base/event.h"
 #include "wire/http_server_int.h"
 #include "wire/scratch.h"
+#include "wire/sock.h"
 
 #define BACKLOG 1024
 #define SWEEP_INTERVAL_MS 250
@@ -15,7 +16,9 @@
 /* pipelined requests that are taken up in one iteration of the event loop, of
    all connections together */
 #define PIPELINED_PER_TURN 64
-/* after the server's FIN: how long to wait for the peer's FIN, ms */
+/* after the server's FIN: how long to wait for the peer's FIN, ms; longer if
+   the peer hasn't got all of the response, which a reset would destroy: any
+   byte that it sends after the close draws one */
 #define LINGER_TIMEOUT_MS 1000
 #define CONTINUE_RESPONSE "HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -92,21 +95,16 @@
     free_request(c);
 }
 
-void
-mg_http_conn_reset_on_close(mg_http_conn *c, bool on)
-{
-    uv_os_fd_t fd;
-    struct linger l = {.l_onoff = on, .l_linger = 0};
-    if (uv_fileno((uv_handle_t *)&c->tcp, &fd) == 0) {
-        setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-    }
-}
-
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
+    mg_http_conn *c = req->data;
     if (status == 0) {
-        mg_http_conn_reset_on_close(req->data, false);
+        mg_sock_reset_on_close(&c->tcp, false);
+        c->output_ended = true;
+    }
+    if (status != 0 || c->input_ended) {
+        close_conn(c);
     }
     free(req);
 }
@@ -470,6 +468,32 @@
     }
 }
 
+/* Whether the last response has ended, but the kernel doesn't have all of it;
+   writes what it takes. */
+static bool
+has_output(mg_http_conn *c)
+{
+    if (c->state == MG_HTTP_CONN_HEADERS && c->out.n > 0) {
+        write_out(c);
+    }
+    return c->state == MG_HTTP_CONN_HEADERS &&
+           (c->unsent_bytes > 0 || c->close_after_response);
+}
+
+/* The client sends no more; orderly: by a FIN. Responses that have ended are
+   still written, as the client may read them. */
+static void
+on_input_end(mg_http_conn *c, bool orderly)
+{
+    c->input_ended = true;
+    if (orderly && has_output(c)) {
+        linger(c);
+    }
+    else if (!orderly || c->state != MG_HTTP_CONN_LINGER || c->output_ended) {
+        close_conn(c);
+    }
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
 {
@@ -478,7 +502,7 @@
         return;
     }
     if (n < 0) {
-        close_conn(c);
+        on_input_end(c, n == UV_EOF);
         return;
     }
     switch (c->state) {
@@ -556,7 +580,9 @@
         }
         break;
     case MG_HTTP_CONN_LINGER:
-        if (age > LINGER_TIMEOUT_MS && c->unsent_bytes == 0) {
+        if (age > LINGER_TIMEOUT_MS && c->unsent_bytes == 0 &&
+            (mg_sock_is_acknowledged(&c->tcp) ||
+             age > o->limits.idle_timeout_ms)) {
             close_conn(c);
         }
         break;
--- a/src/wire/http_server_int.h
+++ b/src/wire/http_server_int.h
@@ -53,6 +53,8 @@
     uint64_t served;
     bool close_after_response;
     bool waits_for_client; /* to read responses, before its next request */
+    bool input_ended;      /* the client sends no more */
+    bool output_ended;     /* the kernel has all responses, and the FIN */
     bool reading_stopped;  /* until the input has been worked off */
 };
 
@@ -81,10 +83,4 @@
 /* Has the output written at the end of this event loop iteration. */
 void
 mg_http_conn_flush(mg_http_conn *c);
-/* Sets whether the end of the connection, by the end of the process too,
-   resets it. A body that is delimited by it must not look complete before it
-   is. */
-void
-mg_http_conn_reset_on_close(mg_http_conn *c, bool on);
-
 #endif
