--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -455,6 +455,42 @@
     close_world();
 }
 
+/* a head that a proxy must not pass on gets 400, whoever sends it */
+static void
+test_malformed_heads(void)
+{
+    static const char *const heads[] = {
+        "GET / HTTP/1.1\r\nX y: z",
+        "GET / HTTP/1.1\r\nX\x01y: z",
+        "GET / HTTP/1.1\r\nX : z",
+        "GET / HTTP/1.1\r\n: z",
+        "GET / HTTP/1.1\r\nX: y\r\n z",
+        "GET / HTTP/1.1\r\nX: y\rz",
+        "GET / HTTP/1.1\r\nX: y\x7f",
+        "POST / HTTP/1.1\r\nContent-Length: +1",
+        "POST / HTTP/1.1\r\nContent-Length: 1, 1",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked",
+        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked",
+        " / HTTP/1.1",
+        "GET  HTTP/1.1",
+        "G(T / HTTP/1.1",
+    };
+    char first[256];
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        open_world();
+        connect_client(0);
+        send_all(0, heads[i], strlen(heads[i]));
+        send_all(0, "\r\nHost: h\r\n\r\n", 13);
+        receive(0, first, sizeof(first));
+        if (strncmp(first, "HTTP/1.1 400", 12) != 0) {
+            printf("\n  head %zu: %.12s", i, first);
+        }
+        CU_ASSERT_EQUAL(strncmp(first, "HTTP/1.1 400", 12), 0);
+        CU_ASSERT_EQUAL(world.served, 0);
+        close_world();
+    }
+}
+
 #define CHUNKED_BYTES (32u << 10)
 
 /* lines that belong to no body are limited like a head */
@@ -487,6 +523,7 @@
         {"bodies that arrive slowly", test_bodies},
         {"one large body", test_one_large_body},
         {"responses that are not read", test_slow_readers},
+        {"malformed heads", test_malformed_heads},
         {"long lines of chunks", test_long_lines_of_chunks},
         {"a closed connection with output", test_closed_with_output},
         {"responses without a length", test_without_length},
