--- a/tests/unit/h1_test.c
+++ b/tests/unit/h1_test.c
@@ -419,7 +419,10 @@
         mg_buf_put(&out, rest.p, rest.n);
         mg_buf_free(&in);
     }
-    mg_buf_put(&out, rc == MG_OK ? "." : "", 2);
+    if (rc == MG_OK) {
+        mg_buf_put(&out, ".", 1);
+    }
+    mg_buf_put(&out, "", 1);
     return rc == MG_E_INPUT ? NULL : out.p;
 }
 
