The own interface bounds what it keeps of a target's response

What callers saw: an entry that ran out of memory because one faulty target sent bytes without end; all requests of the entry were lost with it.

Cause: a plain response was kept without any limit, a keyed stream up to 16 MB and what a slow client had not taken up to 16 MB each, whatever the number of requests. A keyed stream whose client had left was read for ever.

Evidence: endless_responses, a system test with a real cluster; 40 requests at a time to targets that send without end, peak memory of the entry read from /proc.

Why it works: what is kept of a response and not yet taken by its client is counted in mg_response_memory, which the gateway has used for the same; it moved to src/wire/. Over 8 MB for one or 16 MB for all (64 KB are always allowed), a keyed stream first gives up its copy for retries; what is still too large, or what nobody can get any more, ends: connection closed, engine told to cancel, 306 REQ_CUT why=answer_too_large, outcome unknown. The 16 MB for each slow client is replaced by this count. The client has body_max, for responses that nobody reads (cancellations) and for marigoldctl; http_client "longest body".

--- a/daemons/client.c
+++ b/daemons/client.c
@@ -1,6 +1,8 @@
 #include "client.h"
 
 #define CONNECT_TIMEOUT_MS 1000
+/* more than any document or status of a control group */
+#define BODY_BYTES_MAX (64u << 20)
 
 struct exchange_state {
     uv_loop_t *loop;
@@ -45,6 +47,7 @@
         .path = x->path,
         .extra_headers = x->extra_headers,
         .body = x->body,
+        .body_max = BODY_BYTES_MAX,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .read_timeout_ms = x->read_timeout_ms,
         .on_headers = on_head,
--- a/scripts/system-tests.sh
+++ b/scripts/system-tests.sh
@@ -19,7 +19,7 @@
 silent_target control_lost_and_repaired disks_stall leader_cut_off
 racing_operators
 all_control_down torn_log many_changes target_leaves target_killed
-crashing_request move_good move_bad bad_input"
+crashing_request move_good move_bad bad_input endless_responses"
 
 passed=0
 failed=0
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -2,8 +2,8 @@
  * entry_int - declarations shared by the files of an entry
  *
  * front.c            HTTP interface for clients and targets, admission
- * request.c          life cycle of a request: ticket, dispatch, response,
- *                    record
+ * request.c          life cycle of a request: ticket, dispatch, record
+ * response.c         its target's response: forwarded or kept, within limits
  * keyed.c            requests with an idempotency key: claims and retries
  * pools.c            local schedulers, messages to those of other entries
  * without_control.c  serving while the control group is unreachable
@@ -19,6 +19,7 @@
 #include "entry/view.h"
 #include "policy/sched.h"
 #include "wire/http.h"
+#include "wire/response_memory.h"
 
 typedef enum mg_request_state {
     MG_REQ_LOOKUP,     /* looks its key up in the ledger */
@@ -83,6 +84,7 @@
     int64_t resume_until_ms;
     int64_t resume_at_ms; /* 0: none scheduled */
     mg_response_reader response;
+    size_t held;           /* bytes in e->response_memory */
     bool response_started; /* bytes were sent to the client */
     /* outcome, once known */
     mg_rc rc;
@@ -173,6 +175,7 @@
     struct list_head active;   /* not retained; checked each tick */
     struct list_head retained; /* oldest first */
     size_t retained_bytes;
+    mg_response_memory response_memory; /* of the active requests */
     mg_local_sched *scheds;
     mg_peer *peers;
     mg_pool_sync *syncs;
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -22,16 +22,11 @@
 #include "ledger/claims.h"
 
 #define TICKET_RETRY_MS 1000
-#define CONNECT_TIMEOUT_MS 500
-#define ENGINE_IDLE_TIMEOUT_MS 1500
 #define SERVICE_IDLE_TIMEOUT_MS 60000
-#define RESUME_TIMEOUT_MS 6000
 #define RESUME_DELAY_MS 200
 #define FINAL_WAIT_MS 3000
 #define RETAIN_MS 600000
 #define RETAINED_BYTES_MAX (8u << 20)
-#define RESPONSE_BYTES_MAX (16u << 20)
-#define UNSENT_BYTES_MAX (16u << 20)
 
 static int64_t
 now_of(const mg_request *r)
@@ -123,8 +118,8 @@
     }
 }
 
-static void
-format_response_headers(const mg_request *r, char *out, size_t size)
+void
+mg_request_format_headers(const mg_request *r, char *out, size_t size)
 {
     snprintf(out, size, "x-request-id: %" PRIx64 "\nx-version: %s\n", r->id,
              r->version);
@@ -143,7 +138,7 @@
         mg_http_finish(http);
         return;
     }
-    format_response_headers(r, extra, sizeof(extra));
+    mg_request_format_headers(r, extra, sizeof(extra));
     mg_http_reply(http, r->response.status, r->response.content_type, extra,
                   mg_str_buf(&r->response.body));
 }
@@ -188,6 +183,7 @@
 {
     mg_entry *e = r->e;
     detach_client(r);
+    mg_response_memory_release(&e->response_memory, &r->held);
     e->open_requests--;
     if (!mg_request_is_keyed(r)) {
         free_request(r);
@@ -441,55 +437,14 @@
     return true;
 }
 
-static void
-start_streaming(mg_request *r)
-{
-    char extra[256];
-    format_response_headers(r, extra, sizeof(extra));
-    r->response_started = true;
-    mg_http_start(r->http, r->response.status, r->response.content_type,
-                  extra);
-}
-
-static void
-on_header_section(void *user, int status, mg_str type, bool not_run)
-{
-    mg_response_reader_header(&((mg_request *)user)->response, status, type,
-                              not_run);
-}
-
-static void
-on_data(void *user, mg_str data)
-{
-    mg_request *r = user;
-    bool stream = r->params.stream && r->response.status == 200;
-    bool keep = !stream || (mg_request_is_keyed(r) &&
-                            r->response.received <= RESPONSE_BYTES_MAX);
-    if (!mg_response_reader_data(&r->response, data, keep)) {
-        return;
-    }
-    r->resume_until_ms = now_of(r) + RESUME_TIMEOUT_MS;
-    if (r->first_byte_us == 0) {
-        r->first_byte_us = uv_hrtime() / 1000;
-        mg_observe(MG_H_FIRST_BYTE,
-                   (int64_t)(r->first_byte_us - r->started_us));
-    }
-    if (!stream || r->http == NULL) {
-        return;
-    }
-    if (!r->response_started) {
-        start_streaming(r);
-    }
-    mg_http_write(r->http, data);
-}
-
-static void
-response_truncated(mg_request *r, const char *why)
+void
+mg_request_truncated(mg_request *r, const char *why)
 {
     mg_log(MG_EV_REQ_CUT,
            "id=%" PRIx64 " workspace=%s target=%s received=%" PRIu64 " why=%s",
            r->id, r->params.workspace, r->target, r->response.received, why);
     mg_count(MG_C_TRUNCATED, 1);
+    mg_buf_free(&r->response.body);
     if (r->nonce != r->id) {
         /* this attempt must not record the outcome of another one */
         mg_keyed_finish_unrecorded(r, MG_E_OUTCOME_UNKNOWN, MG_RAN_UNKNOWN);
@@ -507,7 +462,7 @@
         mg_keyed_read_next_target(r);
     }
     else {
-        response_truncated(r, why);
+        mg_request_truncated(r, why);
     }
 }
 
@@ -594,12 +549,12 @@
             .path = path,
             .extra_headers = extra,
             .body = resume ? (mg_str){"", 0} : mg_str_buf(&r->body),
-            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-            .read_timeout_ms = r->params.engine ? ENGINE_IDLE_TIMEOUT_MS
+            .connect_timeout_ms = MG_TARGET_CONNECT_TIMEOUT_MS,
+            .read_timeout_ms = r->params.engine ? MG_ENGINE_IDLE_TIMEOUT_MS
                                                 : SERVICE_IDLE_TIMEOUT_MS,
             .on_connected = on_connected,
-            .on_headers = on_header_section,
-            .on_data = on_data,
+            .on_headers = mg_response_on_headers,
+            .on_data = mg_response_on_data,
             .on_end = on_target_req_end,
             .user = r,
         });
@@ -629,7 +584,7 @@
     mg_str_copy(r->version, sizeof(r->version), m->version);
     r->target_epoch = m->target_epoch;
     r->grant_until_ms = now_of(r) + (int64_t)m->valid_ms;
-    r->resume_until_ms = now_of(r) + RESUME_TIMEOUT_MS;
+    r->resume_until_ms = now_of(r) + MG_RESUME_TIMEOUT_MS;
     if (mg_request_is_keyed(r) && !r->claimed) {
         mg_keyed_claim(r);
     }
@@ -640,49 +595,6 @@
 
 /* ---------------------------------------------------------- cancellation */
 
-static void
-ignore_header_section(void *user, int status, mg_str type, bool not_run)
-{
-    (void)not_run;
-    (void)user;
-    (void)status;
-    (void)type;
-}
-
-static void
-ignore_data(void *user, mg_str data)
-{
-    (void)user;
-    (void)data;
-}
-
-static void
-ignore_end(void *user, mg_http_result end, const char *why)
-{
-    (void)user;
-    (void)end;
-    (void)why;
-}
-
-/* asks the engine to stop generating; best effort */
-static void
-cancel_at_target(mg_request *r)
-{
-    char path[MG_TEXT_SIZE];
-    snprintf(path, sizeof(path), "/v1/streams/%" PRIx64, r->id);
-    mg_http_client_req_new(&(mg_http_client_req_options){
-        .loop = r->e->loop,
-        .addr = r->target_addr,
-        .method = "DELETE",
-        .path = path,
-        .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-        .read_timeout_ms = ENGINE_IDLE_TIMEOUT_MS,
-        .on_headers = ignore_header_section,
-        .on_data = ignore_data,
-        .on_end = ignore_end,
-    });
-}
-
 static void
 cancel_running(mg_request *r)
 {
@@ -691,7 +603,7 @@
         r->target_req = NULL;
     }
     if (r->dispatched && r->params.engine) {
-        cancel_at_target(r);
+        mg_response_cancel_at_target(r);
     }
     mg_request_report_done(r, r->dispatched ? MG_DONE_CANCELLED
                                             : MG_DONE_NOT_DISPATCHED);
@@ -782,11 +694,8 @@
     else if (r->state == MG_REQ_JOINING) {
         mg_keyed_tick_join(r, now);
     }
-    else if (r->http != NULL && mg_http_unsent(r->http) > UNSENT_BYTES_MAX) {
-        mg_http_req *http = r->http;
-        detach_client(r);
-        mg_http_abort(http);
-        on_client_disconnect(r);
+    else {
+        mg_response_recount(r);
     }
 }
 
--- a/src/entry/request_int.h
+++ b/src/entry/request_int.h
@@ -1,11 +1,16 @@
 /*
- * request_int - declarations shared by request.c and keyed.c
+ * request_int - declarations shared by request.c, response.c and keyed.c
  */
 #ifndef MG_REQUEST_INT_H
 #define MG_REQUEST_INT_H
 
 #include "entry/entry_int.h"
 
+#define MG_TARGET_CONNECT_TIMEOUT_MS 500
+#define MG_ENGINE_IDLE_TIMEOUT_MS 1500
+/* without data for so long, a response is no longer resumed */
+#define MG_RESUME_TIMEOUT_MS 6000
+
 /* request.c */
 bool
 mg_request_is_keyed(const mg_request *r);
@@ -36,6 +41,13 @@
  */
 void
 mg_request_release_claim(mg_request *r);
+/* Headers of the response to the client, lines "name: value\n". */
+void
+mg_request_format_headers(const mg_request *r, char *out, size_t size);
+/* Ends a dispatched request whose response can't be completed; its outcome is
+   unknown. */
+void
+mg_request_truncated(mg_request *r, const char *why);
 /* Sends the response, or finishes the stream that was started. */
 void
 mg_request_send_response(mg_request *r);
@@ -49,6 +61,19 @@
 void
 mg_request_end(mg_request *r);
 
+/* response.c */
+/* Callbacks for the target's response; on_data may end the request. */
+void
+mg_response_on_headers(void *user, int status, mg_str type, bool not_run);
+void
+mg_response_on_data(void *user, mg_str data);
+/* Counts what is held again, as the client takes bytes at any time. */
+void
+mg_response_recount(mg_request *r);
+/* Asks the engine to stop generating; best effort. */
+void
+mg_response_cancel_at_target(mg_request *r);
+
 /* keyed.c */
 /* Looks the key up in the ledger; then queues, or joins another attempt. */
 void
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -15,13 +15,13 @@
 #include "gateway/queue_wait.h"
 #include "gateway/quota.h"
 #include "gateway/reach.h"
-#include "gateway/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/sse.h"
 #include "gateway/strikes.h"
 #include "gateway/versions.h"
 #include "policy/tierq.h"
 #include "wire/channel.h"
+#include "wire/response_memory.h"
 
 /* number of request tiers; ranked by workspace tier, then by route tier */
 #define MG_GW_TIERS (MG_TIER_MAX * MG_TIER_MAX)
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -128,8 +128,8 @@
 typedef enum mg_http_result {
     MG_HTTP_COMPLETE,     /* the response was received to its end */
     MG_HTTP_NOT_SENT,     /* the peer has received nothing */
-    MG_HTTP_TRUNCATED,    /* ended early, malformed, or delimited only by the
-                             end of the connection */
+    MG_HTTP_TRUNCATED,    /* ended early, malformed, too long, or delimited
+                             only by the end of the connection */
     MG_HTTP_READ_TIMEOUT, /* silence of read_timeout_ms */
 } mg_http_result;
 
@@ -140,6 +140,7 @@
     const char *path;
     const char *extra_headers; /* lines "name: value\r\n", may be NULL */
     mg_str body;               /* copied */
+    size_t body_max; /* a longer response is truncated; 0: no limit */
     int64_t connect_timeout_ms;
     /* the longest time without a header section or a part of the body */
     int64_t read_timeout_ms;
--- a/src/wire/http_client.c
+++ b/src/wire/http_client.c
@@ -5,12 +5,15 @@
 
 #include "base/addr.h"
 #include "base/check.h"
+#include "base/counter.h"
+#include "base/event.h"
 #include "wire/channel.h"
 
 struct mg_http_client_req {
     mg_channel_callbacks callbacks; /* first: callbacks cast it */
     mg_http_client_req_options opts;
-    mg_channel *channel; /* NULL before it connects and after its end */
+    mg_channel *channel;     /* NULL before it connects and after its end */
+    char addr[MG_ADDR_SIZE]; /* for the log */
     uv_timer_t timer;
     uv_getaddrinfo_t resolve;
     bool resolving;
@@ -18,6 +21,7 @@
     mg_buf header_section;
     mg_buf body;
     bool sent;
+    size_t received;  /* bytes of the body */
     bool until_close; /* only the end of the connection ends the body */
     bool ended;
     bool timer_closed;
@@ -128,6 +132,14 @@
 on_data(mg_channel_callbacks *cb, mg_str data)
 {
     mg_http_client_req *r = (mg_http_client_req *)cb;
+    r->received += data.n;
+    if (r->opts.body_max > 0 && r->received > r->opts.body_max) {
+        mg_log(MG_EV_BAD_INPUT, "addr=%s what=body_too_long bytes=%zu",
+               r->addr, r->received);
+        mg_count(MG_C_BAD_INPUT, 1);
+        finish_request(r, MG_HTTP_TRUNCATED, "body too long");
+        return;
+    }
     uv_timer_again(&r->timer);
     r->opts.on_data(r->opts.user, data);
 }
@@ -240,6 +252,7 @@
         (mg_channel_callbacks){on_connected, on_headers, on_data, on_end};
     r->opts = *o;
     r->is_head = strcmp(o->method, "HEAD") == 0;
+    mg_str_copy(r->addr, sizeof(r->addr), mg_str_of(o->addr));
     put_header_section(r);
     mg_buf_put(&r->body, o->body.p, o->body.n);
     uv_timer_init(o->loop, &r->timer);
--- a/src/gateway/response_memory.c
+++ b/src/wire/response_memory.c
@@ -1,4 +1,4 @@
-#include "gateway/response_memory.h"
+#include "wire/response_memory.h"
 
 bool
 mg_response_memory_hold(mg_response_memory *m, size_t *held, size_t bytes)
--- a/src/gateway/response_memory.h
+++ b/src/wire/response_memory.h
@@ -1,11 +1,11 @@
 /*
- * response_memory - bound on the responses that a gateway holds in memory
+ * response_memory - bound on the responses that a process holds in memory
  *
  * A response that is not forwarded as it arrives is held until it is complete;
- * of a stream, the incomplete event and what the client has not read yet are
- * held. A target may send without end, to many requests at once, so there is
- * a limit for each response and one for all together. Small responses are
- * never affected by the others.
+ * of a stream, what the client has not read yet is held, and an incomplete
+ * event or a copy for retries. A target may send without end, to many requests
+ * at once, so there is a limit for each response and one for all together.
+ * Small responses are never affected by the others.
  */
 #ifndef MG_RESPONSE_MEMORY_H
 #define MG_RESPONSE_MEMORY_H
--- a/tests/fakes/flood.c
+++ b/tests/fakes/flood.c
@@ -1,10 +1,12 @@
 /*
  * fake-flood - a target that sends bytes until the caller closes
  *
- *     fake-flood ADDR
+ *     fake-flood ADDR [PATH]
  *
- * What it sends depends on the first part of the request's path:
+ * What it sends depends on PATH, or else on the first part of the request's
+ * path:
  *   /head/    header lines without end
+ *   /line/    one header line without end
  *   /interim/ interim responses (100) without end
  *   /body/    a chunked body without end
  *   /close/   a body that only the end of the connection would end
@@ -31,8 +33,11 @@
     const char *block; /* repeated */
 };
 
+static const char *fixed_path; /* NULL: the request's path decides */
+
 static const struct flood floods[] = {
     {"/head/", "HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789abcdef\r\n"},
+    {"/line/", "HTTP/1.1 200 OK\r\nX-Filler: ", "0123456789abcdef"},
     {"/interim/", "", "HTTP/1.1 100 Continue\r\n\r\n"},
     {"/body/", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
      "10\r\n0123456789abcdef\r\n"},
@@ -115,8 +120,9 @@
         return;
     }
     c->in[n] = '\0';
+    const char *in = fixed_path != NULL ? fixed_path : c->in;
     for (size_t i = 0; i < sizeof(floods) / sizeof(floods[0]); i++) {
-        if (c->flood == NULL && strstr(c->in, floods[i].path) != NULL) {
+        if (c->flood == NULL && strstr(in, floods[i].path) != NULL) {
             start_flood(c, &floods[i]);
         }
     }
@@ -143,10 +149,11 @@
 {
     static uv_tcp_t listener;
     struct sockaddr_in addr;
-    if (argc != 2 || mg_addr_parse(argv[1], &addr) != MG_OK) {
-        fprintf(stderr, "usage: fake-flood ADDR\n");
+    if (argc < 2 || argc > 3 || mg_addr_parse(argv[1], &addr) != MG_OK) {
+        fprintf(stderr, "usage: fake-flood ADDR [PATH]\n");
         return 2;
     }
+    fixed_path = argv[2];
     signal(SIGPIPE, SIG_IGN);
     uv_tcp_init(uv_default_loop(), &listener);
     uv_tcp_bind(&listener, (struct sockaddr *)&addr, 0);
--- a/tests/unit/gateway_test.c
+++ b/tests/unit/gateway_test.c
@@ -3,7 +3,7 @@
 
 #include "gateway/pick.h"
 #include "gateway/queue_wait.h"
-#include "gateway/response_memory.h"
+#include "wire/response_memory.h"
 #include "gateway/retry_budget.h"
 #include "gateway/slots.h"
 #include "gateway/sse.h"
--- a/tests/unit/http_client_test.c
+++ b/tests/unit/http_client_test.c
@@ -62,6 +62,7 @@
     char addr[MG_ADDR_SIZE];
     struct script script;
     int64_t read_timeout_ms;
+    size_t body_max;
     size_t request_bytes;
     size_t sent; /* bytes of the response */
     uint64_t next_byte_at;
@@ -249,6 +250,7 @@
         .path = "/x",
         .extra_headers = "x-test: 1\r\n",
         .body = {upload, size},
+        .body_max = world.body_max,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .read_timeout_ms = world.read_timeout_ms,
         .on_connected = on_connected,
@@ -636,6 +638,24 @@
     }
 }
 
+static void
+test_body_max(void)
+{
+    for (size_t max = 3; max <= 4; max++) {
+        open_world(
+            &(struct script){.response = CHUNKED "4\r\nbody\r\n0\r\n\r\n"});
+        world.body_max = max;
+        world.request_bytes = request_size(world.addr, 0);
+        start_request(world.addr, 0);
+        run_ms(RUN_MAX_MS);
+        close_world();
+        CU_ASSERT_EQUAL(world.ended, 1);
+        CU_ASSERT_EQUAL(world.result,
+                        max < 4 ? MG_HTTP_TRUNCATED : MG_HTTP_COMPLETE);
+        CU_ASSERT_EQUAL(world.body.n, max < 4 ? 0 : 4);
+    }
+}
+
 int
 main(void)
 {
@@ -651,6 +671,7 @@
         {"addresses", test_addresses},
         {"cancel", test_cancel},
         {"head without end", test_head_without_end},
+        {"longest body", test_body_max},
         CU_TEST_INFO_NULL,
     };
     signal(SIGPIPE, SIG_IGN);
