--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -21,8 +21,6 @@
 #define SKIPPED_RESPONSES_MAX 16
 #define SKIPPED_BYTES_MAX (8u << 20)
 #define STATUS_SWITCHING_PROTOCOLS 101
-/* the kernel closes a connection after about this time without an ACK, ms */
-#define PEER_TIMEOUT_MS 2500
 /* how often a socket is asked whether the peer has acknowledged the request */
 #define ACK_INTERVAL_MS 5
 
@@ -370,7 +368,9 @@
 set_peer_timeouts(mg_channel *c)
 {
     uv_os_fd_t fd;
-    unsigned ms = PEER_TIMEOUT_MS;
+    unsigned ms = c->opts.peer_timeout_ms > 0
+                      ? (unsigned)c->opts.peer_timeout_ms
+                      : MG_CHANNEL_PEER_TIMEOUT_MS;
     if (uv_fileno((uv_handle_t *)&c->tcp, &fd) != 0) {
         return;
     }
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -21,6 +21,7 @@
 #include "base/list.h"
 #include "wire/h1.h"
 
+#define MG_CHANNEL_PEER_TIMEOUT_MS 2500
 /* of a text that mg_channel_describe_end() writes */
 #define MG_CHANNEL_END_SIZE 112
 
@@ -55,6 +56,10 @@
 typedef struct mg_channel_options {
     uv_loop_t *loop;
     struct sockaddr_in addr;
+    /* The connection is lost when the peer acknowledges nothing, or takes
+       nothing of a request, for this time, ms; 0: MG_CHANNEL_PEER_TIMEOUT_MS
+     */
+    int64_t peer_timeout_ms;
     /* the channel is closing: called once, also for mg_channel_close() */
     void (*on_closed)(void *owner, mg_channel *c);
     /* a response is complete and the channel can be reused */
