The soak has targets that break off, in each framing

On users' machines streams ended as complete before their last piece, and a part of a plain answer was taken as whole, when a target broke off; the soak could not show either. All its answers had a length and were sixteen bytes.

Targets now answer with a length, in chunks, or up to the end of the connection; plain bodies up to some 100 KB and streams of events with ids, on routes that may and that may not be resumed. Some clients send 0.25 to 1.5 MiB, which targets with small receive buffers may answer before they have read it. A new kind of fault has targets break off: before or in the head, in the body, between pieces or inside one, before the end; by FIN, by a reset, which may come together with the last bytes, or by silence and then a reset. While some of them reset, nodes are stopped for 10 ms now and then, so that they read together what came meanwhile.

The checks know what targets sent and what clients saw, no logs. An answer must not look complete unless a run was whole, or ended by a FIN at this very byte, has no other end, and the client sees no more than a FIN either. Each piece names its run and where that began, so that joined runs show. WHOLE: of the whole answers in each framing nine in ten must arrive, and twenty at least. A failure of the node's own must not bear a seal. With OTHER_PROGRAM, answers that look complete too early are only printed, as REFUSED is; what counted before does still. A target's refusal has a body now, as its failures had.

--- a/tests/soak/net.c
+++ b/tests/soak/net.c
@@ -14,7 +14,11 @@
 #include <unistd.h>
 
 #define CALL_TIMEOUT_MS 1500
+/* for which a target waits for the rest of a request */
+#define DRAIN_MS 300
 #define STACK_BYTES (256u << 10)
+/* of listeners, so that long requests wait in their sender */
+#define RECEIVE_BYTES (16 << 10)
 
 int64_t
 soak_now_ms(void)
@@ -77,7 +81,9 @@
     struct sockaddr_in a = parse(addr);
     int on = 1;
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int bytes = RECEIVE_BYTES;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
     if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
         listen(fd, 256) != 0) {
         fprintf(stderr, "cannot listen on %s\n", addr);
@@ -86,86 +92,106 @@
     return fd;
 }
 
+size_t
+soak_write_part(int fd, const char *bytes, size_t size)
+{
+    size_t sent = 0;
+    ssize_t n = 1;
+    while (sent < size && n > 0) {
+        n = send(fd, bytes + sent, size - sent, MSG_NOSIGNAL);
+        sent += n > 0 ? (size_t)n : 0;
+    }
+    return sent;
+}
+
 bool
 soak_write(int fd, const char *bytes, size_t size)
 {
-    while (size > 0) {
-        ssize_t n = send(fd, bytes, size, MSG_NOSIGNAL);
-        if (n <= 0) {
-            return false;
-        }
-        bytes += n;
-        size -= (size_t)n;
-    }
-    return true;
+    return soak_write_part(fd, bytes, size) == size;
 }
 
-static bool
-read_more(soak_conn *c)
+ssize_t
+soak_fill(soak_conn *c)
 {
     ssize_t n =
         recv(c->fd, c->bytes + c->count, sizeof(c->bytes) - 1 - c->count, 0);
-    if (n <= 0) {
-        return false;
+    if (n > 0) {
+        c->count += (size_t)n;
+        c->bytes[c->count] = '\0';
     }
-    c->count += (size_t)n;
-    c->bytes[c->count] = '\0';
-    return true;
+    return n;
 }
 
-static void
-skip(soak_conn *c, size_t n)
+void
+soak_skip(soak_conn *c, size_t n)
 {
     c->count -= n;
     memmove(c->bytes, c->bytes + n, c->count);
     c->bytes[c->count] = '\0';
 }
 
-static bool
-read_head(soak_conn *c, soak_message *m)
+bool
+soak_read_head(soak_conn *c, soak_message *m)
 {
     char *end;
     c->bytes[c->count] = '\0';
     while ((end = strstr(c->bytes, "\r\n\r\n")) == NULL) {
-        if (c->count >= sizeof(c->bytes) - 1 || !read_more(c)) {
+        if (c->count >= sizeof(c->bytes) - 1 || soak_fill(c) <= 0) {
             return false;
         }
     }
     size_t size = (size_t)(end - c->bytes) + 4;
     memcpy(m->head, c->bytes, size);
     m->head[size] = '\0';
-    skip(c, size);
+    soak_skip(c, size);
     return true;
 }
 
 bool
-soak_read(soak_conn *c, soak_message *m, bool is_response)
+soak_drain(soak_conn *c, size_t *unread)
 {
-    char length[32];
-    m->status = 0;
-    m->body_size = 0;
-    m->body[0] = '\0';
-    if (!read_head(c, m)) {
-        return false;
+    while (*unread > 0 && (c->count > 0 || soak_fill(c) > 0)) {
+        size_t n = c->count < *unread ? c->count : *unread;
+        soak_skip(c, n);
+        *unread -= n;
     }
-    if (is_response && sscanf(m->head, "HTTP/1.%*d %d", &m->status) != 1) {
+    return *unread == 0;
+}
+
+void
+soak_end_writing(soak_conn *c, size_t unread)
+{
+    shutdown(c->fd, SHUT_WR);
+    set_timeouts(c->fd, DRAIN_MS);
+    soak_drain(c, &unread);
+}
+
+void
+soak_reset(soak_conn *c)
+{
+    struct sockaddr none = {.sa_family = AF_UNSPEC};
+    /* dissolving a connection resets it */
+    (void)connect(c->fd, &none, sizeof(none));
+}
+
+/* Reads a response with a Content-Length; false if there is no whole one. */
+static bool
+read_response(soak_conn *c, soak_message *m)
+{
+    char length[32];
+    if (!soak_read_head(c, m) ||
+        sscanf(m->head, "HTTP/1.%*d %d", &m->status) != 1) {
         return false;
     }
     soak_header(m, "content-length", length, sizeof(length));
-    size_t want = strtoul(length, NULL, 10);
-    bool to_end = is_response && length[0] == '\0';
-    while (to_end || c->count < want) {
-        if (!read_more(c)) {
-            break;
-        }
+    size_t size = strtoul(length, NULL, 10);
+    while (c->count < size && soak_fill(c) > 0) {
     }
-    if ((!to_end && c->count < want) || want >= sizeof(m->body)) {
+    if (c->count < size) {
         return false;
     }
-    m->body_size = to_end ? c->count : want;
-    memcpy(m->body, c->bytes, m->body_size);
-    m->body[m->body_size] = '\0';
-    skip(c, m->body_size);
+    memcpy(m->body, c->bytes, size);
+    m->body[size] = '\0';
     return true;
 }
 
@@ -210,7 +236,7 @@
     response->status = 0;
     c->fd = soak_connect(addr, CALL_TIMEOUT_MS);
     if (c->fd < 0 || !soak_write(c->fd, text, (size_t)n) ||
-        !soak_read(c, response, true)) {
+        !read_response(c, response)) {
         response->status = 0;
     }
     soak_close(c);
--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #define SOAK_BYTES_MAX 16384
 #define SOAK_ADDR_SIZE 48
@@ -25,7 +26,6 @@
     int status; /* of a response */
     char head[SOAK_BYTES_MAX];
     char body[SOAK_BYTES_MAX];
-    size_t body_size;
 } soak_message;
 
 int64_t
@@ -36,15 +36,33 @@
    returns the descriptor or -1. */
 int
 soak_connect(const char *addr, int timeout_ms);
-/* Listens; ends the process if that fails. */
+/* Listens, with small receive buffers; ends the process if that fails. */
 int
 soak_listen(const char *addr);
+/* Returns how many bytes were written. */
+size_t
+soak_write_part(int fd, const char *bytes, size_t size);
 bool
 soak_write(int fd, const char *bytes, size_t size);
-/* Reads a message whose body, if any, has a Content-Length or ends with the
-   connection. Returns false if there was no whole one. */
+/* Reads what there is; returns recv()'s result. soak_skip: drops the first n
+   bytes of it. */
+ssize_t
+soak_fill(soak_conn *c);
+void
+soak_skip(soak_conn *c, size_t n);
+/* Reads a message's head; the body's first bytes may stay in c. */
+bool
+soak_read_head(soak_conn *c, soak_message *m);
+/* Reads and drops bytes of a body; false if they don't come. */
 bool
-soak_read(soak_conn *c, soak_message *m, bool is_response);
+soak_drain(soak_conn *c, size_t *unread);
+/* Sends a FIN, and takes what still comes for a while: bytes that are unread
+   when the connection is closed would make it a reset. */
+void
+soak_end_writing(soak_conn *c, size_t unread);
+/* Resets the connection at once; what was written before still arrives. */
+void
+soak_reset(soak_conn *c);
 void
 soak_close(soak_conn *c);
 /* Copies the value of a header to out, "" if there is none. */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,18 +9,21 @@
  *     and overlap: nodes are killed, one or many, stopped by SIGTERM, paused;
  *     one at a time loses its disk, and catches up before the next one does;
  *     targets turn requests away, lose answers, write them twice, fail, crash;
- *     clients come at the same moment; a workspace asks ten times its quota;
- *     the configuration changes. The seed decides which and when; the
- * processes run on real clocks, so that two runs of a seed are not the same.
+ *     break off in the middle of answers, also while a long request is
+ *     written; clients come at the same moment; a workspace asks ten times
+ *     its quota; the configuration changes. The seed decides which and when;
+ *     the processes run on real clocks, so that two runs of a seed are not
+ *     the same.
  *
- * Rules: REFUSED, TWICE, MIXED and QUOTA (world.h); CONFIG: an acknowledged
- * version is read back at the end; ENDED: no node ends by itself. The exit
- * status is 1 if one was broken. The nodes' logs are in WORK.
+ * Rules: REFUSED, TWICE, MIXED, ORDER, WHOLE and QUOTA (world.h); CONFIG: an
+ * acknowledged version is read back at the end; ENDED: no node ends by itself.
+ * The exit status is 1 if one was broken. The nodes' logs are in WORK.
  *
  * OTHER_PROGRAM in the environment: another build of the node. Each start
  * draws one of the two, so that both run side by side. What the two do
- * together must keep CONFIG, TWICE, MIXED and ENDED; REFUSED and QUOTA are
- * only printed, as the other build may lack their fixes.
+ * together must keep CONFIG, TWICE, MIXED, ORDER, WHOLE and ENDED; REFUSED,
+ * QUOTA and answers that look complete too early (MIXED, ORDER) are only
+ * printed, as the other build may lack their fixes.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -36,8 +39,10 @@
 #define TARGETS 4
 #define SEEDS 3
 #define CLIENTS 96
-#define ORDERS_PER_S 150.0
-#define READS_PER_S 7.0 /* of the workspace with a quota */
+#define OTHER_CLIENTS 48       /* of the kinds after orders and reads */
+#define OLD_PROTOCOL_SHARE 0.1 /* of the others: HTTP/1.0 */
+#define UPLOAD_MIN (256u << 10)
+#define UPLOAD_MAX (1536u << 10)
 #define HOT_FACTOR 14.0
 #define DEADLINE_MS 2500
 #define REQUESTS_PER_CONN 30
@@ -46,6 +51,8 @@
 #define SETTLE_MS 8000
 #define READ_BACK_MS 8000
 #define DOSE_MS 4000
+#define SILENT_MS_MAX 2500
+#define BREAKS_AT_ONCE 3
 #define PORT 25600
 /* a node that has run for so long has caught up, ms */
 #define CAUGHT_UP_MS 6000
@@ -73,10 +80,21 @@
 static char controls[NODES_MAX][SOAK_ADDR_SIZE];
 static volatile double hot = 1;
 static volatile int64_t herd_ms; /* clients come at this moment; 0: as usual */
+static int64_t stalls_until_ms;
 static volatile bool ended;
 static volatile int wanted_version = 1;
 static volatile int acked_version;
 static unsigned broken;
+static char upload[UPLOAD_MAX];
+
+static const soak_kind kinds[] = {
+    {"order", "non_idempotent", true, false, false, 0.1, 640},
+    {"read", "idempotent", false, true, false, 0, 13700},
+    {"put", "idempotent", false, false, false, 0.6, 800},
+    {"stream", "streaming", true, false, true, 0.1, 800},
+    {"resume", "streaming", false, false, true, 0.1, 800},
+};
+#define KINDS (sizeof(kinds) / sizeof(kinds[0]))
 
 /* ------------------------------------------------------------ processes */
 
@@ -212,13 +230,27 @@
     }
 }
 
+static void
+pause_node(int i, int ms)
+{
+    node *n = &nodes[i];
+    if (n->pid != 0 && !n->expected_to_end && n->continue_ms == 0) {
+        n->continue_ms = soak_now_ms() + ms;
+        kill(n->pid, SIGSTOP);
+    }
+}
+
 static void
 run_for(int64_t ms)
 {
     int64_t end = soak_now_ms() + ms;
     while (soak_now_ms() < end) {
-        tend_nodes();
+        if (soak_now_ms() < stalls_until_ms) {
+            /* for a tick, so that it reads together what comes meanwhile */
+            pause_node((int)(soak_draw() * node_count), 0);
+        }
         soak_sleep_ms(TICK_MS);
+        tend_nodes();
     }
 }
 
@@ -227,20 +259,14 @@
 typedef struct client {
     soak_conn conn;
     soak_message m;
-    unsigned number;
+    const soak_kind *kind;
     int requests; /* on this connection */
 } client;
 
-/* Sends an attempt on the client's connection and records the answer. */
-static void
-send_attempt(client *c, bool is_order)
+/* Connects, if the client has no connection or has used it enough. */
+static bool
+connect_client(client *c)
 {
-    char text[512];
-    char id[64];
-    unsigned n = soak_new_attempt(is_order, !is_order);
-    if (n == 0) {
-        return;
-    }
     if (c->conn.fd >= 0 && ++c->requests > REQUESTS_PER_CONN) {
         soak_close(&c->conn);
     }
@@ -248,50 +274,66 @@
         int i = (int)(soak_draw() * node_count);
         c->requests = 0;
         c->conn.fd = soak_connect(nodes[i].front, DEADLINE_MS);
-        if (c->conn.fd < 0) {
-            return;
-        }
+    }
+    return c->conn.fd >= 0;
+}
+
+static bool
+write_request(client *c, const soak_kind *kind, unsigned n)
+{
+    char text[512];
+    bool is_old = n % KINDS > 1 && soak_draw() < OLD_PROTOCOL_SHARE;
+    size_t body = 5;
+    if (soak_draw() < kind->uploads) {
+        body = UPLOAD_MIN + (size_t)(soak_draw() * (UPLOAD_MAX - UPLOAD_MIN));
     }
     int size = snprintf(text, sizeof(text),
-                        "POST /%s/x HTTP/1.1\r\nHost: site.example\r\n"
+                        "POST /%s/x HTTP/1.%d\r\nHost: site.example\r\n"
                         "Marigoldgw-Attempt-Id: %016x\r\n"
                         "Marigoldgw-Credential: %s\r\n"
                         "Marigoldgw-Token-Count: %d,%d\r\n"
                         "Marigoldgw-Deadline: %d\r\n"
-                        "Content-Length: 5\r\n\r\nhello",
-                        is_order ? "order" : "read", n,
-                        is_order ? "key-free" : "key-quota", SOAK_TOKENS - 100,
-                        100, DEADLINE_MS);
-    if (!soak_write(c->conn.fd, text, (size_t)size) ||
-        !soak_read(&c->conn, &c->m, true)) {
-        soak_close(&c->conn);
+                        "Content-Length: %zu\r\n\r\n",
+                        kind->name, is_old ? 0 : 1, n,
+                        kind->has_quota ? "key-quota" : "key-free",
+                        SOAK_TOKENS - 100, 100, DEADLINE_MS, body);
+    return soak_write(c->conn.fd, text, (size_t)size) &&
+           soak_write(c->conn.fd, upload, body);
+}
+
+/* Sends an attempt on the client's connection and records the answer. */
+static void
+send_attempt(client *c)
+{
+    const soak_kind *kind = c->kind;
+    unsigned n = soak_new_attempt(kind);
+    if (n == 0 || !connect_client(c)) {
         return;
     }
-    soak_attempts[n].status = c->m.status;
-    soak_header(&c->m, "marigoldgw-attempt-id", id, sizeof(id));
-    soak_attempts[n].is_wrong =
-        (c->m.status == 200 && strtoul(c->m.body, NULL, 16) != n) ||
-        (id[0] != '\0' && strtoul(id, NULL, 16) != n);
-    soak_header(&c->m, "connection", id, sizeof(id));
-    if (strcmp(id, "close") == 0) {
+    soak_attempt *a = &soak_attempts[n];
+    a->seen.closes = true;
+    if (write_request(c, kind, n)) {
+        soak_see(&c->conn, &c->m, n, kind->is_stream, &a->seen);
+    }
+    if (a->seen.end != SOAK_END_CUT) {
+        a->status = a->seen.status;
+    }
+    if (a->seen.closes) {
         soak_close(&c->conn);
     }
 }
 
-/* A client: sends attempts at random moments, at a pace that gives
-   ORDERS_PER_S and READS_PER_S over all clients, or with all others when they
-   come at once. */
+/* A client: sends attempts of a kind at random moments, or with all others
+   when they come at once. */
 static void *
 run_client(void *arg)
 {
     client *c = arg;
-    bool is_order = c->number % 2 == 0;
     int64_t herd_seen = 0;
     c->conn.fd = -1;
     while (!ended) {
-        double per_s = is_order ? ORDERS_PER_S : READS_PER_S * hot;
-        double pause = 1000.0 * CLIENTS / per_s * soak_draw();
-        int64_t until = soak_now_ms() + (int64_t)pause;
+        double pause = c->kind->pause_ms / (c->kind->has_quota ? hot : 1);
+        int64_t until = soak_now_ms() + (int64_t)(pause * soak_draw());
         int64_t left;
         while ((left = until - soak_now_ms()) > 0 && !ended) {
             if (herd_ms != herd_seen && soak_now_ms() >= herd_ms) {
@@ -300,7 +342,7 @@
             soak_sleep_ms(left < TICK_MS ? left : TICK_MS);
         }
         herd_seen = herd_ms;
-        send_attempt(c, is_order);
+        send_attempt(c);
     }
     soak_close(&c->conn);
     return NULL;
@@ -308,37 +350,49 @@
 
 /* ------------------------------------------------------------- operator */
 
-static int
+static size_t
+put_routes(char *out, size_t size)
+{
+    size_t n = 0;
+    for (size_t i = 0; i < KINDS; i++) {
+        const soak_kind *k = &kinds[i];
+        n += (size_t)snprintf(
+            out + n, size - n,
+            "%s{\"name\":\"r-%s\",\"hostname\":\"site.example\","
+            "\"pathPrefix\":\"/%s/\",\"routeType\":\"%s\","
+            "\"timeoutMs\":2000,\"goalMs\":200,\"priority\":%d,"
+            "\"service\":\"app\",\"maxAttempts\":%d,\"resumable\":%s,"
+            "\"gapGoalMs\":200}",
+            i > 0 ? "," : "", k->name, k->name, k->route_type,
+            k->has_quota ? 1 : 0, k->is_order ? 1 : 2,
+            k->is_order ? "false" : "true");
+    }
+    return n;
+}
+
+static void
 document(int version, char *out, size_t size)
 {
-    static const char route[] =
-        "{\"name\":\"r-%s\",\"hostname\":\"site.example\","
-        "\"pathPrefix\":\"/%s/\",\"routeType\":\"%s\",\"timeoutMs\":2000,"
-        "\"goalMs\":200,\"priority\":%d,\"service\":\"app\","
-        "\"maxAttempts\":%d}";
-    char order[400];
-    char read[400];
-    snprintf(order, sizeof(order), route, "order", "order", "non_idempotent",
-             0, 1);
-    snprintf(read, sizeof(read), route, "read", "read", "idempotent", 1, 2);
-    return snprintf(
-        out, size,
-        "{\"version\":%d,\"routes\":[%s,%s],\"services\":[{\"name\":\"app\","
-        "\"healthPath\":\"/health\",\"maxConns\":400}],"
-        "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
-        "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":["
-        "{\"name\":\"free\",\"apiKeys\":[\"key-free\"],\"priority\":1},"
-        "{\"name\":\"quota\",\"apiKeys\":[\"key-quota\"],\"priority\":1,"
-        "\"unit\":\"token_count\",\"plainTokens\":200,\"ratePerS\":%.0f,"
-        "\"burst\":%.0f}]}",
-        version, order, read, SOAK_QUOTA_RATE, SOAK_QUOTA_BURST);
+    size_t n =
+        (size_t)snprintf(out, size, "{\"version\":%d,\"routes\":[", version);
+    n += put_routes(out + n, size - n);
+    snprintf(out + n, size - n,
+             "],\"services\":[{\"name\":\"app\","
+             "\"healthPath\":\"/health\",\"maxConns\":400}],"
+             "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":2097152,"
+             "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":["
+             "{\"name\":\"free\",\"apiKeys\":[\"key-free\"],\"priority\":1},"
+             "{\"name\":\"quota\",\"apiKeys\":[\"key-quota\"],\"priority\":1,"
+             "\"unit\":\"token_count\",\"plainTokens\":200,\"ratePerS\":%.0f,"
+             "\"burst\":%.0f}]}",
+             SOAK_QUOTA_RATE, SOAK_QUOTA_BURST);
 }
 
 /* Sends the wanted version until it is acknowledged. */
 static void *
 run_operator(void *arg)
 {
-    char body[2048];
+    char body[4096];
     soak_message *m = malloc(sizeof(*m));
     (void)arg;
     while (!ended) {
@@ -416,16 +470,6 @@
     }
 }
 
-static void
-pause_node(int i, int ms)
-{
-    node *n = &nodes[i];
-    if (n->pid != 0 && !n->expected_to_end && n->continue_ms == 0) {
-        n->continue_ms = soak_now_ms() + ms;
-        kill(n->pid, SIGSTOP);
-    }
-}
-
 /* Whether all nodes have run for CAUGHT_UP_MS, so that one may lose its disk.
  */
 static bool
@@ -538,14 +582,43 @@
     }
 }
 
+/* Has targets break off for a time, several such faults beside each other. */
+static void
+begin_break(unsigned short state[3])
+{
+    uint32_t slot = draw_below(state, SOAK_BREAKS_MAX);
+    int target = (int)draw_below(state, TARGETS + 2) - 2;
+    soak_place place = (soak_place)draw_below(state, SOAK_AT_CRASH);
+    soak_way way = (soak_way)draw_below(state, SOAK_WAYS);
+    double share = 0.1 + 0.5 * erand48(state);
+    int silent_ms = (int)draw_below(state, SILENT_MS_MAX);
+    int ms = 1000 + (int)draw_below(state, 4000);
+    soak_break *b = &soak_breaks[slot];
+    if (way == SOAK_RST) {
+        stalls_until_ms = soak_now_ms() + ms;
+    }
+    if (soak_now_ms() < b->until_ms) {
+        return;
+    }
+    soak_log("target %d breaks off %s by %s, %.0f %% for %d ms", target,
+             soak_place_names[place], soak_way_names[way], share * 100, ms);
+    *b = (soak_break){target < 0 ? -1 : target, place, way, share, silent_ms,
+                      soak_now_ms() + ms};
+}
+
 static void
 run_faults(int seconds)
 {
     unsigned short state[3] = {(unsigned short)seed,
                                (unsigned short)(seed >> 16), 7};
+    /* a series of its own: the seeds keep their other faults */
+    unsigned short breaks[3] = {state[0], state[1], 8};
     int64_t end = soak_now_ms() + (int64_t)seconds * 1000;
     while (soak_now_ms() < end) {
         begin_fault(state);
+        for (int i = 0; i < BREAKS_AT_ONCE; i++) {
+            begin_break(breaks);
+        }
         run_for(200 + draw_below(state, 2000));
         end_doses(false);
     }
@@ -633,9 +706,9 @@
         return 1;
     }
     run_for(2000);
-    for (unsigned i = 0; i < CLIENTS; i++) {
+    for (unsigned i = 0; i < CLIENTS + OTHER_CLIENTS; i++) {
         client *c = calloc(1, sizeof(*c));
-        c->number = i;
+        c->kind = &kinds[i < CLIENTS ? i % 2 : 2 + i % 3];
         soak_thread(run_client, c);
     }
     run_for(2000);
