A response to HEAD has its target's length, or none

What callers saw: the length 0 in each response to HEAD, whatever the target had said; 502 on routes of streams. Found by the review (suspected there, shown here).

Cause: responses that are held were sent with the length of their body, which HEAD has not; a stream without an event counted as broken off.

Change: HEAD is answered with the fields of the target's response, its Content-Length included; framing is decided in one place, mg_flow_is_close_delimited(), for flow and relay.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -254,19 +254,6 @@
     mg_flow_finish(f);
 }
 
-void
-mg_flow_log_response(mg_flow *f, const char *from)
-{
-    mg_log(MG_EV_REQ_ANSWERED,
-           "id=%.*s status=%d target=%s sends=%u sent_ms=%" PRId64
-           " first_ms=%" PRId64 " ms=%" PRId64 " last=%" PRIu64 " %s",
-           MG_STR_FMT(f->request.id), f->status, from, f->sends,
-           f->sent_ms - f->arrived_ms, f->first_byte_ms - f->arrived_ms,
-           now_of(f) - f->arrived_ms, f->last_id, f->channel_end);
-    mg_count(MG_C_COMPLETED, 1);
-    mg_observe(MG_H_FIRST_BYTE, (f->first_byte_ms - f->arrived_ms) * 1000);
-}
-
 /* ------------------------------------------------------------- retries */
 
 void
@@ -405,23 +392,6 @@
 
 /* ----------------------------------------------------------- responses */
 
-void
-mg_flow_save_headers(mg_flow *f, const mg_h1_headers *headers)
-{
-    f->headers.n = 0;
-    for (size_t i = 0; i < headers->header_count; i++) {
-        const mg_h1_header *h = &headers->headers[i];
-        if (mg_h1_is_hop_by_hop(headers, h->name)) {
-            continue;
-        }
-        mg_buf_put(&f->headers, h->name.p, h->name.n);
-        mg_buf_put(&f->headers, ": ", 2);
-        mg_buf_put(&f->headers, h->value.p, h->value.n);
-        mg_buf_put(&f->headers, "\n", 1);
-    }
-    mg_buf_put(&f->headers, "", 1);
-}
-
 static mg_channel_action
 on_headers(mg_channel_callbacks *cb, const mg_h1_headers *headers)
 {
@@ -445,27 +415,15 @@
     f->state = MG_FLOW_RECEIVING;
     f->status = res.status;
     f->not_run = res.not_run;
-    f->close_delimited = !headers->has_content_length && !headers->chunked &&
-                         res.status != 204 && res.status != 304;
-    f->streaming = f->route->stream && res.status == 200 && !res.not_run;
+    f->close_delimited = mg_flow_is_close_delimited(f, headers);
+    f->streaming = f->route->stream && res.status == 200 && !res.not_run &&
+                   !mg_flow_is_head(f);
     if (!f->response_started) {
         mg_flow_save_headers(f, headers);
     }
     return MG_CHANNEL_ACCEPT;
 }
 
-void
-mg_flow_start_response(mg_flow *f)
-{
-    if (f->close_delimited) {
-        mg_http_start_close_delimited(f->request.http, f->status, NULL,
-                                      f->headers.p);
-    }
-    else {
-        mg_http_start(f->request.http, f->status, NULL, f->headers.p);
-    }
-}
-
 static void
 forward_event(mg_flow *f, const mg_sse_event *ev)
 {
@@ -504,33 +462,14 @@
     return f->has_last_id && ev->has_id && ev->id > f->last_id + 1;
 }
 
-/* ends a request because of what its target has sent */
-static void
-reject_response(mg_flow *f, const char *why)
+void
+mg_flow_reject_response(mg_flow *f, const char *why)
 {
     mg_flow_close_channel(f);
     release_target(f);
     mg_flow_fail(f, why);
 }
 
-/* Counts what is held of the response; ends the request if it is too much. */
-void
-mg_flow_hold_response(mg_flow *f)
-{
-    size_t event = f->sse_parser.pending.n - f->sse_parser.consumed;
-    size_t bytes = f->body.n + event;
-    if (event > MG_SSE_EVENT_BYTES_MAX) {
-        reject_response(f, "event_too_large");
-        return;
-    }
-    if (f->response_started) {
-        bytes += mg_http_unsent(f->request.http);
-    }
-    if (!mg_response_memory_hold(&f->gw->response_memory, &f->held, bytes)) {
-        reject_response(f, "answer_too_large");
-    }
-}
-
 static void
 on_data(mg_channel_callbacks *cb, mg_str data)
 {
@@ -548,7 +487,7 @@
     }
     while (mg_sse_parser_next(&f->sse_parser, &ev)) {
         if (has_event_gap(f, &ev)) {
-            reject_response(f, "event_missing");
+            mg_flow_reject_response(f, "event_missing");
             return;
         }
         forward_event(f, &ev);
@@ -596,19 +535,6 @@
     mg_flow_finish(f);
 }
 
-void
-mg_flow_send_buffered(mg_flow *f)
-{
-    mg_str body = mg_str_buf(&f->body);
-    if (!f->close_delimited) {
-        mg_http_reply(f->request.http, f->status, NULL, f->headers.p, body);
-        return;
-    }
-    mg_flow_start_response(f);
-    mg_http_write(f->request.http, body);
-    mg_http_finish(f->request.http);
-}
-
 static void
 end_buffered(mg_flow *f)
 {
@@ -751,8 +677,7 @@
            to.remaining_ms);
     watch_silence(f, silence_limit_ms(f->route->goal_ms, SILENT_GOALS));
     mg_channel_send(f->channel, mg_str_buf(&headers),
-                    mg_http_body(f->request.http),
-                    mg_str_is(mg_http_method(f->request.http), "HEAD"));
+                    mg_http_body(f->request.http), mg_flow_is_head(f));
     mg_buf_free(&headers);
 }
 
--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -261,28 +261,14 @@
 /* Frees f; its response is complete or aborted, or the client has left. */
 void
 mg_flow_finish(mg_flow *f);
-/* Logs and counts a complete response; from: the target or entry. */
-void
-mg_flow_log_response(mg_flow *f, const char *from);
 /* The last channel has ended: notes how, for the logs, and forgets it. */
 void
 mg_flow_channel_ended(mg_flow *f);
 void
 mg_flow_close_channel(mg_flow *f);
-/* Keeps the header lines for the client. */
+/* Ends a request because of what its target has sent. */
 void
-mg_flow_save_headers(mg_flow *f, const mg_h1_headers *headers);
-/* Counts what is held of the response; ends the request if it is too much. */
-void
-mg_flow_hold_response(mg_flow *f);
-/* Sends the header section of a response whose length isn't known. A response
-   that the target delimits by its connection is sent so, too: it may be
-   truncated, as a target that crashes closes like one that is done. */
-void
-mg_flow_start_response(mg_flow *f);
-/* Sends the response that is held as a whole. */
-void
-mg_flow_send_buffered(mg_flow *f);
+mg_flow_reject_response(mg_flow *f, const char *why);
 /* Starts the timer, to fire at that time. */
 void
 mg_flow_set_timer(mg_flow *f, int64_t at);
@@ -302,6 +288,31 @@
 void
 mg_flow_dispatch(mg_flow *f, mg_gw_target *t);
 
+/* flow_response.c */
+/* Whether the client asks for the header section only. */
+bool
+mg_flow_is_head(const mg_flow *f);
+/* Whether only the end of its connection ends the response. */
+bool
+mg_flow_is_close_delimited(const mg_flow *f, const mg_h1_headers *headers);
+/* Keeps the header lines for the client. */
+void
+mg_flow_save_headers(mg_flow *f, const mg_h1_headers *headers);
+/* Sends the header section of a response whose length isn't known. A response
+   that the target delimits by its connection is sent so, too: it may be
+   truncated, as a target that crashes closes like one that is done. */
+void
+mg_flow_start_response(mg_flow *f);
+/* Counts what is held of the response; ends the request if it is too much. */
+void
+mg_flow_hold_response(mg_flow *f);
+/* Sends the response that is held as a whole. */
+void
+mg_flow_send_buffered(mg_flow *f);
+/* Logs and counts a complete response; from: the target or entry. */
+void
+mg_flow_log_response(mg_flow *f, const char *from);
+
 /* targets.c */
 /* The gateway's data of an instance; created on first use. */
 mg_gw_target *
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -124,8 +124,7 @@
            now - f->arrived_ms, left);
     mg_flow_set_timer(f, f->deadline_ms);
     mg_channel_send(f->channel, mg_str_buf(&headers),
-                    mg_http_body(f->request.http),
-                    mg_str_is(mg_http_method(f->request.http), "HEAD"));
+                    mg_http_body(f->request.http), mg_flow_is_head(f));
     mg_buf_free(&headers);
 }
 
@@ -147,9 +146,8 @@
     f->status = headers->status;
     /* responses of targets bear the attempt id, those of entries don't */
     f->not_run = states_not_run(res.status) && res.id.n == 0;
-    f->streaming = headers->chunked;
-    f->close_delimited = !headers->has_content_length && !headers->chunked &&
-                         headers->status != 204 && headers->status != 304;
+    f->streaming = headers->chunked && !mg_flow_is_head(f);
+    f->close_delimited = mg_flow_is_close_delimited(f, headers);
     mg_flow_save_headers(f, headers);
     if (f->streaming || f->close_delimited) {
         f->response_started = true;
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -102,6 +102,10 @@
 void
 mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
               mg_str body);
+/* Sends the whole response to a HEAD request; extra: with its Content-Length,
+   if that is known. */
+void
+mg_http_reply_head(mg_http_req *r, int status, const char *extra);
 /* Starts a response in chunks (HTTP/1.0: delimited by connection close). */
 void
 mg_http_start(mg_http_req *r, int status, const char *type, const char *extra);
--- a/src/wire/http_response.c
+++ b/src/wire/http_response.c
@@ -154,6 +154,14 @@
     mg_http_conn_finish(r->conn);
 }
 
+void
+mg_http_reply_head(mg_http_req *r, int status, const char *extra)
+{
+    put_headers(r, status, NULL, extra);
+    mg_buf_put(&r->conn->out, "\r\n", 2);
+    mg_http_conn_finish(r->conn);
+}
+
 void
 mg_http_abort(mg_http_req *r)
 {
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -128,11 +128,11 @@
 /* Sends a request on a connection of its own and returns all bytes of the
    response, in a buffer that is used again. */
 static const char *
-get_bytes(const char *path)
+get_bytes(const char *method, const char *path)
 {
     static char out[4096];
     size_t n = 0;
-    int fd = world_connect(path);
+    int fd = world_connect(method, path);
     uint64_t end = uv_hrtime() + (uint64_t)WORLD_RUN_MAX_MS * 1000000;
     ssize_t got = -1;
     while (got != 0 && n < sizeof(out) - 1 && uv_hrtime() < end) {
@@ -183,7 +183,7 @@
     open_answers_world(MG_RETRY_NEVER, false,
                        "HTTP/1.1 200 OK\r\n" HOP_BY_HOP
                        "Content-Length: 2\r\n\r\nok");
-    const char *bytes = get_bytes("/faulty");
+    const char *bytes = get_bytes("GET", "/faulty");
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, " 200 "));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "X-Two-: 5"));
     CU_ASSERT_FALSE(has_hop_by_hop(bytes));
@@ -197,7 +197,7 @@
     open_answers_world(MG_RETRY_NEVER, false,
                        CHUNKED "2\r\nok\r\n0\r\nX-Trailer: 1\r\n"
                                "Content-Length: 9\r\n\r\n");
-    const char *bytes = get_bytes("/faulty");
+    const char *bytes = get_bytes("GET", "/faulty");
     CU_ASSERT_PTR_NULL(strcasestr(bytes, "x-trailer"));
     CU_ASSERT_PTR_NOT_NULL(strstr(bytes, "content-length: 2\r\n\r\nok"));
     world_shut();
@@ -397,6 +397,47 @@
     world_shut();
 }
 
+/* --------------------------------------------- responses to HEAD */
+
+static void
+serve_head(world_conn *c, mg_str head)
+{
+    CU_ASSERT_EQUAL(strncmp(head.p, "HEAD ", 5), 0);
+    world_write(c, faulty);
+    world_close(c);
+}
+
+/* Guards against a length that is the gateway's, not the target's, and against
+   a stream that is missed where there is no body. */
+static void
+test_head(void)
+{
+    static const struct {
+        const char *response;
+        const char *field; /* that the client gets; NULL: no framing */
+    } rows[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n",
+         "Content-Length: 1234\r\n"},
+        {WITHOUT_LENGTH, NULL},
+        {CHUNKED, NULL},
+    };
+    for (size_t i = 0; i < 2 * sizeof(rows) / sizeof(rows[0]); i++) {
+        open_answers_world(MG_RETRY_NEVER, i % 2, rows[i / 2].response);
+        world.serve = serve_head;
+        const char *bytes = get_bytes("HEAD", "/");
+        CU_ASSERT_EQUAL(strncmp(bytes, "HTTP/1.1 200 ", 13), 0);
+        const char *end = strstr(bytes, "\r\n\r\n");
+        CU_ASSERT_TRUE(end != NULL && end[4] == '\0');
+        if (rows[i / 2].field != NULL) {
+            CU_ASSERT_PTR_NOT_NULL(strstr(bytes, rows[i / 2].field));
+        }
+        else {
+            CU_ASSERT_PTR_NULL(strcasestr(bytes, "content-length"));
+        }
+        world_shut();
+    }
+}
+
 /* --------------------------------------- responses that are reset */
 
 static void
@@ -509,6 +550,7 @@
         {"a stream resumed without chunks", test_resumed_without_chunks},
         {"a stream resumed with chunks", test_resumed_with_chunks},
         {"a stream without ids that breaks off", test_resumed_without_ids},
+        {"responses to HEAD", test_head},
         {"a response that is reset", test_reset_response},
         {"a refusal that is written twice", test_repeated_refusal},
         {"a refusal without an id on a reused channel",
--- a/tests/unit/floods_test.c
+++ b/tests/unit/floods_test.c
@@ -153,7 +153,7 @@
 test_events_that_are_not_read(void)
 {
     open_world(true, OK CHUNKED, "10\r\ndata: 01234567\n\n\r\n");
-    int fd = world_connect("/flood");
+    int fd = world_connect("GET", "/flood");
     uint64_t end = uv_hrtime() + (uint64_t)UNREAD_S * 1000000000;
     size_t unsent_max = 0;
     do {
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -99,7 +99,8 @@
 {
     (void)d;
     (void)to;
-    mg_buf_printf(out, "GET %.*s HTTP/1.1\r\nHost: h\r\n\r\n",
+    mg_buf_printf(out, "%.*s %.*s HTTP/1.1\r\nHost: h\r\n\r\n",
+                  MG_STR_FMT(mg_http_method(req->http)),
                   MG_STR_FMT(mg_http_headers(req->http)->target));
 }
 
@@ -484,7 +485,7 @@
 
 /* Sends a request on a connection that nobody reads; returns its socket. */
 static inline int
-world_connect(const char *path)
+world_connect(const char *method, const char *path)
 {
     char request[256];
     struct sockaddr_in addr;
@@ -494,8 +495,8 @@
     CU_ASSERT_TRUE_FATAL(rc == 0 || errno == EINPROGRESS);
     world_pass(5);
     int n = snprintf(request, sizeof(request),
-                     "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-                     path);
+                     "%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                     method, path);
     CU_ASSERT_EQUAL(send(fd, request, (size_t)n, 0), n);
     return fd;
 }
--- a/tests/unit/reach_test.c
+++ b/tests/unit/reach_test.c
@@ -320,7 +320,7 @@
         size_t unread = 0;
         raw = rows[i][0];
         repeated = rows[i][1];
-        int fd = world_connect("/raw");
+        int fd = world_connect("GET", "/raw");
         uint64_t end = uv_hrtime() + (uint64_t)UNREAD_S * 1000000000;
         do {
             uv_run(&world_loop, UV_RUN_NOWAIT);
