--- a/scripts/system-tests.sh
+++ b/scripts/system-tests.sh
@@ -14,6 +14,9 @@
 . "$ROOT/scripts/system-cases.sh"
 trap 'stop_all' EXIT
 trap 'exit 1' TERM INT
+# the clusters of two runs would use the same ports
+exec 9> "${TMPDIR:-/tmp}/marigoldgw-system-tests.lock"
+flock 9
 
 ALL="entry_killed scheduler_frozen two_at_once entry_drained silent_links
 silent_target control_lost_and_repaired disks_stall leader_cut_off
