Mutants of the node that the soak catches

mutants.sh takes "soak" in place of a unit test: it builds build/soak and the node, and runs seed 5 (SOAK_SEED). Three mutants: an answer without a length gets a last chunk; it gets a length; a reset is taken as the end of an answer.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -3,13 +3,15 @@
 #
 # Works on copies of the tree. A mutant is a line: unit test, source file,
 # disabled mechanism, sed expression. Prints a row per mutant; exits non-zero
-# if a mutant does not apply, does not build or passes its test.
+# if a mutant does not apply, does not build or passes its test. "soak" in place
+# of a test: build/soak with SOAK_SEED, which the code as it is must pass.
 set -uo pipefail
 
 ROOT=$(cd "$(dirname "$0")/.." && pwd)
 WORK=$(mktemp -d)
 trap 'rm -rf "$WORK"' EXIT
 JOBS=${JOBS:-4}
+SOAK_SEED=${SOAK_SEED:-5}
 
 mutants() {
     cat <<'EOF'
@@ -81,34 +83,44 @@
 capacity|src/gateway/capacity.c|a wanted pause is kept|s/if (c->unwanted_until_ms != 0 \&\&/if (false \&\&/
 capacity|src/gateway/flow.c|what says it leaves gets no requests|s/mg_gw_target_leaves(f->target, \&res);/(void)res;/
 recorded|src/wire/msg.c|added fields are ignored|s/o->via.array.size < l->count + 1/o->via.array.size != l->count + 1/
+soak|src/gateway/flow.c|an answer without a length gets no last chunk|/^mg_flow_send_buffered/,/^}/s/mg_http_start_close_delimited(/mg_http_start(/
+soak|src/gateway/flow.c|an answer without a length gets none|s/    if (!f->close_delimited) {/    if (true) {/
+soak|src/wire/channel.c|a reset is no end of an answer|s/c->state == CHANNEL_BODY \&\& orderly \&\&/c->state == CHANNEL_BODY \&\&/
 EOF
 }
 
 run_mutant() { # run_mutant NUMBER LINE
-    local n=$1 test file what expr dir rc
+    local n=$1 test file what expr dir rc made run
     IFS='|' read -r test file what expr <<< "$2"
     # the expression may contain the separator
     expr=${2#"$test|$file|$what|"}
     dir="$WORK/$n"
     mkdir -p "$dir"
-    cp -r "$ROOT"/{Makefile,src,tests,include} "$dir/" 2> /dev/null
+    cp -r "$ROOT"/{Makefile,src,tests,include,platform} "$dir/" 2> /dev/null
     cp -r "$WORK/base" "$dir/build"
     sed -i "$expr" "$dir/$file"
     if cmp -s "$dir/$file" "$ROOT/$file"; then
         echo "| $test | $what | NOT APPLIED |"
         return 1
     fi
-    make -s -C "$dir" WARN= "build/unit-${test}_test" > "$dir/out" 2>&1 || {
+    made="build/unit-${test}_test"
+    run=(timeout 120 "$dir/$made")
+    if [ "$test" = soak ]; then
+        made="build/soak build/marigold-node"
+        run=(env LOGS="$dir" "$ROOT/scripts/soak-test.sh" "$dir/build" "$SOAK_SEED")
+    fi
+    # shellcheck disable=SC2086
+    make -s -C "$dir" WARN= $made > "$dir/out" 2>&1 || {
         echo "| $test | $what | NOT BUILT |"
         return 1
     }
-    timeout 120 "$dir/build/unit-${test}_test" > "$dir/out" 2>&1 < /dev/null
+    "${run[@]}" > "$dir/out" 2>&1 < /dev/null
     rc=$?
     if [ $rc = 0 ]; then
         echo "| $test | $what | PASSED WITHOUT IT |"
         return 1
     fi
-    echo "| $test | $what | fails: $(grep -m1 -o 'seed [0-9]*: .*\|CU_[A-Z_]*(.*' "$dir/out" |
+    echo "| $test | $what | fails: $(grep -m1 -o 'seed [0-9]*: .*\|CU_[A-Z_]*(.*\|BROKEN .*' "$dir/out" |
         cut -c1-90) |"
     rm -rf "$dir"
 }
