--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -4,7 +4,8 @@
 # Works on copies of the tree. A mutant is a line: unit test, source file,
 # disabled mechanism, sed expression. Prints a row per mutant; exits non-zero
 # if a mutant does not apply, does not build or passes its test. "soak" in place
-# of a test: build/soak with SOAK_SEED, which the code as it is must pass.
+# of a test: build/soak with SOAK_SEED, which the code as it is must pass. ROWS:
+# only rows that match this expression.
 set -uo pipefail
 
 ROOT=$(cd "$(dirname "$0")/.." && pwd)
@@ -50,7 +51,7 @@
 store|src/control/store.c|records are checksummed|s/return h->sum == record_checksum(.*/return true;/
 rollout|src/policy/rollout.c|a version whose rollout is done stays in use|s/if (r->state == MG_ROLLOUT_DONE) {/if (false) {/
 rollout|src/policy/rollout.c|a rollout ends at its deadline|s/if (wall >= r->deadline_wall_ms) {/if (false) {/
-base|src/wire/http_client.c|a missing last chunk is detected|s/bool last_chunk_missing = .*/bool last_chunk_missing = false;/
+base|src/wire/channel.c|a missing last chunk is detected|s/c->body.framing == MG_H1_CLOSE_DELIMITED;/true;/
 crash|src/gateway/flow.c|a target is probed when a reused channel breaks|s/    mg_suspect_connection_lost(f->gw, f->target, &s);/    if (!f->reused_channel) { mg_suspect_connection_lost(f->gw, f->target, \&s); }/
 crash|src/gateway/dispatch.c|strikes are checked before each dispatch|s/if (mg_suspect_refuses(f)) {/if (false) {/
 crash|src/gateway/suspects.c|parts of prompts get strikes|s/f->event_count <= 1 \&\& i < shared_parts(f)/i < 0/
@@ -70,7 +71,7 @@
 reach|src/gateway/reach.c|an entry is cut off only from what others reach|s/mg_reach_only_others_since(r, r->ok_ms + 1)/true/
 flow|src/gateway/targets.c|a request is never written to a channel again|s/if (f->used_channels\[i\] == c) {/if (false) {/
 answers|src/gateway/flow.c|a refusal without an id counts on a new channel only|s/res.not_run \&\& res.id.n == 0 \&\& f->reused_channel/false/
-h1|src/wire/h1.c|outputs are set for malformed chunks|s/\*data = (mg_str){p, 0};/(void)0;/
+h1|src/wire/h1.c|outputs are empty for malformed chunks|s/^        size = 0;$//
 usage|src/gateway/reports.c|an entry that starts learns past use|s/mg_quota_add_past(&u->quota/if (false) mg_quota_add_past(\&u->quota/
 usage|src/gateway/pools.c|an entry that starts has no burst|s/gw->entry_count > 1 || gw->report_age_ms > 0/false/
 quota|src/gateway/quota.c|a part of the demand is admitted|s/if (level < q->limits.burst \* q->share \* FULL_PART) {/if (false) {/
@@ -79,13 +80,23 @@
 store|src/control/store.c|records of an earlier term end the log|s/ \&\& h.term >= term) {$/) {/
 registry|src/topology/registry.c|a deregistration is newer than any heartbeat|s/out->seq = MG_INSTANCE_SEQ_MAX;/out->seq++;/
 http_server|src/wire/http_server.c|pipelined requests are taken up by the event loop|s/        schedule_input(c);/        process_input(c);/
-http_server|src/wire/http_server.c|a response without a length is reset if it ends early|s/set_reset_on_close(r->conn, true);//
+http_server|src/wire/http_response.c|a response without a length is reset if it ends early|s/mg_sock_reset_on_close(&r->conn->tcp, true);//
+http_server|src/wire/http_server.c|a response that isn't acknowledged isn't closed|s/(mg_sock_is_acknowledged(&c->tcp) ||/(true ||/
+http_server|src/wire/http_server.c|a client's end doesn't stop its response|s/if (orderly \&\& has_output(c)) {/if (false) {/
+ends|src/wire/channel.c|the socket's error is looked at|s/           c->socket_error == 0;/           true;/
+ends|src/wire/channel.c|a failed write is no orderly end|s/UV_EOF \&\& c->write_error == 0 \&\&/UV_EOF \&\&/
+ends|src/wire/channel.c|the end waits for the request|s/c->unsent_bytes == 0 \&\& mg_sock_is_acknowledged(&c->tcp)/true/
+answers|src/gateway/flow_response.c|a stream without chunks gets no last chunk|/^mg_flow_start_response/,/^}/s/if (f->close_delimited) {/if (false) {/
+answers|src/gateway/flow.c|an end without proof gets no last chunk|s/if (end_is_unproven(f)) {/if (false) {/
+answers|src/gateway/flow.c|streams without ids aren't resumed|s/ \&\& !f->has_no_id//
+answers|src/gateway/flow_response.c|a response to HEAD has its target's length|s/        if (mg_h1_is_hop_by_hop(headers, h->name) \&\& !is_length) {/        if (mg_h1_is_hop_by_hop(headers, h->name)) {/
+crash|src/gateway/flow.c|the end of a response without a length is probed|/^target_served/,/^}/s/if (f->close_delimited) {/if (false) {/
 capacity|src/gateway/capacity.c|a wanted pause is kept|s/if (c->unwanted_until_ms != 0 \&\&/if (false \&\&/
 capacity|src/gateway/flow.c|what says it leaves gets no requests|s/mg_gw_target_leaves(f->target, \&res);/(void)res;/
 recorded|src/wire/msg.c|added fields are ignored|s/o->via.array.size < l->count + 1/o->via.array.size != l->count + 1/
-soak|src/gateway/flow.c|an answer without a length gets no last chunk|/^mg_flow_send_buffered/,/^}/s/mg_http_start_close_delimited(/mg_http_start(/
-soak|src/gateway/flow.c|an answer without a length gets none|s/    if (!f->close_delimited) {/    if (true) {/
-soak|src/wire/channel.c|a reset is no end of an answer|s/c->state == CHANNEL_BODY \&\& orderly \&\&/c->state == CHANNEL_BODY \&\&/
+soak|src/gateway/flow_response.c|an answer without a length gets no last chunk|/^mg_flow_start_response/,/^}/s/if (f->close_delimited) {/if (false) {/
+soak|src/gateway/flow_response.c|an answer without a length gets none|s/    if (!f->close_delimited) {/    if (true) {/
+soak|src/wire/channel.c|a reset is no end of an answer|s/           c->socket_error == 0;/           true;/
 EOF
 }
 
@@ -134,7 +145,7 @@
     n=$((n + 1))
     run_mutant $n "$line" > "$WORK/row-$n" &
     [ $((n % JOBS)) != 0 ] || wait
-done < <(mutants)
+done < <(mutants | grep -E "${ROWS:-.}")
 wait
 for i in $(seq $n); do
     cat "$WORK/row-$i"
