204 and 304 are sent without the length 0

What callers saw: 'content-length: 0' in each 204 and 304, which a 304 says of the body that GET would have.

Evidence: answers, 'responses without a body': 2 of 4 assertions fail without / 0.

--- a/src/gateway/flow_response.c
+++ b/src/gateway/flow_response.c
@@ -12,6 +12,13 @@
     return mg_str_is(mg_http_method(f->request.http), "HEAD");
 }
 
+/* whether the response has no body, whatever its fields say */
+static bool
+has_no_body(const mg_flow *f)
+{
+    return mg_flow_is_head(f) || f->status == 204 || f->status == 304;
+}
+
 bool
 mg_flow_is_close_delimited(const mg_flow *f, const mg_h1_headers *headers)
 {
@@ -73,7 +80,7 @@
 mg_flow_send_buffered(mg_flow *f)
 {
     mg_str body = mg_str_buf(&f->body);
-    if (mg_flow_is_head(f)) {
+    if (has_no_body(f)) {
         mg_http_reply_head(f->request.http, f->status, f->headers.p);
         return;
     }
--- a/src/wire/http.h
+++ b/src/wire/http.h
@@ -102,8 +102,8 @@
 void
 mg_http_reply(mg_http_req *r, int status, const char *type, const char *extra,
               mg_str body);
-/* Sends the whole response to a HEAD request; extra: with its Content-Length,
-   if that is known. */
+/* Sends a whole response that has no body: to a HEAD request, or with status
+   204 or 304; extra: with its Content-Length, if it has one. */
 void
 mg_http_reply_head(mg_http_req *r, int status, const char *extra);
 /* Starts a response in chunks (HTTP/1.0: delimited by connection close). */
--- a/tests/unit/answers_test.c
+++ b/tests/unit/answers_test.c
@@ -438,6 +438,22 @@
     }
 }
 
+/* a response without a body gets no length that its target didn't send */
+static void
+test_no_body(void)
+{
+    static const char *const rows[] = {
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        open_answers_world(MG_RETRY_NEVER, false, rows[i]);
+        const char *bytes = get_bytes("GET", "/faulty");
+        CU_ASSERT_EQUAL(strncmp(bytes, rows[i], 13), 0);
+        CU_ASSERT_PTR_NULL(strcasestr(bytes, "content-length"));
+        world_shut();
+    }
+}
+
 /* --------------------------------------- responses that are reset */
 
 static void
@@ -551,6 +567,7 @@
         {"a stream resumed with chunks", test_resumed_with_chunks},
         {"a stream without ids that breaks off", test_resumed_without_ids},
         {"responses to HEAD", test_head},
+        {"responses without a body", test_no_body},
         {"a response that is reset", test_reset_response},
         {"a refusal that is written twice", test_repeated_refusal},
         {"a refusal without an id on a reused channel",
