A half-closed client of a large response: a row more, which its mutant needed

The mutant 'a client's end doesn't stop its response' passed: in the rows of the test the kernel had taken all of the response. With 16 MB, kept alive, it fails.

--- a/tests/unit/http_server_test.c
+++ b/tests/unit/http_server_test.c
@@ -338,8 +338,11 @@
 /* Whole responses of this size, which the kernel takes at once, to a client
    that reads them late. */
 #define HELD_BYTES (200u << 10)
+#define LARGE_BYTES (16u << 20)
 
 static bool without_length;
+static size_t held_bytes = HELD_BYTES;
+static bool keep_alive;
 
 static void
 on_request_held(void *user, mg_http_req *r)
@@ -358,8 +361,9 @@
 static bool
 gets_held_response(const char *late)
 {
-    static const char get[] =
-        "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    const char *get = keep_alive ? "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+                                 : "GET / HTTP/1.1\r\nHost: h\r\n"
+                                   "Connection: close\r\n\r\n";
     char bytes[4096];
     size_t received = 0;
     ssize_t n;
@@ -374,11 +378,11 @@
                                         .on_request = on_request_held},
                      &err),
         MG_OK);
-    char *body = mg_alloc(HELD_BYTES);
-    mg_buf_put(&world.response, body, HELD_BYTES);
+    char *body = mg_alloc(held_bytes);
+    mg_buf_put(&world.response, body, held_bytes);
     free(body);
     connect_client(0);
-    send_all(0, get, sizeof(get) - 1);
+    send_all(0, get, strlen(get));
     if (late == NULL) {
         shutdown(world.clients[0], SHUT_WR);
         run_loop_ms(100);
@@ -399,7 +403,7 @@
            late == NULL ? "half-closed" : "late bytes", received,
            n == 0 ? "FIN" : strerror(errno));
     close_world();
-    return n == 0 && received > HELD_BYTES;
+    return n == 0 && received > held_bytes;
 }
 
 /* Guards against a whole response that is destroyed by the reset with which
@@ -422,6 +426,13 @@
         without_length = i == 1;
         CU_ASSERT_TRUE(gets_held_response(NULL));
     }
+    /* more than the kernel takes */
+    without_length = false;
+    keep_alive = true;
+    held_bytes = LARGE_BYTES;
+    CU_ASSERT_TRUE(gets_held_response(NULL));
+    keep_alive = false;
+    held_bytes = HELD_BYTES;
 }
 
 #define TINY "GET / HTTP/1.1\r\n\r\n"
