Channels that nobody keeps need no callbacks of their owner

relay.c, http_client.c and the test of ends each had two functions that did nothing but close the channel. No change of behaviour; ends, channel, reach, answers, http_client, crash and base pass.

--- a/src/gateway/flow.c
+++ b/src/gateway/flow.c
@@ -86,8 +86,8 @@
     sample_version(f, true);
 }
 
-/* The connection has broken, maybe since the target has crashed; may_be_whole:
-   otherwise its end was the regular end of the response. */
+/* The connection has ended, maybe since the target has crashed; may_be_whole:
+   if the target has not crashed, that was the end of its response. */
 static void
 suspect(mg_flow *f, bool may_be_whole)
 {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -69,29 +69,11 @@
 
 /* ------------------------------------------------------------- channel */
 
-static void
-on_channel_closed(void *owner, mg_channel *c)
-{
-    (void)owner;
-    (void)c;
-}
-
-static void
-on_channel_idle(void *owner, mg_channel *c)
-{
-    (void)owner;
-    mg_channel_close(c);
-}
-
 static mg_channel *
 connect_to(mg_gateway *gw, const char *node, mg_channel_callbacks *cb)
 {
     char addr[MG_NAME_SIZE + 8];
-    mg_channel_options opts = {
-        .loop = gw->opts.loop,
-        .on_closed = on_channel_closed,
-        .on_idle = on_channel_idle,
-    };
+    mg_channel_options opts = {.loop = gw->opts.loop};
     snprintf(addr, sizeof(addr), "%s:%u", node, gw->opts.relay_port);
     if (mg_addr_parse(addr, &opts.addr) != MG_OK) {
         return NULL;
--- a/src/wire/channel.c
+++ b/src/wire/channel.c
@@ -69,12 +69,20 @@
     mg_channel *channel;
 } channel_write;
 
+static void
+tell_owner_closed(mg_channel *c)
+{
+    if (c->opts.on_closed != NULL) {
+        c->opts.on_closed(c->opts.owner, c);
+    }
+}
+
 static void
 on_closed(uv_handle_t *h)
 {
     mg_channel *c = h->data;
     if (c->connect_failed) {
-        c->opts.on_closed(c->opts.owner, c);
+        tell_owner_closed(c);
         if (c->callbacks != NULL) {
             c->callbacks->on_end(c->callbacks, MG_CHANNEL_CONNECT_FAILED);
         }
@@ -101,7 +109,7 @@
         c->ack_timer = NULL;
     }
     uv_close((uv_handle_t *)&c->tcp, on_closed);
-    c->opts.on_closed(c->opts.owner, c);
+    tell_owner_closed(c);
 }
 
 static void
@@ -133,8 +141,8 @@
     mg_channel_callbacks *cb = c->callbacks;
     /* not reusable if bytes follow the response or part of the request is
        unsent */
-    bool reusable = c->keep_alive && c->in.n == 0 && c->unsent_bytes == 0 &&
-                    c->write_error == 0;
+    bool reusable = c->opts.on_idle != NULL && c->keep_alive && c->in.n == 0 &&
+                    c->unsent_bytes == 0 && c->write_error == 0;
     c->callbacks = NULL;
     if (reusable) {
         c->state = CHANNEL_IDLE;
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -60,9 +60,11 @@
        nothing of a request, for this time, ms; 0: MG_CHANNEL_PEER_TIMEOUT_MS
      */
     int64_t peer_timeout_ms;
-    /* the channel is closing: called once, also for mg_channel_close() */
+    /* The channel is closing: called once, also for mg_channel_close(). May be
+       NULL. */
     void (*on_closed)(void *owner, mg_channel *c);
-    /* a response is complete and the channel can be reused */
+    /* A response is complete and the channel can be reused. NULL: it is
+       closed. */
     void (*on_idle)(void *owner, mg_channel *c);
     void *owner;
 } mg_channel_options;
--- a/src/wire/http_client.c
+++ b/src/wire/http_client.c
@@ -168,21 +168,6 @@
     }
 }
 
-static void
-on_channel_closed(void *owner, mg_channel *c)
-{
-    (void)owner;
-    (void)c;
-}
-
-/* a connection is never reused */
-static void
-on_channel_idle(void *owner, mg_channel *c)
-{
-    (void)owner;
-    mg_channel_close(c);
-}
-
 /* -------------------------------------------------------------- request */
 
 static void
@@ -194,8 +179,6 @@
             .addr = *addr,
             /* a peer that reads nothing is silent, not lost */
             .peer_timeout_ms = r->opts.read_timeout_ms,
-            .on_closed = on_channel_closed,
-            .on_idle = on_channel_idle,
         },
         &r->callbacks);
 }
--- a/tests/unit/ends_test.c
+++ b/tests/unit/ends_test.c
@@ -121,20 +121,6 @@
     on_end(NULL, MG_CHANNEL_CONNECT_FAILED);
 }
 
-static void
-on_channel_closed(void *owner, mg_channel *c)
-{
-    (void)owner;
-    (void)c;
-}
-
-static void
-on_idle(void *owner, mg_channel *c)
-{
-    (void)owner;
-    mg_channel_close(c);
-}
-
 /* -------------------------------------------------------------- server */
 
 static void
@@ -240,8 +226,6 @@
         &(mg_channel_options){
             .loop = &world.loop,
             .addr = addr,
-            .on_closed = on_channel_closed,
-            .on_idle = on_idle,
         },
         &world.callbacks);
     uv_run(&world.loop, UV_RUN_DEFAULT);
