--- a/src/wire/http_server_int.h
+++ b/src/wire/http_server_int.h
@@ -76,8 +76,8 @@
 /* The response is complete: proceeds to the next request. */
 void
 mg_http_conn_finish(mg_http_conn *c);
-/* Closes the connection once what was written of the response is sent, without
-   waiting for it: the response is not complete. */
+/* Closes the connection in the middle of a response; what the socket takes at
+   once of its output is still sent. */
 void
 mg_http_conn_abort(mg_http_conn *c);
 /* Has the output written at the end of this event loop iteration. */
