--- a/src/gateway/gateway_int.h
+++ b/src/gateway/gateway_int.h
@@ -197,8 +197,8 @@
     mg_sse_parser sse_parser;
     size_t held; /* bytes in gw->response_memory */
     bool has_last_id;
-    bool has_no_id;   /* the client was sent an event without an id, after
-                         which no other run can go on */
+    bool has_no_id;   /* the client was sent an event without an id, so that
+                         no other run can go on after it */
     uint64_t last_id; /* of the last event that the client has */
     uv_timer_t timer;
 };
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -21,6 +21,7 @@
 #include "base/list.h"
 #include "wire/h1.h"
 
+/* the kernel closes a connection after about this time without an ACK */
 #define MG_CHANNEL_PEER_TIMEOUT_MS 2500
 /* of a text that mg_channel_describe_end() writes */
 #define MG_CHANNEL_END_SIZE 112
@@ -28,7 +29,10 @@
 typedef struct mg_channel mg_channel;
 
 typedef enum mg_channel_result {
-    MG_CHANNEL_COMPLETE,       /* the response was received to its end */
+    /* The response was received to its end. If it has neither a length nor
+       chunks, that is the peer's FIN, which a peer that dies sends, too; a
+       reset never counts as the end. */
+    MG_CHANNEL_COMPLETE,
     MG_CHANNEL_CONNECT_FAILED, /* nothing was written */
     MG_CHANNEL_TRUNCATED,      /* connection lost once writing had begun */
     MG_CHANNEL_MALFORMED,      /* not a valid HTTP response */
--- a/src/wire/http_server_int.h
+++ b/src/wire/http_server_int.h
@@ -36,7 +36,7 @@
     struct list_head link; /* in mg_http_server.conns */
     /* in mg_http_server.pending_flush while there is output to write */
     struct list_head pending_flush;
-    /* in mg_http_server.pending_input while a pipelined request may be in in
+    /* in mg_http_server.pending_input while "in" may hold a pipelined request
      */
     struct list_head pending_input;
     uv_tcp_t tcp;
