--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -19,8 +19,8 @@
     local pid
     for pid in "${pids[@]}"; do
         kill -KILL "$pid" 2> /dev/null
+        wait "$pid" 2> /dev/null
     done
-    wait 2> /dev/null
     [ -n "${KEEP:-}" ] && cp "$work"/*.log "$KEEP/" 2> /dev/null
     rm -rf "$work"
 }
