--- a/review/src-2/kit.c
+++ b/review/src-2/kit.c
@@ -304,15 +304,15 @@
     s->capacity = 0;
 }
 
-/* one call on a connection of its own; returns the status, 0: none */
-static int
-call(const char *ip, int port, const char *method, const char *path,
-     const char *body, int timeout_ms)
+int
+call_node(const char *ip, const char *method, const char *path,
+          const char *body, char *reply, size_t size)
 {
     static __thread message m;
     char head[512];
-    stream s = {.fd = dial(ip, port, timeout_ms)};
+    stream s = {.fd = dial(ip, control_port, ACK_TIMEOUT_MS)};
     int status = 0;
+    reply[0] = '\0';
     if (s.fd < 0) {
         return 0;
     }
@@ -323,6 +323,7 @@
     if (send_text(s.fd, head) && send_text(s.fd, body)) {
         if (read_message(&s, &m, true) && m.whole) {
             status = m.status;
+            snprintf(reply, size, "%s", m.body);
         }
         free_message(&m);
     }
@@ -400,22 +401,29 @@
     replica *r = arg;
     char path[128];
     char body[512];
+    char reply[256];
     int node = 0;
     snprintf(path, sizeof(path), "/marigoldgw/instances/%s/heartbeat", r->id);
     for (;;) {
         int tries = 0;
         snprintf(body, sizeof(body),
                  "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
-                 "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+                 "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
                  "\"coldLeftMs\":0,\"seq\":%u,\"born\":%llu}",
-                 r->service, r->address, ++r->seq,
+                 r->service, r->address,
+                 r->version != NULL ? r->version : "v1",
+                 r->draining ? "draining" : "ready", ++r->seq,
                  (unsigned long long)r->born_ms);
         while (tries++ < node_count &&
-               call(node_ips[node % node_count], control_port, "POST", path,
-                    body, ACK_TIMEOUT_MS) != 200) {
+               call_node(node_ips[node % node_count], "POST", path, body,
+                         reply, sizeof(reply)) != 200) {
             node++;
         }
-        sleep_ms(HEARTBEAT_MS);
+        bool was_draining = r->draining;
+        for (int64_t until = steady_ms() + HEARTBEAT_MS;
+             steady_ms() < until && was_draining == r->draining;) {
+            sleep_ms(20);
+        }
     }
     return NULL;
 }
@@ -448,8 +456,10 @@
 {
     int64_t until = steady_ms() + timeout_ms;
     for (int i = 0; steady_ms() < until; i++) {
-        int status = call(node_ips[i % node_count], control_port, "POST",
-                          "/marigoldgw/config/replace", config, 1000);
+        char reply[256];
+        int status = call_node(node_ips[i % node_count], "POST",
+                               "/marigoldgw/config/replace", config, reply,
+                               sizeof(reply));
         record("operator sends the configuration to %s: %d",
                node_ips[i % node_count], status);
         if (status == 200) {
--- a/review/src-2/kit.h
+++ b/review/src-2/kit.h
@@ -37,6 +37,8 @@
 typedef struct replica {
     char id[32];
     const char *service;
+    const char *version; /* NULL: v1 */
+    volatile bool draining;
     char address[32];
     int port;
     uint64_t born_ms;
@@ -90,6 +92,11 @@
 /* Starts a replica's listener and its heartbeats. */
 void
 start_replica(replica *r, const char *ip);
+/* One call to a node's control address, on a connection of its own. Returns the
+   status, 0: none; copies the response's body. */
+int
+call_node(const char *ip, const char *method, const char *path,
+          const char *body, char *reply, size_t size);
 /* Sends a configuration until a node acknowledges it; false: none did. */
 bool
 put_config(const char *config, int64_t timeout_ms);
