--- a/review/src-2/kit.c
+++ b/review/src-2/kit.c
@@ -338,15 +338,35 @@
     int fd;
 };
 
+static pthread_mutex_t replica_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* replaces one entry of a replica's table of connections; false: there is none
+   with the old value */
+static bool
+replace_fd(replica *r, int old, int fd)
+{
+    bool found = false;
+    pthread_mutex_lock(&replica_lock);
+    for (int i = 0; i < CONNECTIONS_MAX && !found; i++) {
+        if (r->fds[i] == old) {
+            r->fds[i] = fd;
+            found = true;
+        }
+    }
+    pthread_mutex_unlock(&replica_lock);
+    return found;
+}
+
 static void *
 run_connection(void *arg)
 {
     struct accepted a = *(struct accepted *)arg;
     stream s = {.fd = a.fd};
-    message *m = malloc(sizeof(*m));
+    message *m = calloc(1, sizeof(*m));
     free(arg);
-    while (read_message(&s, m, false)) {
-        bool go_on = m->whole && a.replica->serve(a.replica, &s, m);
+    while (!a.replica->down && read_message(&s, m, false)) {
+        bool go_on = m->whole && !a.replica->down &&
+                     a.replica->serve(a.replica, &s, m);
         free_message(m);
         m->body = NULL;
         if (!go_on) {
@@ -355,6 +375,7 @@
     }
     free_message(m);
     free(m);
+    replace_fd(a.replica, a.fd, 0);
     close_stream(&s);
     return NULL;
 }
@@ -378,23 +399,93 @@
     int fd;
 };
 
+/* listens at the replica's address; port 0: at a free one */
+static int
+listen_at(replica *r, const char *ip)
+{
+    struct sockaddr_in a = address_of(ip, r->port);
+    socklen_t size = sizeof(a);
+    struct timespec t;
+    int on = 1;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
+        listen(fd, 256) != 0 ||
+        getsockname(fd, (struct sockaddr *)&a, &size) != 0) {
+        fprintf(stderr, "cannot listen on %s:%d\n", ip, r->port);
+        exit(2);
+    }
+    clock_gettime(CLOCK_REALTIME, &t);
+    r->born_ms = (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
+    r->port = ntohs(a.sin_port);
+    r->seq = 0;
+    snprintf(r->address, sizeof(r->address), "%s:%d", ip, r->port);
+    return fd;
+}
+
+static void
+accept_one(struct listener *l)
+{
+    int fd = accept(l->fd, NULL, NULL);
+    if (fd < 0) {
+        return;
+    }
+    struct accepted *a = malloc(sizeof(*a));
+    set_options(fd, READ_TIMEOUT_MS);
+    *a = (struct accepted){l->replica, fd};
+    if (!replace_fd(l->replica, 0, fd)) {
+        close(fd);
+        free(a);
+        return;
+    }
+    start_thread(run_connection, a);
+}
+
 static void *
 run_listener(void *arg)
 {
     struct listener *l = arg;
     for (;;) {
-        int fd = accept(l->fd, NULL, NULL);
-        if (fd < 0) {
+        struct pollfd p = {l->fd, POLLIN, 0};
+        if (poll(&p, 1, 2) > 0) {
+            accept_one(l);
+        }
+        if (!l->replica->down) {
             continue;
         }
-        struct accepted *a = malloc(sizeof(*a));
-        set_options(fd, READ_TIMEOUT_MS);
-        *a = (struct accepted){l->replica, fd};
-        start_thread(run_connection, a);
+        close(l->fd);
+        while (l->replica->down) {
+            sleep_ms(2);
+        }
+        l->fd = listen_at(l->replica, "127.0.0.1");
     }
     return NULL;
 }
 
+void
+crash_replica(replica *r)
+{
+    pthread_mutex_lock(&replica_lock);
+    r->down = true;
+    for (int i = 0; i < CONNECTIONS_MAX; i++) {
+        if (r->fds[i] != 0) {
+            shutdown(r->fds[i], SHUT_RDWR);
+        }
+    }
+    pthread_mutex_unlock(&replica_lock);
+    record("%s crashes", r->id);
+}
+
+void
+restart_replica(replica *r)
+{
+    size_t n = strcspn(r->id, "+");
+    r->id[n] = '\0';
+    snprintf(r->id + n, sizeof(r->id) - n, "+%u", ++r->starts);
+    r->down = false;
+    record("%s starts", r->id);
+}
+
 static void *
 run_heartbeats(void *arg)
 {
@@ -403,9 +494,14 @@
     char body[512];
     char reply[256];
     int node = 0;
-    snprintf(path, sizeof(path), "/marigoldgw/instances/%s/heartbeat", r->id);
     for (;;) {
         int tries = 0;
+        if (r->down) {
+            sleep_ms(50); /* it listens before it announces itself */
+            continue;
+        }
+        snprintf(path, sizeof(path), "/marigoldgw/instances/%s/heartbeat",
+                 r->id);
         snprintf(body, sizeof(body),
                  "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
                  "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
@@ -421,7 +517,7 @@
         }
         bool was_draining = r->draining;
         for (int64_t until = steady_ms() + HEARTBEAT_MS;
-             steady_ms() < until && was_draining == r->draining;) {
+             steady_ms() < until && was_draining == r->draining && !r->down;) {
             sleep_ms(20);
         }
     }
@@ -431,22 +527,8 @@
 void
 start_replica(replica *r, const char *ip)
 {
-    struct sockaddr_in a = address_of(ip, 0);
-    socklen_t size = sizeof(a);
-    struct timespec t;
     struct listener *l = malloc(sizeof(*l));
-    l->replica = r;
-    l->fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (bind(l->fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-        listen(l->fd, 256) != 0 ||
-        getsockname(l->fd, (struct sockaddr *)&a, &size) != 0) {
-        fprintf(stderr, "cannot listen on %s\n", ip);
-        exit(2);
-    }
-    clock_gettime(CLOCK_REALTIME, &t);
-    r->born_ms = (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / 1000000;
-    r->port = ntohs(a.sin_port);
-    snprintf(r->address, sizeof(r->address), "%s:%d", ip, r->port);
+    *l = (struct listener){r, listen_at(r, ip)};
     start_thread(run_listener, l);
     start_thread(run_heartbeats, r);
 }
--- a/review/src-2/kit.h
+++ b/review/src-2/kit.h
@@ -14,7 +14,7 @@
 
 #define NODES_MAX 3
 #define HEAD_MAX 65536
-#define REPLICAS_MAX 8
+#define CONNECTIONS_MAX 256 /* of a replica */
 
 /* a received HTTP message */
 typedef struct message {
@@ -43,6 +43,9 @@
     int port;
     uint64_t born_ms;
     unsigned seq;
+    unsigned starts;
+    volatile bool down; /* crashed */
+    int fds[CONNECTIONS_MAX]; /* of open connections, 0: none */
     bool faulty;
     /* responds to one request; false: the connection is to be closed */
     bool (*serve)(struct replica *r, stream *s, message *request);
@@ -92,6 +95,12 @@
 /* Starts a replica's listener and its heartbeats. */
 void
 start_replica(replica *r, const char *ip);
+/* The replica's process ends: its connections are closed, new ones refused. */
+void
+crash_replica(replica *r);
+/* It starts again at its address, under another id. */
+void
+restart_replica(replica *r);
 /* One call to a node's control address, on a connection of its own. Returns the
    status, 0: none; copies the response's body. */
 int
