--- a/review/src-2/kit.c
+++ b/review/src-2/kit.c
@@ -69,7 +69,7 @@
     signal(SIGPIPE, SIG_IGN);
     opened_ms = steady_ms();
     snprintf(path, sizeof(path), "%s/record.txt", folder);
-    record_file = fopen(path, "w");
+    record_file = fopen(path, getenv("RECORD_APPEND") != NULL ? "a" : "w");
     if (record_file == NULL || getenv("NODES") == NULL ||
         getenv("CONTROL_PORT") == NULL || getenv("CLIENT_PORT") == NULL) {
         fprintf(stderr, "cannot write %s, or no nodes in the environment\n",
--- a/review/src-2/kit.h
+++ b/review/src-2/kit.h
@@ -12,7 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define NODES_MAX 3
+#define NODES_MAX 4
 #define HEAD_MAX 65536
 #define CONNECTIONS_MAX 256 /* of a replica */
 
@@ -63,7 +63,8 @@
 /* Writes a line with the time since the start to record.txt. */
 void
 record(const char *format, ...) __attribute__((format(printf, 1, 2)));
-/* Opens record.txt in the given folder; reads the nodes' ports and addresses
+/* Opens record.txt in the given folder, to append to it if RECORD_APPEND is in
+   the environment; reads the nodes' ports and addresses
    from the environment: CONTROL_PORT, CLIENT_PORT, NODES. */
 void
 kit_open(const char *folder);
--- a/review/src-2/outage_site.c
+++ b/review/src-2/outage_site.c
@@ -17,9 +17,9 @@
 #include <string.h>
 
 #define REPLICAS 3
-#define READERS 36
+#define READERS 24
 #define BUYERS 8
-#define REQUEST_PAUSE_MS 50
+#define REQUEST_PAUSE_MS 100
 #define WORK_MS 30
 #define CRASH_AT_MS 4000
 #define DOWN_MS 4000
