--- a/review/src-2/relay_site.c
+++ b/review/src-2/relay_site.c
@@ -18,7 +18,7 @@
 
 #define REPLICAS 32
 #define CRASHING 8      /* at a time: share 0.25 */
-#define DOWN_MS 2500
+#define DOWN_MS 2000
 #define UP_MS 300       /* between two crashes */
 #define MUTE_PERCENT 45 /* x 0.45, of all replicas */
 #define MUTE_FOR_MS 4000
