--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -8,6 +8,10 @@
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 root=$(cd "$here/.." && pwd)
 standins=$root/target/review-3
+if [ ! -x "$root/target/marigold-node" ] || [ ! -d "$standins" ]; then
+    echo "build first: the build of the deploy file, review/build-3.sh" >&2
+    exit 2
+fi
 work=$(mktemp -d)
 declare -A pids=()
 
