Orders of rollouts are logged, with the record that decided them

A rollout that was acknowledged and never carried out left no line: the logs showed records of the log only, not what a node answered an operator from.

--- a/src/node/rollout_manager.c
+++ b/src/node/rollout_manager.c
@@ -397,6 +397,20 @@
     return r->state == MG_ROLLOUT_ROLLED_BACK || r->state == MG_ROLLOUT_DONE;
 }
 
+/* Logs what was decided on an order, and the record that decided it. */
+static void
+log_order(const mg_rollout_manager *m, const service_rollout *r,
+          const char *service, const char *version, const char *outcome)
+{
+    mg_log(MG_EV_ROLLOUT_ORDER,
+           "service=%s version=%s outcome=%s known_version=%s known_state=%s "
+           "known_rev=%" PRIu64 " known_ms=%" PRId64,
+           service, version, outcome, r != NULL ? r->version : "-",
+           r != NULL ? mg_rollout_state_name(r->state) : "-",
+           r != NULL ? r->rev : 0,
+           r != NULL ? mg_now(m->opts.clock) - r->changed_at : 0);
+}
+
 void
 mg_rollout_manager_start(mg_rollout_manager *m, const char *service,
                          const char *version, int64_t window_ms,
@@ -411,19 +425,23 @@
          now - ordered_at < m->opts.ack_ms)) {
         /* the operator retried a command that was recorded already; after
            ack_ms, the same order is a new one */
+        log_order(m, r, service, version, "repeated");
         done(user, MG_OK, r->rev, "");
         return;
     }
     if (r != NULL && !has_ended(r)) {
+        log_order(m, r, service, version, "conflict");
         done(user, MG_E_VERSION_CONFLICT, 0,
              "another rollout of the service is in progress");
         return;
     }
     if (r != NULL && r->rejected_differs) {
         /* an entry that starts later would not know of the rollback */
+        log_order(m, r, service, version, "wait_rejected");
         done(user, MG_E_NO_LEADER, 0, "the last rollout is being recorded");
         return;
     }
+    log_order(m, r, service, version, "proposed");
     mg_rec_rollout_msg rec = {
         .service = mg_str_of(service),
         .version = mg_str_of(version),
