An order of a rollout is decided by the newest record of the log

Cause: the order was decided by the last record that this process had received. If that record named the version, the order was acknowledged as a repeated one without asking the log whether a newer one had taken its place. The same for two refusals: 'in progress' by a rollout that had ended since, and 'no such service' by an old document.

The tests 'an order at a host with an old record' and '... that is cut off' both fail on the code before.

Why it works: the log is asked for its newest revision first, by a majority, and the order is decided when this host has the records up to it. A host that can't ask answers 503 and has decided nothing.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -546,6 +546,7 @@
         .registry = n->registry,
         .client = n->client,
         .ack_ms = s->ack_ms,
+        .find_service = mg_node_find_service,
         .running_on_others = mg_node_running_on_others,
         .user = n,
     });
--- a/src/node/node_int.h
+++ b/src/node/node_int.h
@@ -70,7 +70,9 @@
 /* Sends this entry's request counts and rollout samples to the hubs. */
 void
 mg_node_send_rollout_samples(mg_node *n);
-/* Callback of the rollout manager (running_on_others); user is the node. */
+/* Callbacks of the rollout manager; user is the node. */
+mg_rc
+mg_node_find_service(void *user, const char *service);
 double
 mg_node_running_on_others(void *user, const char *service,
                           const char *version);
--- a/src/node/node_operator.c
+++ b/src/node/node_operator.c
@@ -170,20 +170,22 @@
     mg_gateway_flush_rollout_samples(n->gateway, send_samples, n);
 }
 
-void
-mg_node_start_rollout(mg_node *n, const char *service, const char *version,
-                      int64_t window_ms, mg_group_client_cb done, void *user)
+mg_rc
+mg_node_find_service(void *user, const char *service)
 {
+    const mg_node *n = user;
     const mg_routing *t = mg_gateway_routing(n->gateway);
     if (t == NULL) {
-        done(user, MG_E_NO_QUORUM, 0, "no configuration document is loaded");
-        return;
-    }
-    if (mg_routing_service(t, mg_str_of(service)) == NULL) {
-        done(user, MG_E_NOT_FOUND, 0,
-             "the configuration document has no such service");
-        return;
+        return MG_E_NO_QUORUM;
     }
+    return mg_routing_service(t, mg_str_of(service)) != NULL ? MG_OK
+                                                             : MG_E_NOT_FOUND;
+}
+
+void
+mg_node_start_rollout(mg_node *n, const char *service, const char *version,
+                      int64_t window_ms, mg_group_client_cb done, void *user)
+{
     mg_rollout_manager_start(n->rollouts, service, version, window_ms, done,
                              user);
 }
--- a/src/node/rollout_manager.c
+++ b/src/node/rollout_manager.c
@@ -282,11 +282,13 @@
     mg_buf_free(&versions);
 }
 
-/* Writes rec if the service's record still has revision expect_rev. If
-   expect_rev is 0, writes rec only if the service has no record. */
+/* Writes rec, within timeout_ms, if the service's record still has revision
+   expect_rev. If expect_rev is 0, writes rec only if the service has no
+   record. */
 static void
 write_record(mg_rollout_manager *m, const mg_rec_rollout_msg *rec,
-             uint64_t expect_rev, mg_group_client_cb done, void *user)
+             uint64_t expect_rev, int64_t timeout_ms, mg_group_client_cb done,
+             void *user)
 {
     mg_buf value = {0};
     mg_msg r = {.type = MG_MSG_REC_ROLLOUT};
@@ -300,8 +302,7 @@
     put.u.cmd_put.value = mg_str_buf(&value);
     *w = (record_write){.manager = m, .done = done, .user = user};
     mg_str_copy(w->service, sizeof(w->service), rec->service);
-    mg_group_client_propose(m->opts.client, &put, m->opts.ack_ms, write_done,
-                            w);
+    mg_group_client_propose(m->opts.client, &put, timeout_ms, write_done, w);
     mg_buf_free(&value);
 }
 
@@ -321,7 +322,7 @@
         .reason = mg_str_of(c->reason),
     };
     r->write_pending = true;
-    write_record(m, &rec, r->rev, NULL, NULL);
+    write_record(m, &rec, r->rev, m->opts.ack_ms, NULL, NULL);
 }
 
 /* ---------------------------------------------------------------- ticks */
@@ -397,60 +398,124 @@
     return r->state == MG_ROLLOUT_ROLLED_BACK || r->state == MG_ROLLOUT_DONE;
 }
 
+/* an order, until the newest records of the log are known here */
+typedef struct pending_order {
+    mg_rollout_manager *manager;
+    char service[MG_NAME_SIZE];
+    char version[MG_NAME_SIZE];
+    int64_t window_ms;
+    int64_t expires_at; /* its outcome is reported by then, monotonic ms */
+    mg_group_client_cb done;
+    void *user;
+} pending_order;
+
 /* Logs what was decided on an order, and the record that decided it. */
 static void
-log_order(const mg_rollout_manager *m, const service_rollout *r,
-          const char *service, const char *version, const char *outcome)
+log_order(const pending_order *o, const service_rollout *r,
+          const char *outcome)
 {
     mg_log(MG_EV_ROLLOUT_ORDER,
            "service=%s version=%s outcome=%s known_version=%s known_state=%s "
            "known_rev=%" PRIu64 " known_ms=%" PRId64,
-           service, version, outcome, r != NULL ? r->version : "-",
+           o->service, o->version, outcome, r != NULL ? r->version : "-",
            r != NULL ? mg_rollout_state_name(r->state) : "-",
            r != NULL ? r->rev : 0,
-           r != NULL ? mg_now(m->opts.clock) - r->changed_at : 0);
+           r != NULL ? mg_now(o->manager->opts.clock) - r->changed_at : 0);
 }
 
-void
-mg_rollout_manager_start(mg_rollout_manager *m, const char *service,
-                         const char *version, int64_t window_ms,
-                         mg_group_client_cb done, void *user)
+static void
+propose_order(const pending_order *o, const service_rollout *r)
 {
-    service_rollout *r = find_rollout(m, service);
+    mg_rollout_manager *m = o->manager;
+    int64_t left = o->expires_at - mg_now(m->opts.clock);
+    mg_rec_rollout_msg rec = {
+        .service = mg_str_of(o->service),
+        .version = mg_str_of(o->version),
+        .state = MG_ROLLOUT_PENDING,
+        .window_ms = (uint64_t)o->window_ms,
+        .left_ms = (uint64_t)o->window_ms,
+        .reason = mg_str_of("ordered"),
+    };
+    log_order(o, r, "proposed");
+    write_record(m, &rec, r != NULL ? r->rev : 0, left, o->done, o->user);
+}
+
+/* Decides on an order by the newest record of its service. */
+static void
+decide_order(const pending_order *o)
+{
+    mg_rollout_manager *m = o->manager;
+    service_rollout *r = find_rollout(m, o->service);
     r = exists(r) ? r : NULL;
     int64_t now = mg_now(m->opts.clock);
     int64_t ordered_at = r != NULL ? r->deadline - r->window_ms : 0;
-    if (r != NULL && strcmp(r->version, version) == 0 &&
-        (r->state != MG_ROLLOUT_ROLLED_BACK ||
-         now - ordered_at < m->opts.ack_ms)) {
+    mg_rc rc = m->opts.find_service(m->opts.user, o->service);
+    if (rc != MG_OK) {
+        log_order(o, r, mg_rc_name(rc));
+        o->done(o->user, rc, 0,
+                rc == MG_E_NOT_FOUND
+                    ? "the configuration document has no such service"
+                    : "no configuration document is loaded");
+    }
+    else if (r != NULL && strcmp(r->version, o->version) == 0 &&
+             (r->state != MG_ROLLOUT_ROLLED_BACK ||
+              now - ordered_at < m->opts.ack_ms)) {
         /* the operator retried a command that was recorded already; after
            ack_ms, the same order is a new one */
-        log_order(m, r, service, version, "repeated");
-        done(user, MG_OK, r->rev, "");
-        return;
+        log_order(o, r, "repeated");
+        o->done(o->user, MG_OK, r->rev, "");
     }
-    if (r != NULL && !has_ended(r)) {
-        log_order(m, r, service, version, "conflict");
-        done(user, MG_E_VERSION_CONFLICT, 0,
-             "another rollout of the service is in progress");
-        return;
+    else if (r != NULL && !has_ended(r)) {
+        log_order(o, r, "conflict");
+        o->done(o->user, MG_E_VERSION_CONFLICT, 0,
+                "another rollout of the service is in progress");
     }
-    if (r != NULL && r->rejected_differs) {
+    else if (r != NULL && r->rejected_differs) {
         /* an entry that starts later would not know of the rollback */
-        log_order(m, r, service, version, "wait_rejected");
-        done(user, MG_E_NO_LEADER, 0, "the last rollout is being recorded");
-        return;
+        log_order(o, r, "wait_rejected");
+        o->done(o->user, MG_E_NO_LEADER, 0,
+                "the last rollout is being recorded");
     }
-    log_order(m, r, service, version, "proposed");
-    mg_rec_rollout_msg rec = {
-        .service = mg_str_of(service),
-        .version = mg_str_of(version),
-        .state = MG_ROLLOUT_PENDING,
-        .window_ms = (uint64_t)window_ms,
-        .left_ms = (uint64_t)window_ms,
-        .reason = mg_str_of("ordered"),
+    else {
+        propose_order(o, r);
+    }
+}
+
+static void
+order_confirmed(void *user, mg_rc rc, uint64_t rev, const char *why)
+{
+    pending_order *o = user;
+    (void)rev;
+    if (rc == MG_OK) {
+        decide_order(o);
+    }
+    else {
+        service_rollout *r = find_rollout(o->manager, o->service);
+        log_order(o, exists(r) ? r : NULL, "not_confirmed");
+        o->done(o->user, rc, 0, why);
+    }
+    free(o);
+}
+
+void
+mg_rollout_manager_start(mg_rollout_manager *m, const char *service,
+                         const char *version, int64_t window_ms,
+                         mg_group_client_cb done, void *user)
+{
+    pending_order *o = mg_alloc(sizeof(*o));
+    *o = (pending_order){
+        .manager = m,
+        .window_ms = window_ms,
+        .expires_at = mg_now(m->opts.clock) + m->opts.ack_ms,
+        .done = done,
+        .user = user,
     };
-    write_record(m, &rec, r != NULL ? r->rev : 0, done, user);
+    mg_str_copy(o->service, sizeof(o->service), mg_str_of(service));
+    mg_str_copy(o->version, sizeof(o->version), mg_str_of(version));
+    /* A record that is known here may be an old one: this host may just have
+       thawed, started, or be cut off from the voters. */
+    mg_group_client_confirm(m->opts.client, m->opts.ack_ms / 2,
+                            order_confirmed, o);
 }
 
 bool
--- a/src/node/rollout_manager.h
+++ b/src/node/rollout_manager.h
@@ -27,7 +27,10 @@
     mg_clock *clock;
     mg_registry *registry;
     mg_group_client *client;
-    int64_t ack_ms; /* timeout of a log write */
+    int64_t ack_ms; /* timeout of a log write, and of an order */
+    /* whether a rollout of the service can be ordered: MG_OK, MG_E_NOT_FOUND,
+       or MG_E_NO_QUORUM while no configuration is known */
+    mg_rc (*find_service)(void *user, const char *service);
     /* number of requests, over all entries, that run on other versions of
        the service */
     double (*running_on_others)(void *user, const char *service,
@@ -56,10 +59,13 @@
 void
 mg_rollout_manager_tick(mg_rollout_manager *m, bool is_lead);
 /*
- * Starts a rollout on an operator's command. done gets MG_OK when the record
- * is written or the same rollout exists already, MG_E_VERSION_CONFLICT when
- * another rollout of the service is in progress, MG_E_NO_LEADER when the
- * outcome is unknown, or the end of the last one isn't recorded in full yet.
+ * Starts a rollout on an operator's command. It is decided by the newest
+ * records of the log, which is asked first. done gets MG_OK when the record is
+ * written or the same rollout exists already, MG_E_VERSION_CONFLICT when
+ * another rollout of the service is in progress, the result of find_service()
+ * if that isn't MG_OK, MG_E_NO_QUORUM when the log didn't reply, so that
+ * nothing was decided, and MG_E_NO_LEADER when the outcome is unknown, or the
+ * end of the last rollout isn't recorded in full yet.
  */
 void
 mg_rollout_manager_start(mg_rollout_manager *m, const char *service,
--- a/tests/unit/rejected_test.c
+++ b/tests/unit/rejected_test.c
@@ -152,6 +152,25 @@
     f->next = until > f->next ? until : f->next;
 }
 
+/* the hub has got the newest records by the time it is told so */
+void
+mg_group_client_confirm(mg_group_client *c, int64_t ms,
+                        mg_group_client_cb done, void *user)
+{
+    (void)c;
+    (void)ms;
+    pull(&w.hub, w.count);
+    done(user, MG_OK, w.count, "");
+}
+
+static mg_rc
+find_service(void *user, const char *service)
+{
+    (void)user;
+    (void)service;
+    return MG_OK;
+}
+
 static void
 stop(struct follower *f)
 {
@@ -173,6 +192,7 @@
             .clock = &w.clock.clock,
             .registry = w.registry,
             .ack_ms = ACK_MS,
+            .find_service = find_service,
             .running_on_others = running_on_others,
         });
         return;
--- a/tests/unit/rollout_manager_test.c
+++ b/tests/unit/rollout_manager_test.c
@@ -62,6 +62,8 @@
     struct packet packets[EVENTS_MAX];
     size_t packet_count;
     uint64_t rev;          /* of the record */
+    bool cut_off;          /* the manager's host, from the log's voters */
+    mg_rc service_rc;      /* of find_service() */
     uint64_t rejected_rev; /* likewise, of the versions rolled back */
     int64_t started_at;
     int64_t window_ms;
@@ -122,6 +124,14 @@
     done(user, MG_OK, w.rev, "");
 }
 
+static mg_rc
+find_service(void *user, const char *service)
+{
+    (void)user;
+    (void)service;
+    return w.service_rc;
+}
+
 static double
 running_on_others(void *user, const char *service, const char *version)
 {
@@ -272,6 +282,26 @@
     w.packet_count = kept;
 }
 
+/* Delivers the records that the manager lacks; they are those in transit. */
+void
+mg_group_client_confirm(mg_group_client *c, int64_t ms,
+                        mg_group_client_cb done, void *user)
+{
+    (void)c;
+    (void)ms;
+    if (w.cut_off) {
+        done(user, MG_E_NO_QUORUM, 0, "no reply");
+        return;
+    }
+    for (size_t i = 0; i < w.packet_count; i++) {
+        if (w.packets[i].to == ENTRIES) {
+            w.packets[i].at = now();
+        }
+    }
+    deliver_packets();
+    done(user, MG_OK, w.rev, "");
+}
+
 static void
 send_to_manager(void *user, const mg_msg *m)
 {
@@ -332,6 +362,7 @@
         .clock = &w.clock.clock,
         .registry = w.registry,
         .ack_ms = 4000,
+        .find_service = find_service,
         .running_on_others = running_on_others,
     });
     for (int i = 0; i < ENTRIES; i++) {
@@ -503,6 +534,79 @@
     close_simulation();
 }
 
+/* A record that another host has written; the manager gets it late, unless it
+   asks the log for the newest one. */
+static void
+commit_elsewhere(const char *version, mg_rollout_state_id state)
+{
+    mg_msg rec = {.type = MG_MSG_REC_ROLLOUT};
+    rec.u.rec_rollout.service = mg_str_of("s");
+    rec.u.rec_rollout.version = mg_str_of(version);
+    rec.u.rec_rollout.state = state;
+    rec.u.rec_rollout.window_ms = 20000;
+    rec.u.rec_rollout.left_ms = 10000;
+    record_rev = w.rev++;
+    send_packet(ENTRIES, 60000, &rec);
+}
+
+/* Orders a version at a host whose last record says that v2 is done. Returns
+   the outcome; *written: whether a record was written. */
+static mg_rc
+order_after(const char *version, bool *written)
+{
+    mg_rc rc = MG_E_IO;
+    uint64_t rev = w.rev;
+    mg_rollout_manager_start(w.manager, "s", version, 20000, start_done, &rc);
+    *written = w.rev > rev;
+    return rc;
+}
+
+/* Guards against a host that acknowledges, or refuses, an order by the record
+   that it knew before it froze or was cut off: the order of v2 was lost. */
+static void
+test_order_with_old_record(void)
+{
+    bool written;
+    open_simulation(GOOD, 1);
+    apply_state(MG_ROLLOUT_DONE, 10000);
+    CU_ASSERT_EQUAL(order_after("v2", &written), MG_OK);
+    CU_ASSERT_FALSE(written); /* nothing has changed since */
+    commit_elsewhere("v3", MG_ROLLOUT_DONE);
+    CU_ASSERT_EQUAL(order_after("v2", &written), MG_OK);
+    CU_ASSERT_TRUE(written);
+    close_simulation();
+
+    open_simulation(GOOD, 1);
+    apply_state(MG_ROLLOUT_RAMP, 10000);
+    commit_elsewhere("v2", MG_ROLLOUT_DONE);
+    CU_ASSERT_EQUAL(order_after("v3", &written), MG_OK);
+    CU_ASSERT_TRUE(written);
+    close_simulation();
+}
+
+/* Guards against an acknowledgement, or a final refusal, by a host that can't
+   ask the log: each order there is left without a clear answer. */
+static void
+test_order_when_cut_off(void)
+{
+    static const mg_rollout_state_id states[] = {
+        MG_ROLLOUT_DONE, MG_ROLLOUT_RAMP, MG_ROLLOUT_ROLLED_BACK};
+    for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
+        bool written;
+        open_simulation(GOOD, 1);
+        apply_state(states[i], 19000);
+        w.cut_off = true;
+        w.service_rc = MG_E_NOT_FOUND;
+        CU_ASSERT_EQUAL(order_after("v2", &written), MG_E_NO_QUORUM);
+        CU_ASSERT_FALSE(written);
+        CU_ASSERT_EQUAL(order_after("v3", &written), MG_E_NO_QUORUM);
+        CU_ASSERT_FALSE(written);
+        w.cut_off = false;
+        CU_ASSERT_EQUAL(order_after("v3", &written), MG_E_NOT_FOUND);
+        close_simulation();
+    }
+}
+
 static void
 set_state(mg_versions *v, mg_rollout_state_id state)
 {
@@ -603,6 +707,8 @@
         {"no traffic", test_no_traffic},
         {"start commands: repeated, conflicting", test_start_commands},
         {"a rollout that is ordered again", test_ordered_again},
+        {"an order at a host with an old record", test_order_with_old_record},
+        {"an order at a host that is cut off", test_order_when_cut_off},
         {"an order that an entry has missed", test_missed_order},
         {"a version without a rollout", test_unknown_version},
         {"times in whole milliseconds", test_times_in_whole_ms},
