An order is taken for a repeated one only where its age is known

Cause: the time since the order on record tells a repeated order from a new one. The record holds what was left of the window when it was written, so a process that gets it later knows only the latest possible time of the order, and took that for the time itself.

Why it works: the earliest time comes from the client of the log, which notes when it last had all records by a reply of the leader.

--- a/src/group/group_client.c
+++ b/src/group/group_client.c
@@ -6,6 +6,7 @@
 
 #include "base/event.h"
 #include "base/list.h"
+#include "control/raft.h"
 
 /* a voter without newer records delays its reply to a PULL this long, ms */
 #define PULL_WAIT_MS 400
@@ -44,7 +45,9 @@
     uint64_t rev;
     uint64_t pull_seq; /* of the pull in progress, 0: none */
     char pull_peer[MG_NAME_SIZE];
+    int64_t pull_sent_ms;
     int64_t pull_deadline_ms;
+    int64_t complete_until_ms; /* see mg_group_client_complete_until() */
     struct list_head requests;
     bool current; /* on_current() was called */
 };
@@ -62,6 +65,7 @@
     c->opts = *opts;
     /* replies to an earlier process of this node must not match */
     c->next_seq = mg_random_id() >> 1;
+    c->complete_until_ms = INT64_MIN;
     init_list_head(&c->requests);
     return c;
 }
@@ -155,7 +159,8 @@
     }
     c->pull_seq = ++c->next_seq;
     mg_str_copy(c->pull_peer, sizeof(c->pull_peer), mg_str_of(peer));
-    c->pull_deadline_ms = mg_now(c->opts.clock) + PULL_TIMEOUT_MS;
+    c->pull_sent_ms = mg_now(c->opts.clock);
+    c->pull_deadline_ms = c->pull_sent_ms + PULL_TIMEOUT_MS;
     m.u.pull.seq = c->pull_seq;
     m.u.pull.rev = c->rev;
     m.u.pull.wait_ms = PULL_WAIT_MS;
@@ -185,6 +190,24 @@
     }
 }
 
+int64_t
+mg_group_client_complete_until(const mg_group_client *c)
+{
+    return c->complete_until_ms;
+}
+
+/* A leader that is cut off from the majority takes itself for the leader for
+   MG_RAFT_ELECTION_MAX_MS at most. */
+static void
+note_complete(mg_group_client *c, const char *peer, const mg_pull_rep_msg *r)
+{
+    int64_t until = c->pull_sent_ms - MG_RAFT_ELECTION_MAX_MS;
+    if (!r->partial && mg_str_is(r->leader, peer) && r->rev >= c->rev &&
+        until > c->complete_until_ms) {
+        c->complete_until_ms = until;
+    }
+}
+
 static void
 on_pull_rep(mg_group_client *c, const char *peer, const mg_pull_rep_msg *r)
 {
@@ -204,6 +227,7 @@
         c->rev = r->rev;
         finish_reads(c);
     }
+    note_complete(c, peer, r);
     if (!c->current && !r->partial && c->rev > 0) {
         c->current = true;
         if (c->opts.on_current != NULL) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -91,7 +91,9 @@
     }
     else if (m.type == MG_MSG_REC_ROLLOUT) {
         mg_gateway_set_rollout(n->gateway, &m.u.rec_rollout);
-        mg_rollout_manager_apply_record(n->rollouts, &m.u.rec_rollout, r->rev);
+        mg_rollout_manager_apply_record(
+            n->rollouts, &m.u.rec_rollout, r->rev,
+            mg_group_client_complete_until(n->client));
     }
     else if (m.type == MG_MSG_REC_REJECTED) {
         mg_gateway_set_rejected(n->gateway, &m.u.rec_rejected);
--- a/src/node/rollout_manager.c
+++ b/src/node/rollout_manager.c
@@ -26,7 +26,10 @@
     uint32_t share_permille;
     uint64_t reserved;
     int64_t window_ms;
-    int64_t deadline;   /* end of the window, monotonic ms */
+    int64_t deadline; /* end of the window, monotonic ms */
+    /* the order came after this and no later than window_ms before the
+       deadline, which is a time of this process; INT64_MIN: unknown */
+    int64_t ordered_after;
     int64_t changed_at; /* when the state or share last changed */
     int64_t busy_at;    /* when requests last ran on other versions */
     uint64_t rev;       /* of the record */
@@ -143,7 +146,8 @@
 
 void
 mg_rollout_manager_apply_record(mg_rollout_manager *m,
-                                const mg_rec_rollout_msg *rec, uint64_t rev)
+                                const mg_rec_rollout_msg *rec, uint64_t rev,
+                                int64_t after_ms)
 {
     int64_t now = mg_now(m->opts.clock);
     service_rollout *r = get_rollout(m, rec->service);
@@ -165,6 +169,7 @@
         mg_rejected_follow(&r->rejected, r->version, r->state);
     if (is_new) {
         r->deadline = now + (int64_t)rec->left_ms;
+        r->ordered_after = after_ms;
         reset_policy(m, r);
     }
     else {
@@ -440,6 +445,32 @@
     write_record(m, &rec, r != NULL ? r->rev : 0, left, o->done, o->user);
 }
 
+/* how an order relates to the service's newest record */
+typedef enum order_relation {
+    ORDER_NEW,
+    ORDER_REPEATED, /* its record was written already */
+    ORDER_UNCLEAR,  /* one or the other */
+} order_relation;
+
+/* An operator repeats a command for ack_ms. An order of a version that was
+   rolled back before is a new one after that time only. */
+static order_relation
+relate_order(const pending_order *o, const service_rollout *r)
+{
+    int64_t repeated_since =
+        mg_now(o->manager->opts.clock) - o->manager->opts.ack_ms;
+    if (r == NULL || strcmp(r->version, o->version) != 0 ||
+        (r->state == MG_ROLLOUT_ROLLED_BACK &&
+         r->deadline - r->window_ms <= repeated_since)) {
+        return ORDER_NEW;
+    }
+    if (r->state == MG_ROLLOUT_ROLLED_BACK &&
+        r->ordered_after < repeated_since) {
+        return ORDER_UNCLEAR;
+    }
+    return ORDER_REPEATED;
+}
+
 /* Decides on an order by the newest record of its service. */
 static void
 decide_order(const pending_order *o)
@@ -447,8 +478,7 @@
     mg_rollout_manager *m = o->manager;
     service_rollout *r = find_rollout(m, o->service);
     r = exists(r) ? r : NULL;
-    int64_t now = mg_now(m->opts.clock);
-    int64_t ordered_at = r != NULL ? r->deadline - r->window_ms : 0;
+    order_relation relation = relate_order(o, r);
     mg_rc rc = m->opts.find_service(m->opts.user, o->service);
     if (rc != MG_OK) {
         log_order(o, r, mg_rc_name(rc));
@@ -457,14 +487,15 @@
                     ? "the configuration document has no such service"
                     : "no configuration document is loaded");
     }
-    else if (r != NULL && strcmp(r->version, o->version) == 0 &&
-             (r->state != MG_ROLLOUT_ROLLED_BACK ||
-              now - ordered_at < m->opts.ack_ms)) {
-        /* the operator retried a command that was recorded already; after
-           ack_ms, the same order is a new one */
+    else if (relation == ORDER_REPEATED) {
         log_order(o, r, "repeated");
         o->done(o->user, MG_OK, r->rev, "");
     }
+    else if (relation == ORDER_UNCLEAR) {
+        log_order(o, r, "unclear");
+        o->done(o->user, MG_E_NO_LEADER, 0,
+                "the version was rolled back, maybe by this order");
+    }
     else if (r != NULL && !has_ended(r)) {
         log_order(o, r, "conflict");
         o->done(o->user, MG_E_VERSION_CONFLICT, 0,
--- a/src/node/rollout_manager.h
+++ b/src/node/rollout_manager.h
@@ -42,10 +42,12 @@
 mg_rollout_manager_new(const mg_rollout_manager_options *opts);
 void
 mg_rollout_manager_free(mg_rollout_manager *m);
-/* Applies a rollout record of the log, which has revision rev. */
+/* Applies a rollout record of the log, which has revision rev and wasn't
+   written before after_ms (monotonic; INT64_MIN if nothing is known). */
 void
 mg_rollout_manager_apply_record(mg_rollout_manager *m,
-                                const mg_rec_rollout_msg *rec, uint64_t rev);
+                                const mg_rec_rollout_msg *rec, uint64_t rev,
+                                int64_t after_ms);
 /* Applies the record of a service's rejected versions, of revision rev. */
 void
 mg_rollout_manager_apply_rejected(mg_rollout_manager *m,
@@ -64,8 +66,10 @@
  * written or the same rollout exists already, MG_E_VERSION_CONFLICT when
  * another rollout of the service is in progress, the result of find_service()
  * if that isn't MG_OK, MG_E_NO_QUORUM when the log didn't reply, so that
- * nothing was decided, and MG_E_NO_LEADER when the outcome is unknown, or the
- * end of the last rollout isn't recorded in full yet.
+ * nothing was decided, and MG_E_NO_LEADER when the outcome is unknown, the end
+ * of the last rollout isn't recorded in full yet, or the version was rolled
+ * back and it isn't known here whether that is longer ago than ack_ms: until
+ * then the order may be the one that led to that rollout, sent again.
  */
 void
 mg_rollout_manager_start(mg_rollout_manager *m, const char *service,
--- a/tests/unit/group_client_test.c
+++ b/tests/unit/group_client_test.c
@@ -6,6 +6,7 @@
  */
 #include "suite.h"
 
+#include "control/raft.h"
 #include "group/group_client.h"
 
 #define VOTERS 3
@@ -14,6 +15,7 @@
 /* a client that reaches a voter of the majority is up to date within this */
 #define UPDATE_LIMIT_MS 2000
 #define NEVER INT64_MAX
+#define REVS_MAX (STEPS + 1)
 
 struct voter {
     bool reachable;    /* for the client */
@@ -28,12 +30,15 @@
     mg_clock clock;
     int64_t now;
     struct voter voters[VOTERS];
-    uint64_t rev;               /* committed */
-    uint64_t client_rev;        /* newest revision that the client received */
-    int64_t committed_ms;       /* time of the last commit */
-    int64_t reachable_since_ms; /* when the majority became reachable */
-    uint64_t partial_below;     /* replies to lower revisions are partial */
-    unsigned current;           /* calls of on_current() */
+    uint64_t rev;                /* committed */
+    uint64_t client_rev;         /* newest revision that the client received */
+    int64_t committed_ms;        /* time of the last commit */
+    int64_t commit_ms[REVS_MAX]; /* of each revision */
+    int64_t received_after_ms;   /* a time before the last record, as told */
+    int64_t reachable_since_ms;  /* when the majority became reachable */
+    int64_t leader_since_ms;     /* when its leader did */
+    uint64_t partial_below;      /* replies to lower revisions are partial */
+    unsigned current;            /* calls of on_current() */
     mg_group_client *client;
 } world;
 
@@ -108,6 +113,7 @@
 {
     (void)user;
     world.client_rev = r->rev > world.client_rev ? r->rev : world.client_rev;
+    world.received_after_ms = mg_group_client_complete_until(world.client);
 }
 
 /* Returns the leader: the first voter of the majority. Empty: unknown. */
@@ -158,6 +164,17 @@
     }
 }
 
+static bool
+reaches_leader(void)
+{
+    for (int i = 0; i < VOTERS; i++) {
+        if (world.voters[i].in_majority) {
+            return world.voters[i].reachable;
+        }
+    }
+    return false;
+}
+
 static bool
 reaches_majority(void)
 {
@@ -176,10 +193,12 @@
     if (mg_rng_unit(r) < 0.02) {
         change_partition(r);
         world.reachable_since_ms = reaches_majority() ? world.now : NEVER;
+        world.leader_since_ms = reaches_leader() ? world.now : NEVER;
     }
     if (mg_rng_unit(r) < 0.05) {
         world.rev++;
         world.committed_ms = world.now;
+        world.commit_ms[world.rev] = world.now;
     }
     mg_group_client_tick(world.client);
     for (int i = 0; i < VOTERS; i++) {
@@ -209,6 +228,7 @@
     world.clock.mono_ms = world_now;
     world.now = 1000;
     world.reachable_since_ms = world.now;
+    world.leader_since_ms = world.now;
     for (int i = 0; i < VOTERS; i++) {
         world.voters[i].reachable = true;
         world.voters[i].in_majority = true;
@@ -222,6 +242,19 @@
     mg_group_client_set_voters(world.client, &voters, 1);
 }
 
+/* Whether the client claims to have had a record that it lacks, or that one
+   came after a time at which it had been committed already. */
+static bool
+claims_too_much(void)
+{
+    int64_t until = mg_group_client_complete_until(world.client);
+    bool lacks_one = world.client_rev < world.rev &&
+                     world.commit_ms[world.client_rev + 1] <= until;
+    return lacks_one ||
+           (world.client_rev > 0 &&
+            world.commit_ms[world.client_rev] < world.received_after_ms);
+}
+
 static const char *
 run_history(uint64_t seed)
 {
@@ -231,6 +264,14 @@
     open_client();
     for (int k = 0; k < STEPS; k++) {
         run_step(&r);
+        if (claims_too_much()) {
+            return "the client claims to have had a record too early";
+        }
+        if (world.leader_since_ms < world.now - UPDATE_LIMIT_MS &&
+            mg_group_client_complete_until(world.client) <
+                world.now - UPDATE_LIMIT_MS - MG_RAFT_ELECTION_MAX_MS) {
+            return "the client doesn't know how far its records reach";
+        }
         int64_t since = world.reachable_since_ms > world.committed_ms
                             ? world.reachable_since_ms
                             : world.committed_ms;
--- a/tests/unit/rejected_test.c
+++ b/tests/unit/rejected_test.c
@@ -26,7 +26,8 @@
 
 /* who follows the log: a hub or an entry */
 struct follower {
-    size_t next; /* entry of the log that it gets next */
+    size_t next;            /* entry of the log that it gets next */
+    int64_t complete_until; /* it had all entries then; INT64_MIN: unknown */
     mg_rollout_manager *manager;
     mg_versions *versions;
 };
@@ -126,7 +127,7 @@
     }
     else if (f->manager != NULL) {
         mg_rollout_manager_apply_record(f->manager, &l->msg.u.rec_rollout,
-                                        at + 1);
+                                        at + 1, f->complete_until);
     }
     else if (l->kind == MG_RECORD_REJECTED) {
         mg_versions_set_rejected(f->versions, &l->msg.u.rec_rejected);
@@ -150,6 +151,9 @@
         }
     }
     f->next = until > f->next ? until : f->next;
+    if (until == w.count) {
+        f->complete_until = mg_now(&w.clock.clock);
+    }
 }
 
 /* the hub has got the newest records by the time it is told so */
@@ -180,7 +184,7 @@
     if (f->versions != NULL) {
         mg_versions_free(f->versions);
     }
-    *f = (struct follower){0};
+    *f = (struct follower){.complete_until = INT64_MIN};
 }
 
 static void
--- a/tests/unit/rollout_manager_test.c
+++ b/tests/unit/rollout_manager_test.c
@@ -258,7 +258,7 @@
     }
     else {
         mg_rollout_manager_apply_record(w.manager, &m.u.rec_rollout,
-                                        ++record_rev);
+                                        ++record_rev, now());
         w.state = (mg_rollout_state_id)m.u.rec_rollout.state;
         if (w.state == MG_ROLLOUT_DONE && w.completed_at == 0) {
             w.completed_at = now();
@@ -496,7 +496,7 @@
 }
 
 static void
-apply_state(mg_rollout_state_id state, int64_t left_ms)
+apply_state_after(mg_rollout_state_id state, int64_t left_ms, int64_t after_ms)
 {
     mg_rec_rollout_msg rec = {
         .service = mg_str_of("s"),
@@ -505,7 +505,13 @@
         .window_ms = 20000,
         .left_ms = (uint64_t)left_ms,
     };
-    mg_rollout_manager_apply_record(w.manager, &rec, ++w.rev);
+    mg_rollout_manager_apply_record(w.manager, &rec, ++w.rev, after_ms);
+}
+
+static void
+apply_state(mg_rollout_state_id state, int64_t left_ms)
+{
+    apply_state_after(state, left_ms, now());
 }
 
 /* Guards against a rollout that is ordered again soon after its rollback, and
@@ -607,6 +613,73 @@
     }
 }
 
+/* Guards against a host that has started since a version was rolled back and
+   takes a new order of it for the one of then, which it acknowledges. */
+static void
+test_order_after_restart(void)
+{
+    bool written;
+    open_simulation(GOOD, 1);
+    /* the rollout took 1 s; when that was isn't known */
+    apply_state_after(MG_ROLLOUT_ROLLED_BACK, 19000, INT64_MIN);
+    mg_rollout_manager_tick(w.manager, true);
+    deliver_packets();
+    CU_ASSERT_EQUAL(order_after("v2", &written), MG_E_NO_LEADER);
+    CU_ASSERT_FALSE(written);
+    w.clock.mono += 2900;
+    CU_ASSERT_EQUAL(order_after("v2", &written), MG_E_NO_LEADER);
+    CU_ASSERT_FALSE(written);
+    w.clock.mono += 100;
+    CU_ASSERT_EQUAL(order_after("v2", &written), MG_OK);
+    CU_ASSERT_TRUE(written);
+    close_simulation();
+}
+
+#define ORDER_ACK_MS 4000
+
+/*
+ * A version is ordered, rolled back and ordered once more, at a host that got
+ * the records late, had all earlier ones at some time before the order, or has
+ * started since. The second order is the first one again if it comes within
+ * ORDER_ACK_MS, else a new one.
+ */
+static const char *
+repeated_or_new(uint64_t seed)
+{
+    const char *violation = NULL;
+    bool written;
+    open_simulation(GOOD, seed);
+    int64_t ordered_at = now();
+    int64_t took = 200 + mg_rng_below(&w.rng, 3000);
+    bool knows_start = mg_rng_below(&w.rng, 3) != 0;
+    int64_t after =
+        knows_start ? ordered_at - mg_rng_below(&w.rng, 2000) : INT64_MIN;
+    w.clock.mono += took + mg_rng_below(&w.rng, 5000);
+    apply_state_after(MG_ROLLOUT_ROLLED_BACK, 20000 - took, after);
+    mg_rollout_manager_tick(w.manager, true);
+    deliver_packets();
+    w.clock.mono += mg_rng_below(&w.rng, 6000);
+    int64_t age = now() - ordered_at;
+    mg_rc rc = order_after("v2", &written);
+    if (age < ORDER_ACK_MS && written) {
+        violation = "a repeated order starts the rollout again";
+    }
+    if (age >= ORDER_ACK_MS && rc == MG_OK && !written) {
+        violation = "a new order is acknowledged and lost";
+    }
+    if (knows_start && now() - after < ORDER_ACK_MS && rc != MG_OK) {
+        violation = "a repeated order isn't acknowledged";
+    }
+    close_simulation();
+    return violation;
+}
+
+static void
+test_repeated_or_new(void)
+{
+    run_histories(repeated_or_new, HISTORIES);
+}
+
 static void
 set_state(mg_versions *v, mg_rollout_state_id state)
 {
@@ -707,6 +780,9 @@
         {"no traffic", test_no_traffic},
         {"start commands: repeated, conflicting", test_start_commands},
         {"a rollout that is ordered again", test_ordered_again},
+        {"an order at a host that has started since",
+         test_order_after_restart},
+        {"an order that is repeated, or a new one", test_repeated_or_new},
         {"an order at a host with an old record", test_order_with_old_record},
         {"an order at a host that is cut off", test_order_when_cut_off},
         {"an order that an entry has missed", test_missed_order},
