What was served before its crashes is no likely cause of them

Cause: that a part had been served counted only while it had strikes, so all service before the first crash was forgotten; of parts with the same crashes the last one in the prompt was blamed. Likewise a popular request that three targets ran when they crashed at one moment, and parts that three crashes with another cause had in common.

Evidence: QUARANTINE on the old code names all three parts in turn, the last of them sound. New tests of strikes fail on the earlier thresholds, order or span (mutants, each one on its own): 'parts that were served before the crashes', 'crashes without a crashing part', 'a popular request ...', 'a crash that is reported late'.

The test of lost reports counts the new message beside the strikes: no more of them than of those.

--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -357,6 +357,9 @@
         else if (m.type == MG_MSG_LOAD_STRIKE) {
             mg_suspect_receive_strike(gw, &m.u.load_strike);
         }
+        else if (m.type == MG_MSG_LOAD_SUSPECT) {
+            mg_suspect_receive_details(gw, &m.u.load_suspect);
+        }
         else if (m.type == MG_MSG_LOAD_SERVED) {
             mg_suspect_receive_served(gw, &m.u.load_served);
         }
--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/list.h"
+#include "gateway/served.h"
 
 /* a strike, or a key that was served, which stands in further reports */
 typedef struct strike_report {
@@ -20,11 +21,13 @@
 typedef struct part {
     uint64_t key;
     unsigned position;
+    bool served; /* before the crashes */
     size_t crash_count;
     uint64_t crashes[MG_QUARANTINE_CRASHES];
 } part;
 
 typedef struct parts {
+    const mg_strikes *strikes;
     size_t count;
     part parts[MG_STRIKES_PARTS_MAX];
 } parts;
@@ -32,6 +35,7 @@
 struct mg_strikes {
     mg_clock *clock;
     mg_quarantine *quarantine;
+    mg_served *served;
     uint64_t refused_parts[MG_STRIKES_PARTS_MAX];
     size_t refused_count;
     bool changed; /* refused_parts must be determined again */
@@ -45,6 +49,7 @@
     mg_strikes *s = mg_alloc(sizeof(*s));
     s->clock = clock;
     s->quarantine = mg_quarantine_new();
+    s->served = mg_served_new();
     init_list_head(&s->reports);
     return s;
 }
@@ -65,6 +70,7 @@
         free_report(s, list_entry(el, strike_report, link));
     }
     mg_quarantine_free(s->quarantine);
+    mg_served_free(s->served);
     free(s);
 }
 
@@ -109,16 +115,52 @@
     r->gap_ms = MG_STRIKE_GAP_MS;
 }
 
+static bool
+has_strikes(const mg_strikes *s, uint64_t key)
+{
+    return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) > 0;
+}
+
+/* Takes the key's strikes back. Their reports are dropped: an entry that has
+   just started could get them without the one that the key was served. */
+static void
+clear_strikes(mg_strikes *s, uint64_t key, int64_t at_ms)
+{
+    mg_quarantine_clear(s->quarantine, key, at_ms, mg_now(s->clock));
+    s->changed = true;
+    list_for_each_safe(el, el1, &s->reports)
+    {
+        strike_report *r = list_entry(el, strike_report, link);
+        if (r->key == key && r->crash != 0 && r->at_ms <= at_ms) {
+            free_report(s, r);
+        }
+    }
+}
+
+bool
+mg_strikes_was_served(const mg_strikes *s, uint64_t key)
+{
+    return mg_served_at(s->served, key) != INT64_MIN;
+}
+
 static unsigned
 add_strike(mg_strikes *s, const mg_quarantine_crash_row *c)
 {
-    bool refused = mg_strikes_refuses(s, c->fingerprint);
-    unsigned strikes =
-        mg_quarantine_add_strike(s->quarantine, c, mg_now(s->clock));
+    int64_t now = mg_now(s->clock);
+    int64_t served_ms = mg_served_at(s->served, c->fingerprint);
+    unsigned before =
+        mg_quarantine_strikes(s->quarantine, c->fingerprint, now);
+    mg_quarantine_add_strike(s->quarantine, c, now);
     s->changed = true;
-    if (!refused && strikes >= MG_STRIKES_MAX) {
+    if (served_ms > c->at_ms) {
+        clear_strikes(s, c->fingerprint, served_ms);
+    }
+    unsigned strikes =
+        mg_quarantine_strikes(s->quarantine, c->fingerprint, now);
+    if (before < MG_STRIKES_MAX && strikes >= MG_STRIKES_MAX) {
         /* all of them: an entry that has started since the first crash has
-           got reports of the later ones only */
+           got reports of the later ones only; and whether the key was served
+           before, which this entry may be the only one to know */
         mg_quarantine_each_crash(s->quarantine, c->fingerprint, queue_report,
                                  s);
     }
@@ -149,43 +191,44 @@
     return add_strike(s, &c);
 }
 
-static bool
-has_strikes(const mg_strikes *s, uint64_t key)
-{
-    return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) > 0;
-}
-
-/* Takes the key's strikes back. Their reports are dropped: an entry that has
-   just started could get them without the one that the key was served. */
+/* has it reported that the key was served then */
 static void
-clear_strikes(mg_strikes *s, uint64_t key, int64_t at_ms)
+report_served(mg_strikes *s, uint64_t key, int64_t at_ms)
 {
-    mg_quarantine_clear(s->quarantine, key, at_ms, mg_now(s->clock));
-    s->changed = true;
-    list_for_each_safe(el, el1, &s->reports)
-    {
-        strike_report *r = list_entry(el, strike_report, link);
-        if (r->key == key && r->crash != 0 && r->at_ms <= at_ms) {
-            free_report(s, r);
-        }
-    }
+    mg_quarantine_crash_row c = {key, 0, at_ms, 0};
+    queue_report(s, &c);
 }
 
 void
 mg_strikes_served(mg_strikes *s, uint64_t key)
 {
-    mg_quarantine_crash_row c = {key, 0, mg_now(s->clock), 0};
-    if (!has_strikes(s, key)) {
-        return;
+    int64_t now = mg_now(s->clock);
+    mg_served_note(s->served, key, now);
+    if (has_strikes(s, key)) {
+        clear_strikes(s, key, now);
+        report_served(s, key, now);
     }
-    clear_strikes(s, key, c.at_ms);
-    queue_report(s, &c);
+}
+
+static void
+note_served(mg_strikes *s, uint64_t key, int64_t at_ms)
+{
+    mg_served_note(s->served, key, at_ms);
+    clear_strikes(s, key, at_ms);
 }
 
 void
 mg_strikes_receive_served(mg_strikes *s, const mg_load_served_msg *m)
 {
-    clear_strikes(s, m->key, time_of(s, m->age_ms));
+    note_served(s, m->key, time_of(s, m->age_ms));
+}
+
+void
+mg_strikes_receive_details(mg_strikes *s, const mg_load_suspect_msg *m)
+{
+    if (m->served_age_ms > 0) {
+        note_served(s, m->key, time_of(s, m->served_age_ms - 1));
+    }
 }
 
 static void
@@ -201,14 +244,27 @@
             return;
         }
         p = &all->parts[all->count++];
-        *p = (part){.key = c->fingerprint, .position = c->rank};
+        *p = (part){.key = c->fingerprint,
+                    .position = c->rank,
+                    .served =
+                        mg_strikes_was_served(all->strikes, c->fingerprint)};
     }
     p->crashes[p->crash_count++] = c->crash;
 }
 
+/* crashes after which a key is refused */
+static size_t
+strikes_needed(bool served)
+{
+    return served ? MG_STRIKES_SERVED_MAX : MG_STRIKES_MAX;
+}
+
 static bool
 is_better_cause(const part *a, const part *b)
 {
+    if (a->served != b->served) {
+        return b->served;
+    }
     if (a->crash_count != b->crash_count) {
         return a->crash_count > b->crash_count;
     }
@@ -237,6 +293,7 @@
 determine_refused_parts(mg_strikes *s)
 {
     static parts all;
+    all.strikes = s;
     all.count = 0;
     s->refused_count = 0;
     s->changed = false;
@@ -246,7 +303,7 @@
         part *cause = NULL;
         for (size_t i = 0; i < all.count; i++) {
             part *p = &all.parts[i];
-            if (p->crash_count >= MG_STRIKES_MAX &&
+            if (p->crash_count >= strikes_needed(p->served) &&
                 (cause == NULL || is_better_cause(p, cause))) {
                 cause = p;
             }
@@ -283,8 +340,11 @@
     if (key & MG_STRIKES_PART) {
         return refuses_part(s, key);
     }
+    bool served = mg_strikes_was_served(s, key);
     return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) >=
-           MG_STRIKES_MAX;
+               strikes_needed(served) &&
+           (!served ||
+            mg_quarantine_span_ms(s->quarantine, key) >= MG_STRIKES_SPAN_MS);
 }
 
 bool
@@ -301,20 +361,30 @@
 }
 
 static void
-put_report(const strike_report *r, int64_t now, mg_buf *loads)
+put_served(const strike_report *r, int64_t now, mg_buf *loads)
+{
+    mg_msg m = {.type = MG_MSG_LOAD_SERVED};
+    m.u.load_served.key = r->key;
+    m.u.load_served.age_ms = (uint64_t)(now - r->at_ms);
+    mg_msg_encode(&m, loads);
+}
+
+static void
+put_strike(const mg_strikes *s, const strike_report *r, int64_t now,
+           mg_buf *loads)
 {
     mg_msg m = {.type = MG_MSG_LOAD_STRIKE};
-    uint64_t age_ms = (uint64_t)(now - r->at_ms);
-    if (r->crash == 0) {
-        m.type = MG_MSG_LOAD_SERVED;
-        m.u.load_served.key = r->key;
-        m.u.load_served.age_ms = age_ms;
-    }
-    else {
-        m.u.load_strike.key = r->key;
-        m.u.load_strike.position = r->position;
-        m.u.load_strike.crash = r->crash;
-        m.u.load_strike.age_ms = age_ms;
+    m.u.load_strike.key = r->key;
+    m.u.load_strike.position = r->position;
+    m.u.load_strike.crash = r->crash;
+    m.u.load_strike.age_ms = (uint64_t)(now - r->at_ms);
+    mg_msg_encode(&m, loads);
+    m = (mg_msg){.type = MG_MSG_LOAD_SUSPECT};
+    m.u.load_suspect.key = r->key;
+    m.u.load_suspect.crash = r->crash;
+    if (mg_strikes_was_served(s, r->key)) {
+        int64_t age_ms = now - mg_served_at(s->served, r->key);
+        m.u.load_suspect.served_age_ms = (uint64_t)age_ms + 1;
     }
     mg_msg_encode(&m, loads);
 }
@@ -329,7 +399,12 @@
         if (now < r->next_ms) {
             continue;
         }
-        put_report(r, now, loads);
+        if (r->crash == 0) {
+            put_served(r, now, loads);
+        }
+        else {
+            put_strike(s, r, now, loads);
+        }
         r->next_ms = now + r->gap_ms;
         r->gap_ms *= 2;
         if (--r->copies == 0) {
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -5,16 +5,17 @@
  * suspects.h; the lowest bit of a key tells which (MG_STRIKES_PART). Each
  * crash gives a key one strike, whoever reports it and however often. What is
  * served has not crashed its target: that takes the key's earlier strikes
- * back.
+ * back. A key that was served before its crashes is no likely cause: more of
+ * them are needed, and of a request they must not all be at one moment.
  *
  * A target that crashes gives strikes to all that it ran and to all parts of
  * their prompts. Few of them are the cause: of the parts with enough strikes,
  * the one with the most crashes is refused, then the one with the most of the
- * remaining crashes, as long as there are enough. Of parts with the same
- * crashes it is the last one in the prompt: what comes first is shared by more
- * requests.
+ * remaining crashes, as long as there are enough. Parts that were never served
+ * are looked at first. Of parts with the same crashes it is the last one in
+ * the prompt: what comes first is shared by more requests.
  *
- * Strikes, and that a key with strikes was served, are sent to the other
+ * Strikes, and whether a key with strikes was served, are sent to the other
  * entries with the load reports. A report may be lost, so each one stands in
  * several; an entry that starts is sent all strikes of refused keys.
  *
@@ -29,11 +30,13 @@
 
 /* set in the key of a part, not in that of a request */
 #define MG_STRIKES_PART UINT64_C(1)
-/* crashes after which a key is refused */
+/* crashes after which a key is refused that was never served, and one that
+   was served before them */
 #define MG_STRIKES_MAX 3
-/* a part is refused after as many crashes, which are this far apart: targets
-   that crash at one moment have another cause, and all that they ran would be
-   refused */
+#define MG_STRIKES_SERVED_MAX 5
+/* a part, or a request that was served before, is refused after as many
+   crashes, which are this far apart: targets that crash at one moment have
+   another cause, and all that they ran would be refused */
 #define MG_STRIKES_SPAN_MS 500
 /* reports that bear a strike, and the time between the first two of them, ms;
    it doubles with each one */
@@ -59,13 +62,21 @@
 /* Adds a strike that another entry reports; returns the key's strikes. */
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m);
+/* Adds what another entry knows of a key with strikes. If this entry knows
+   that the key was served and the other one does not, it reports that. */
+void
+mg_strikes_receive_details(mg_strikes *s, const mg_load_suspect_msg *m);
 /* A request that has this key, or a part with it, has been served now: takes
-   back its strikes, here and at the other entries. */
+   back its strikes, here and at the other entries. To be called for keys
+   without strikes, too. */
 void
 mg_strikes_served(mg_strikes *s, uint64_t key);
 /* The same, as another entry reports it. */
 void
 mg_strikes_receive_served(mg_strikes *s, const mg_load_served_msg *m);
+/* Whether the key is known to have been served, at any entry. */
+bool
+mg_strikes_was_served(const mg_strikes *s, uint64_t key);
 /* Whether the request, or all requests with the part, are refused. */
 bool
 mg_strikes_refuses(mg_strikes *s, uint64_t key);
@@ -75,7 +86,8 @@
 /* Another entry has started, so it knows no strikes. */
 void
 mg_strikes_entry_started(mg_strikes *s);
-/* Appends what is due to be reported: LOAD_STRIKE and LOAD_SERVED messages. */
+/* Appends what is due to be reported: LOAD_STRIKE, LOAD_SUSPECT and
+   LOAD_SERVED messages. */
 void
 mg_strikes_report(mg_strikes *s, mg_buf *loads);
 /* Forgets expired strikes. */
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -138,9 +138,6 @@
 void
 mg_suspect_parts_served(mg_flow *f)
 {
-    if (mg_strikes_is_empty(f->gw->strikes)) {
-        return;
-    }
     for (size_t i = 0; i < shared_parts(f); i++) {
         key_served(f->gw, part_key(&f->request.parts[i]));
     }
@@ -149,10 +146,8 @@
 void
 mg_suspect_served(mg_flow *f)
 {
-    if (!mg_strikes_is_empty(f->gw->strikes)) {
-        key_served(f->gw, mg_suspect_fingerprint(f));
-        mg_suspect_parts_served(f);
-    }
+    key_served(f->gw, mg_suspect_fingerprint(f));
+    mg_suspect_parts_served(f);
 }
 
 void
@@ -167,6 +162,14 @@
     }
 }
 
+void
+mg_suspect_receive_details(mg_gateway *gw, const mg_load_suspect_msg *m)
+{
+    bool refused = mg_strikes_refuses(gw->strikes, m->key);
+    mg_strikes_receive_details(gw->strikes, m);
+    log_if_cleared(gw, m->key, refused);
+}
+
 void
 mg_suspect_receive_served(mg_gateway *gw, const mg_load_served_msg *m)
 {
@@ -186,9 +189,10 @@
         mg_log(mg_strikes_refuses(p->gw->strikes, key) ? MG_EV_QUARANTINE
                                                        : MG_EV_CRASH_SUSPECT,
                "id=%s kind=%s position=%u key=%016" PRIx64
-               " target=%s born=%" PRIu64 " marks=%u",
+               " target=%s born=%" PRIu64 " marks=%u served=%d",
                p->id, kind_of(key), p->suspect.positions[i], key, p->target,
-               p->started_ms, strikes);
+               p->started_ms, strikes,
+               mg_strikes_was_served(p->gw->strikes, key));
     }
 }
 
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -53,6 +53,8 @@
 void
 mg_suspect_receive_strike(mg_gateway *gw, const mg_load_strike_msg *m);
 void
+mg_suspect_receive_details(mg_gateway *gw, const mg_load_suspect_msg *m);
+void
 mg_suspect_receive_served(mg_gateway *gw, const mg_load_served_msg *m);
 
 #endif
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -242,6 +242,10 @@
 #define MG_FIELDS_LOAD_STRIKE(F) \
     F(U64, key) F(U64, position) F(U64, crash) F(U64, age_ms)
 #define MG_FIELDS_LOAD_SERVED(F) F(U64, key) F(U64, age_ms)
+/* More on a strike, sent behind it. served_age_ms: 1 + time since the key was
+   served last, 0: never as far as is known. */
+#define MG_FIELDS_LOAD_SUSPECT(F) \
+    F(U64, key) F(U64, crash) F(U64, served_age_ms)
 
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
@@ -329,7 +333,8 @@
     M(131, LOAD_CAPACITY, load_capacity) \
     M(132, LOAD_REACH, load_reach) \
     M(133, LOAD_REFUSED, load_refused) \
-    M(134, LOAD_PAUSE, load_pause)
+    M(134, LOAD_PAUSE, load_pause) \
+    M(135, LOAD_SUSPECT, load_suspect)
 
 /* clang-format on */
 
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -32,7 +32,8 @@
     uint64_t next_crash;
     bool refused[ENTRIES][CRASHING_KEYS]; /* parts, after the last step */
     size_t reports;                       /* messages that entries have sent */
-    unsigned serves;                      /* calls of serve_harmless() */
+    size_t details;  /* LOAD_SUSPECT messages, which are not among those */
+    unsigned serves; /* calls of serve_harmless() */
     /* copies lost one after the other, from one entry to another: of a crash
        under a request, under a part, of a request served, of a part */
     unsigned lost[ENTRIES][ENTRIES][4][KEYS * CRASHES_MAX];
@@ -42,6 +43,12 @@
 receive(int from, int to, const mg_msg *m, bool report_lost)
 {
     bool served = m->type == MG_MSG_LOAD_SERVED;
+    if (m->type == MG_MSG_LOAD_SUSPECT) {
+        if (!report_lost) {
+            mg_strikes_receive_details(world.entries[to], &m->u.load_suspect);
+        }
+        return;
+    }
     uint64_t id = served ? m->u.load_served.key : m->u.load_strike.crash;
     bool part = (served ? id : m->u.load_strike.key) & MG_STRIKES_PART;
     unsigned *lost = &world.lost[from][to][2 * served + part][id];
@@ -66,7 +73,9 @@
         mg_str rest = loads;
         bool report_lost = mg_rng_unit(&world.rng) < lost;
         while (to != from && mg_msg_next(&rest, &m) == MG_OK) {
-            world.reports++;
+            bool details = m.type == MG_MSG_LOAD_SUSPECT;
+            world.reports += !details;
+            world.details += details;
             receive(from, to, &m, report_lost);
         }
     }
@@ -275,6 +284,9 @@
     if (!restarted && world.reports > reports_max()) {
         violation = "more reports than strikes need";
     }
+    if (world.details > world.reports) {
+        violation = "more details than strikes";
+    }
     for (int i = 0; i < ENTRIES; i++) {
         mg_strikes_free(world.entries[i]);
     }
@@ -378,6 +390,142 @@
     mg_strikes_free(s);
 }
 
+/* -------------------------------------- what was served before */
+
+/* parts of the prompts below, in this order */
+#define SYSTEM 0
+#define DEADLY 1
+#define DOCUMENT 2
+
+static void
+open_entries(void)
+{
+    memset(&world, 0, sizeof(world));
+    mg_manual_clock_init(&world.clk);
+    mg_rng_init(&world.rng, 1);
+    for (int i = 0; i < ENTRIES; i++) {
+        world.entries[i] = mg_strikes_new(&world.clk.clock);
+    }
+}
+
+static void
+close_entries(void)
+{
+    for (int i = 0; i < ENTRIES; i++) {
+        mg_strikes_free(world.entries[i]);
+    }
+}
+
+/* A target crashes that ran one prompt with these parts, sent by an entry;
+   then all entries know it. */
+static void
+crash_prompt(int entry, const unsigned *parts, size_t n)
+{
+    uint64_t c = ++world.next_crash;
+    mg_strikes_add(world.entries[entry], REQUEST(1000 + c), 0, c);
+    for (size_t i = 0; i < n; i++) {
+        mg_strikes_add(world.entries[entry], PART(parts[i]), (unsigned)i, c);
+    }
+    for (int i = 0; i < CAUSE_MS / STEP_MS; i++) {
+        step(0);
+    }
+}
+
+/* the number of entries that refuse all requests with this part */
+static int
+refusing(unsigned part)
+{
+    int n = 0;
+    for (int i = 0; i < ENTRIES; i++) {
+        n += mg_strikes_refuses(world.entries[i], PART(part));
+    }
+    return n;
+}
+
+/* Guards against a sound part that is blamed for another one's crashes: only
+   one entry has served the sound ones, and it sees none of the crashes. */
+static void
+test_served_before(void)
+{
+    static const unsigned deadly[] = {SYSTEM, DEADLY, DOCUMENT};
+    open_entries();
+    mg_strikes_served(world.entries[0], PART(SYSTEM));
+    mg_strikes_served(world.entries[0], PART(DOCUMENT));
+    world.clk.mono += 2000;
+    for (int i = 1; i <= MG_STRIKES_SERVED_MAX; i++) {
+        crash_prompt(1 + i % (ENTRIES - 1), deadly, 3);
+        CU_ASSERT_EQUAL(refusing(DEADLY), i < MG_STRIKES_MAX ? 0 : ENTRIES);
+        CU_ASSERT_EQUAL(refusing(SYSTEM) + refusing(DOCUMENT), 0);
+    }
+    close_entries();
+}
+
+/* Guards against parts that are refused after three crashes with another
+   cause, though they were served before; five are too many. */
+static void
+test_crashes_without_cause(void)
+{
+    static const unsigned sound[] = {SYSTEM, DOCUMENT};
+    open_entries();
+    mg_strikes_served(world.entries[0], PART(SYSTEM));
+    mg_strikes_served(world.entries[0], PART(DOCUMENT));
+    world.clk.mono += 2000;
+    for (int i = 1; i < MG_STRIKES_SERVED_MAX; i++) {
+        crash_prompt(i % ENTRIES, sound, 2);
+        CU_ASSERT_EQUAL(refusing(SYSTEM) + refusing(DOCUMENT), 0);
+    }
+    crash_prompt(0, sound, 2);
+    CU_ASSERT_TRUE(refusing(SYSTEM) + refusing(DOCUMENT) >= ENTRIES);
+    close_entries();
+}
+
+/* Guards against a popular request that is refused since targets crashed at
+   one moment while they ran it; one that was never served may be the cause. */
+static void
+test_popular_request(void)
+{
+    for (int served = 0; served < 2; served++) {
+        open_entries();
+        mg_strikes *s = world.entries[0];
+        if (served) {
+            mg_strikes_served(s, REQUEST(0));
+        }
+        for (uint64_t c = 1; c <= MG_STRIKES_SERVED_MAX; c++) {
+            world.clk.mono++;
+            mg_strikes_add(s, REQUEST(0), 0, c);
+            CU_ASSERT_EQUAL(mg_strikes_refuses(s, REQUEST(0)),
+                            !served && c >= MG_STRIKES_MAX);
+        }
+        world.clk.mono += MG_STRIKES_SPAN_MS;
+        mg_strikes_add(s, REQUEST(0), 0, MG_STRIKES_SERVED_MAX + 1);
+        CU_ASSERT_TRUE(mg_strikes_refuses(s, REQUEST(0)));
+        close_entries();
+    }
+}
+
+/* Guards against strikes for a crash before a key was served, which are
+   reported only afterwards. */
+static void
+test_served_meanwhile(void)
+{
+    open_entries();
+    mg_strikes *s = world.entries[0];
+    world.clk.mono = 10000;
+    mg_strikes_served(s, REQUEST(0));
+    for (uint64_t c = 1; c <= MG_STRIKES_SERVED_MAX; c++) {
+        mg_strikes_receive(s, &(mg_load_strike_msg){.key = REQUEST(0),
+                                                    .crash = c,
+                                                    .age_ms = 1000 * c});
+    }
+    CU_ASSERT_FALSE(mg_strikes_refuses(s, REQUEST(0)));
+    world.clk.mono++;
+    CU_ASSERT_EQUAL(
+        mg_strikes_receive(
+            s, &(mg_load_strike_msg){.key = REQUEST(0), .crash = 9}),
+        1);
+    close_entries();
+}
+
 static void
 test_histories(void)
 {
@@ -391,6 +539,10 @@
         {"lost reports and entries that restart", test_histories},
         {"the part that is the cause", test_cause},
         {"two parts that are always there together", test_parts_together},
+        {"parts that were served before the crashes", test_served_before},
+        {"crashes without a crashing part", test_crashes_without_cause},
+        {"a popular request, and crashes at one moment", test_popular_request},
+        {"a crash that is reported late", test_served_meanwhile},
         CU_TEST_INFO_NULL,
     };
     return run_suite("strikes", tests);
