Parts that can't be told apart are refused together only

Callers saw: sound requests refused for an hour, as a sound part of theirs had been in each request that crashed a target, together with the crashing one. Of parts with the same crashes the last one in the prompt was blamed, though nothing told it from the others; and as no request with it was sent any more, nothing could show that it was sound.

Why it works: each strike names the request that ran. Parts that the same requests had are blamed as a group: a request with all of them is refused, as before; one that lacks a part goes on. If it is served, that clears the parts it has; if it crashes its target, the group gets smaller, by one part or more each time. Parts of other requests that ran beside the crashing ones belong to no group ('parts of a request beside the crashing one'), else crashing requests without them would go on.

--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/list.h"
+#include "gateway/blame.h"
 #include "gateway/served.h"
 
 /* a strike, or a key that was served, which stands in further reports */
@@ -10,6 +11,7 @@
     struct list_head link;
     uint64_t key;
     uint64_t crash; /* 0: the key was served */
+    uint64_t run;
     int64_t at_ms;
     unsigned position;
     unsigned copies; /* to be sent */
@@ -17,28 +19,26 @@
     int64_t gap_ms;
 } strike_report;
 
-/* a part with enough strikes to be refused */
-typedef struct part {
+/* a part that is refused, alone or in a group; see blame.h */
+typedef struct refused_part {
     uint64_t key;
-    unsigned position;
-    bool served; /* before the crashes */
-    size_t crash_count;
-    uint64_t crashes[MG_QUARANTINE_CRASHES];
-} part;
+    size_t group; /* 1 + index */
+} refused_part;
 
 typedef struct parts {
     const mg_strikes *strikes;
     size_t count;
-    part parts[MG_STRIKES_PARTS_MAX];
+    mg_blame_part part[MG_STRIKES_PARTS_MAX];
 } parts;
 
 struct mg_strikes {
     mg_clock *clock;
     mg_quarantine *quarantine;
     mg_served *served;
-    uint64_t refused_parts[MG_STRIKES_PARTS_MAX];
+    refused_part refused[MG_STRIKES_PARTS_MAX];
     size_t refused_count;
-    bool changed; /* refused_parts must be determined again */
+    mg_blame_group groups[MG_STRIKES_PARTS_MAX];
+    bool changed; /* the refused parts must be determined again */
     struct list_head reports;
     size_t report_count;
 };
@@ -110,6 +110,7 @@
     r = r != NULL ? r : new_report(s, c);
     r->at_ms = c->at_ms;
     r->position = c->rank;
+    r->run = c->run;
     r->copies = MG_STRIKE_COPIES;
     r->next_ms = mg_now(s->clock);
     r->gap_ms = MG_STRIKE_GAP_MS;
@@ -168,9 +169,10 @@
 }
 
 unsigned
-mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash)
+mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash,
+               uint64_t run)
 {
-    mg_quarantine_crash_row c = {key, crash, mg_now(s->clock), position};
+    mg_quarantine_crash_row c = {key, crash, mg_now(s->clock), position, run};
     queue_report(s, &c);
     return add_strike(s, &c);
 }
@@ -186,8 +188,10 @@
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m)
 {
-    mg_quarantine_crash_row c = {m->key, m->crash, time_of(s, m->age_ms),
-                                 (unsigned)m->position};
+    mg_quarantine_crash_row c = {.fingerprint = m->key,
+                                 .crash = m->crash,
+                                 .at_ms = time_of(s, m->age_ms),
+                                 .rank = (unsigned)m->position};
     return add_strike(s, &c);
 }
 
@@ -195,7 +199,7 @@
 static void
 report_served(mg_strikes *s, uint64_t key, int64_t at_ms)
 {
-    mg_quarantine_crash_row c = {key, 0, at_ms, 0};
+    mg_quarantine_crash_row c = {.fingerprint = key, .at_ms = at_ms};
     queue_report(s, &c);
 }
 
@@ -226,6 +230,8 @@
 void
 mg_strikes_receive_details(mg_strikes *s, const mg_load_suspect_msg *m)
 {
+    mg_quarantine_add_run(s->quarantine, m->key, m->crash, m->run);
+    s->changed = true;
     if (m->served_age_ms > 0) {
         note_served(s, m->key, time_of(s, m->served_age_ms - 1));
     }
@@ -235,7 +241,7 @@
 collect_crash(void *user, const mg_quarantine_crash_row *c)
 {
     parts *all = user;
-    part *p = all->count > 0 ? &all->parts[all->count - 1] : NULL;
+    mg_blame_part *p = all->count > 0 ? &all->part[all->count - 1] : NULL;
     if (!(c->fingerprint & MG_STRIKES_PART)) {
         return;
     }
@@ -243,54 +249,24 @@
         if (all->count == MG_STRIKES_PARTS_MAX) {
             return;
         }
-        p = &all->parts[all->count++];
-        *p = (part){.key = c->fingerprint,
-                    .position = c->rank,
-                    .served =
-                        mg_strikes_was_served(all->strikes, c->fingerprint)};
+        p = &all->part[all->count++];
+        *p = (mg_blame_part){
+            .key = c->fingerprint,
+            .position = c->rank,
+            .served = mg_strikes_was_served(all->strikes, c->fingerprint)};
     }
-    p->crashes[p->crash_count++] = c->crash;
-}
-
-/* crashes after which a key is refused */
-static size_t
-strikes_needed(bool served)
-{
-    return served ? MG_STRIKES_SERVED_MAX : MG_STRIKES_MAX;
+    p->crashes[p->crash_count].id = c->crash;
+    p->crashes[p->crash_count++].run = c->run;
 }
 
 static bool
-is_better_cause(const part *a, const part *b)
+crashed_apart(const mg_strikes *s, uint64_t key)
 {
-    if (a->served != b->served) {
-        return b->served;
-    }
-    if (a->crash_count != b->crash_count) {
-        return a->crash_count > b->crash_count;
-    }
-    return a->position > b->position ||
-           (a->position == b->position && a->key > b->key);
+    return mg_quarantine_span_ms(s->quarantine, key) >= MG_STRIKES_SPAN_MS;
 }
 
-/* takes the crashes that the cause explains away from a part */
 static void
-explain(part *p, const part *cause)
-{
-    size_t n = 0;
-    for (size_t i = 0; i < p->crash_count; i++) {
-        bool explained = false;
-        for (size_t k = 0; k < cause->crash_count; k++) {
-            explained |= p->crashes[i] == cause->crashes[k];
-        }
-        if (!explained) {
-            p->crashes[n++] = p->crashes[i];
-        }
-    }
-    p->crash_count = n;
-}
-
-static void
-determine_refused_parts(mg_strikes *s)
+determine_refused(mg_strikes *s)
 {
     static parts all;
     all.strikes = s;
@@ -299,52 +275,107 @@
     s->changed = false;
     mg_quarantine_each(s->quarantine, MG_STRIKES_MAX, mg_now(s->clock),
                        collect_crash, &all);
-    for (;;) {
-        part *cause = NULL;
-        for (size_t i = 0; i < all.count; i++) {
-            part *p = &all.parts[i];
-            if (p->crash_count >= strikes_needed(p->served) &&
-                (cause == NULL || is_better_cause(p, cause))) {
-                cause = p;
-            }
-        }
-        if (cause == NULL) {
-            return;
+    mg_blame(all.part, all.count, s->groups);
+    for (size_t i = 0; i < all.count; i++) {
+        const mg_blame_part *p = &all.part[i];
+        if (p->group != 0) {
+            s->refused[s->refused_count++] = (refused_part){p->key, p->group};
         }
-        part found = *cause;
-        s->refused_parts[s->refused_count++] = found.key;
-        for (size_t i = 0; i < all.count; i++) {
-            explain(&all.parts[i], &found);
+    }
+}
+
+/* Targets that crash at one moment have another cause than a part that all of
+   them ran. */
+static void
+acquit_at_one_moment(mg_strikes *s)
+{
+    bool apart[MG_STRIKES_PARTS_MAX] = {false};
+    size_t kept = 0;
+    for (size_t i = 0; i < s->refused_count; i++) {
+        apart[s->refused[i].group - 1] |= crashed_apart(s, s->refused[i].key);
+    }
+    for (size_t i = 0; i < s->refused_count; i++) {
+        if (apart[s->refused[i].group - 1]) {
+            s->refused[kept++] = s->refused[i];
         }
     }
+    s->refused_count = kept;
 }
 
-static bool
-refuses_part(mg_strikes *s, uint64_t key)
+/* 1 + index of the group of a part that is refused; 0: it isn't */
+static size_t
+group_of(mg_strikes *s, uint64_t key)
 {
     if (s->changed) {
-        determine_refused_parts(s);
+        determine_refused(s);
+        acquit_at_one_moment(s);
     }
     for (size_t i = 0; i < s->refused_count; i++) {
-        if (s->refused_parts[i] == key) {
-            return mg_quarantine_span_ms(s->quarantine, key) >=
-                   MG_STRIKES_SPAN_MS;
+        if (s->refused[i].key == key) {
+            return s->refused[i].group;
         }
     }
-    return false;
+    return 0;
+}
+
+static bool
+refuses_request(const mg_strikes *s, uint64_t key)
+{
+    bool served = mg_strikes_was_served(s, key);
+    return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) >=
+               mg_blame_strikes_needed(served) &&
+           (!served || crashed_apart(s, key));
+}
+
+/* whether the keys have all parts of a group */
+static bool
+have_group(mg_strikes *s, const uint64_t *keys, size_t n, size_t group)
+{
+    size_t found = 0;
+    for (size_t i = 0; i < n; i++) {
+        found += (keys[i] & MG_STRIKES_PART) && group_of(s, keys[i]) == group;
+    }
+    return found >= s->groups[group - 1].size;
+}
+
+static bool
+is_cause(mg_strikes *s, const uint64_t *keys, size_t n, size_t i)
+{
+    if (!(keys[i] & MG_STRIKES_PART)) {
+        return refuses_request(s, keys[i]);
+    }
+    size_t group = group_of(s, keys[i]);
+    return group != 0 && have_group(s, keys, n, group);
+}
+
+size_t
+mg_strikes_find_cause(mg_strikes *s, const uint64_t *keys, size_t n,
+                      size_t *cause)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < n; i++) {
+        if (is_cause(s, keys, n, i)) {
+            cause[count++] = i;
+        }
+    }
+    return count;
 }
 
 bool
 mg_strikes_refuses(mg_strikes *s, uint64_t key)
 {
-    if (key & MG_STRIKES_PART) {
-        return refuses_part(s, key);
+    size_t cause;
+    return mg_strikes_find_cause(s, &key, 1, &cause) > 0;
+}
+
+size_t
+mg_strikes_blames(mg_strikes *s, uint64_t key)
+{
+    if (!(key & MG_STRIKES_PART)) {
+        return refuses_request(s, key);
     }
-    bool served = mg_strikes_was_served(s, key);
-    return mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)) >=
-               strikes_needed(served) &&
-           (!served ||
-            mg_quarantine_span_ms(s->quarantine, key) >= MG_STRIKES_SPAN_MS);
+    size_t group = group_of(s, key);
+    return group != 0 ? s->groups[group - 1].size : 0;
 }
 
 bool
@@ -382,6 +413,7 @@
     m = (mg_msg){.type = MG_MSG_LOAD_SUSPECT};
     m.u.load_suspect.key = r->key;
     m.u.load_suspect.crash = r->crash;
+    m.u.load_suspect.run = r->run;
     if (mg_strikes_was_served(s, r->key)) {
         int64_t age_ms = now - mg_served_at(s->served, r->key);
         m.u.load_suspect.served_age_ms = (uint64_t)age_ms + 1;
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -9,11 +9,8 @@
  * them are needed, and of a request they must not all be at one moment.
  *
  * A target that crashes gives strikes to all that it ran and to all parts of
- * their prompts. Few of them are the cause: of the parts with enough strikes,
- * the one with the most crashes is refused, then the one with the most of the
- * remaining crashes, as long as there are enough. Parts that were never served
- * are looked at first. Of parts with the same crashes it is the last one in
- * the prompt: what comes first is shared by more requests.
+ * their prompts. Which parts are refused, alone or only together, is in
+ * blame.h.
  *
  * Strikes, and whether a key with strikes was served, are sent to the other
  * entries with the load reports. A report may be lost, so each one stands in
@@ -56,9 +53,10 @@
 mg_strikes_free(mg_strikes *s);
 /* Adds a strike for a crash that this entry has seen now; returns the key's
    strikes. position: of the part in the prompt. crash: see
-   mg_quarantine_crash(). */
+   mg_quarantine_crash(). run: key of the request that the target ran. */
 unsigned
-mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash);
+mg_strikes_add(mg_strikes *s, uint64_t key, unsigned position, uint64_t crash,
+               uint64_t run);
 /* Adds a strike that another entry reports; returns the key's strikes. */
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m);
@@ -77,9 +75,19 @@
 /* Whether the key is known to have been served, at any entry. */
 bool
 mg_strikes_was_served(const mg_strikes *s, uint64_t key);
+/* Finds why a request is refused that has these keys, its own one among them
+   or not. Sets cause, which has room for n, to the indexes of the keys at
+   fault and returns their number; 0: it is not refused. */
+size_t
+mg_strikes_find_cause(mg_strikes *s, const uint64_t *keys, size_t n,
+                      size_t *cause);
 /* Whether the request, or all requests with the part, are refused. */
 bool
 mg_strikes_refuses(mg_strikes *s, uint64_t key);
+/* The number of keys for which requests are refused that have all of them,
+   this key among them; 1: the key alone, 0: none. */
+size_t
+mg_strikes_blames(mg_strikes *s, uint64_t key);
 /* Whether no key has strikes. */
 bool
 mg_strikes_is_empty(const mg_strikes *s);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -68,47 +68,58 @@
     return f->request.part_count > 0 ? f->request.part_count - 1 : 0;
 }
 
-/* position of the first part that is refused; -1: none */
-static int
-refused_part(const mg_flow *f)
+/* sets keys to the request's own one and those of its parts; returns their
+   number */
+static size_t
+keys_of(mg_flow *f, uint64_t keys[MG_PARTS_MAX])
 {
+    size_t n = 0;
+    keys[n++] = mg_suspect_fingerprint(f);
     for (size_t i = 0; i < shared_parts(f); i++) {
-        if (mg_strikes_refuses(f->gw->strikes,
-                               part_key(&f->request.parts[i]))) {
-            return (int)i;
-        }
+        keys[n++] = part_key(&f->request.parts[i]);
     }
-    return -1;
+    return n;
 }
 
 bool
 mg_suspect_refuses(mg_flow *f)
 {
-    return !mg_strikes_is_empty(f->gw->strikes) &&
-           (mg_strikes_refuses(f->gw->strikes, mg_suspect_fingerprint(f)) ||
-            refused_part(f) >= 0);
+    uint64_t keys[MG_PARTS_MAX];
+    size_t cause[MG_PARTS_MAX];
+    if (mg_strikes_is_empty(f->gw->strikes)) {
+        return false;
+    }
+    size_t n = keys_of(f, keys);
+    return mg_strikes_find_cause(f->gw->strikes, keys, n, cause) > 0;
 }
 
 static void
-add_part(mg_suspect *s, const mg_flow *f, size_t position)
+add_key(mg_suspect *s, uint64_t key, size_t position)
 {
     s->positions[s->key_count] = (unsigned)position;
-    s->keys[s->key_count++] = part_key(&f->request.parts[position]);
+    s->keys[s->key_count++] = key;
 }
 
 void
 mg_suspect_of(mg_flow *f, mg_suspect *out)
 {
-    int known = refused_part(f);
-    *out = (mg_suspect){.id = f->request.id};
-    if (known >= 0) {
+    uint64_t keys[MG_PARTS_MAX];
+    size_t cause[MG_PARTS_MAX];
+    size_t n = keys_of(f, keys);
+    size_t known = mg_strikes_find_cause(f->gw->strikes, keys, n, cause);
+    *out = (mg_suspect){.id = f->request.id, .run = keys[0]};
+    for (size_t i = 0; i < known; i++) {
+        if (cause[i] > 0) {
+            add_key(out, keys[cause[i]], cause[i] - 1);
+        }
+    }
+    if (out->key_count > 0) {
         /* the other parts and the request itself are not to blame */
-        add_part(out, f, (size_t)known);
         return;
     }
-    out->keys[out->key_count++] = mg_suspect_fingerprint(f);
-    for (size_t i = 0; f->event_count <= 1 && i < shared_parts(f); i++) {
-        add_part(out, f, i);
+    add_key(out, keys[0], 0);
+    for (size_t i = 1; f->event_count <= 1 && i < n; i++) {
+        add_key(out, keys[i], i - 1);
     }
 }
 
@@ -121,7 +132,7 @@
 static void
 log_if_cleared(mg_gateway *gw, uint64_t key, bool was_refused)
 {
-    if (was_refused && !mg_strikes_refuses(gw->strikes, key)) {
+    if (was_refused && !mg_strikes_blames(gw->strikes, key)) {
         mg_log(MG_EV_CRASH_CLEARED, "kind=%s key=%016" PRIx64, kind_of(key),
                key);
     }
@@ -130,7 +141,7 @@
 static void
 key_served(mg_gateway *gw, uint64_t key)
 {
-    bool refused = mg_strikes_refuses(gw->strikes, key);
+    bool refused = mg_strikes_blames(gw->strikes, key);
     mg_strikes_served(gw->strikes, key);
     log_if_cleared(gw, key, refused);
 }
@@ -153,19 +164,20 @@
 void
 mg_suspect_receive_strike(mg_gateway *gw, const mg_load_strike_msg *m)
 {
-    bool refused = mg_strikes_refuses(gw->strikes, m->key);
+    bool refused = mg_strikes_blames(gw->strikes, m->key);
     unsigned strikes = mg_strikes_receive(gw->strikes, m);
-    if (!refused && mg_strikes_refuses(gw->strikes, m->key)) {
+    size_t together = mg_strikes_blames(gw->strikes, m->key);
+    if (!refused && together > 0) {
         mg_log(MG_EV_QUARANTINE,
-               "kind=%s key=%016" PRIx64 " marks=%u reported=1",
-               kind_of(m->key), m->key, strikes);
+               "kind=%s key=%016" PRIx64 " marks=%u together=%zu reported=1",
+               kind_of(m->key), m->key, strikes, together);
     }
 }
 
 void
 mg_suspect_receive_details(mg_gateway *gw, const mg_load_suspect_msg *m)
 {
-    bool refused = mg_strikes_refuses(gw->strikes, m->key);
+    bool refused = mg_strikes_blames(gw->strikes, m->key);
     mg_strikes_receive_details(gw->strikes, m);
     log_if_cleared(gw, m->key, refused);
 }
@@ -173,7 +185,7 @@
 void
 mg_suspect_receive_served(mg_gateway *gw, const mg_load_served_msg *m)
 {
-    bool refused = mg_strikes_refuses(gw->strikes, m->key);
+    bool refused = mg_strikes_blames(gw->strikes, m->key);
     mg_strikes_receive_served(gw->strikes, m);
     log_if_cleared(gw, m->key, refused);
 }
@@ -184,15 +196,16 @@
     uint64_t crash = mg_quarantine_crash(p->target, p->started_ms);
     for (size_t i = 0; i < p->suspect.key_count; i++) {
         uint64_t key = p->suspect.keys[i];
-        unsigned strikes = mg_strikes_add(p->gw->strikes, key,
-                                          p->suspect.positions[i], crash);
-        mg_log(mg_strikes_refuses(p->gw->strikes, key) ? MG_EV_QUARANTINE
-                                                       : MG_EV_CRASH_SUSPECT,
+        unsigned strikes =
+            mg_strikes_add(p->gw->strikes, key, p->suspect.positions[i], crash,
+                           p->suspect.run);
+        size_t together = mg_strikes_blames(p->gw->strikes, key);
+        mg_log(together > 0 ? MG_EV_QUARANTINE : MG_EV_CRASH_SUSPECT,
                "id=%s kind=%s position=%u key=%016" PRIx64
-               " target=%s born=%" PRIu64 " marks=%u served=%d",
+               " target=%s born=%" PRIu64 " marks=%u served=%d together=%zu",
                p->id, kind_of(key), p->suspect.positions[i], key, p->target,
                p->started_ms, strikes,
-               mg_strikes_was_served(p->gw->strikes, key));
+               mg_strikes_was_served(p->gw->strikes, key), together);
     }
 }
 
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -10,7 +10,7 @@
  * same one. Each part of its prompt gets a strike, too,
  * unless the target had written more than one event; but not the last part,
  * which no other request shares. A request is refused if it or one of these
- * parts has crashed too many targets.
+ * parts has crashed too many targets, or a group of them that it has in full.
  */
 #ifndef MG_SUSPECTS_H
 #define MG_SUSPECTS_H
@@ -20,6 +20,7 @@
 /* a request that may have crashed its target */
 typedef struct mg_suspect {
     mg_str id;
+    uint64_t run; /* the request's fingerprint */
     size_t key_count;
     uint64_t keys[MG_PARTS_MAX];      /* that get a strike */
     unsigned positions[MG_PARTS_MAX]; /* of parts, in the prompt */
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -13,6 +13,7 @@
     struct {
         uint64_t id; /* 0: none */
         int64_t at_ms;
+        uint64_t run;
     } crashes[MG_QUARANTINE_CRASHES];
     int64_t cleared_ms; /* crashes up to this don't count */
     int64_t until_wall_ms;
@@ -81,15 +82,28 @@
     return r->crashes[i].id != 0 && r->crashes[i].at_ms > r->cleared_ms;
 }
 
-static bool
-has_crash(const struct strike_record *r, uint64_t crash)
+/* index of a crash in r->crashes; -1: it isn't there */
+static int
+find_crash(const struct strike_record *r, uint64_t crash)
 {
-    for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
+    for (int i = 0; i < MG_QUARANTINE_CRASHES; i++) {
         if (r->crashes[i].id == crash) {
-            return true;
+            return i;
         }
     }
-    return false;
+    return -1;
+}
+
+static void
+add_run(struct strike_record *r, int crash, uint64_t run)
+{
+    uint64_t *known = &r->crashes[crash].run;
+    if (*known == MG_QUARANTINE_RUN_UNKNOWN) {
+        *known = run;
+    }
+    else if (run != MG_QUARANTINE_RUN_UNKNOWN && run != *known) {
+        *known = MG_QUARANTINE_RUN_SEVERAL;
+    }
 }
 
 /* Index in r->crashes where a crash of this time is stored: a free one, else
@@ -120,15 +134,16 @@
    between the first and the last one grows, and crashes in between, which are
    not stored, give no further strike each time that they are reported. */
 static void
-add_crash(struct strike_record *r, uint64_t crash, int64_t at_ms)
+add_crash(struct strike_record *r, const mg_quarantine_crash_row *c)
 {
-    int i = place_for(r, at_ms);
+    int i = place_for(r, c->at_ms);
     if (i < 0) {
         return;
     }
     bool counted = counts(r, (size_t)i);
-    r->crashes[i].id = crash;
-    r->crashes[i].at_ms = at_ms;
+    r->crashes[i].id = c->crash;
+    r->crashes[i].at_ms = c->at_ms;
+    r->crashes[i].run = c->run;
     r->strikes += !counted && counts(r, (size_t)i);
 }
 
@@ -141,8 +156,12 @@
         r->strikes = 0;
         r->cleared_ms = r->until_wall_ms;
     }
-    if (!has_crash(r, c->crash)) {
-        add_crash(r, c->crash, c->at_ms);
+    int known = find_crash(r, c->crash);
+    if (known < 0) {
+        add_crash(r, c);
+    }
+    else {
+        add_run(r, known, c->run);
     }
     r->rank = c->rank > r->rank ? c->rank : r->rank;
     r->until_wall_ms = wall_ms + MG_QUARANTINE_DURATION_MS;
@@ -194,6 +213,17 @@
     }
 }
 
+void
+mg_quarantine_add_run(mg_quarantine *q, uint64_t fingerprint, uint64_t crash,
+                      uint64_t run)
+{
+    struct strike_record *r = find(q, fingerprint);
+    int known = r != NULL ? find_crash(r, crash) : -1;
+    if (known >= 0) {
+        add_run(r, known, run);
+    }
+}
+
 unsigned
 mg_quarantine_strikes(const mg_quarantine *q, uint64_t fingerprint,
                       int64_t wall_ms)
@@ -209,7 +239,8 @@
     for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
         if (counts(r, i)) {
             mg_quarantine_crash_row c = {r->fingerprint, r->crashes[i].id,
-                                         r->crashes[i].at_ms, r->rank};
+                                         r->crashes[i].at_ms, r->rank,
+                                         r->crashes[i].run};
             f(user, &c);
         }
     }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -36,9 +36,15 @@
     uint64_t fingerprint;
     uint64_t crash; /* see mg_quarantine_crash() */
     int64_t at_ms;
-    unsigned rank; /* of the fingerprint; kept for the caller, not used here */
+    /* kept for the caller, not used here: */
+    unsigned rank; /* of the fingerprint */
+    uint64_t run;  /* what ran on the target, see MG_QUARANTINE_RUN_UNKNOWN */
 } mg_quarantine_crash_row;
 
+/* runs of a crash that aren't known, or several */
+#define MG_QUARANTINE_RUN_UNKNOWN UINT64_C(0)
+#define MG_QUARANTINE_RUN_SEVERAL UINT64_MAX
+
 mg_quarantine *
 mg_quarantine_new(void);
 void
@@ -48,12 +54,17 @@
 mg_quarantine_crash(const char *target, uint64_t target_epoch);
 /*
  * Adds a strike for a crash and restarts the expiry of all strikes of the
- * fingerprint, whose highest rank is kept. A crash is counted once. Returns
- * the number of strikes.
+ * fingerprint, whose highest rank is kept. A crash is counted once; another
+ * run of it makes the runs several. Returns the number of strikes.
  */
 unsigned
 mg_quarantine_add_strike(mg_quarantine *q, const mg_quarantine_crash_row *c,
                          int64_t wall_ms);
+/* Adds a run of a crash that has given the fingerprint a strike, if it is
+   remembered. */
+void
+mg_quarantine_add_run(mg_quarantine *q, uint64_t fingerprint, uint64_t crash,
+                      uint64_t run);
 /* Takes back the strikes for crashes up to at_ms, those too that are added
    later: the fingerprint was served then. */
 void
--- a/tests/unit/group_client_test.c
+++ b/tests/unit/group_client_test.c
@@ -339,6 +339,9 @@
         }
         CU_ASSERT_EQUAL(world.client_rev, rev);
         CU_ASSERT_EQUAL(world.current, rev >= LAST_REV);
+        CU_ASSERT_EQUAL(mg_group_client_complete_until(world.client) >
+                            INT64_MIN,
+                        rev >= LAST_REV);
     }
 }
 
