A crash after a verdict gives strikes to all parts of the request

Once a part was blamed, further crashes of requests that were under way gave a strike to that part only, 'as the others are not to blame'.

Now each crash gives strikes to all parts; those that the cause explains are taken out by blame.c as before. The test 'the position of a known cause' asked for one key, with its position; 'strikes after a verdict' asks for all three keys, each with its position, and that the request is refused; it fails on the code before.

--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -104,19 +104,8 @@
 mg_suspect_of(mg_flow *f, mg_suspect *out)
 {
     uint64_t keys[MG_PARTS_MAX];
-    size_t cause[MG_PARTS_MAX];
     size_t n = keys_of(f, keys);
-    size_t known = mg_strikes_find_cause(f->gw->strikes, keys, n, cause);
     *out = (mg_suspect){.id = f->request.id, .run = keys[0]};
-    for (size_t i = 0; i < known; i++) {
-        if (cause[i] > 0) {
-            add_key(out, keys[cause[i]], cause[i] - 1);
-        }
-    }
-    if (out->key_count > 0) {
-        /* the other parts and the request itself are not to blame */
-        return;
-    }
     add_key(out, keys[0], 0);
     for (size_t i = 1; f->event_count <= 1 && i < n; i++) {
         add_key(out, keys[i], i - 1);
--- a/tests/unit/suspects_test.c
+++ b/tests/unit/suspects_test.c
@@ -126,11 +126,11 @@
     mg_buf_free(&loads);
 }
 
-/* When it is known which part crashes its targets, only that part gets a
-   strike, with its position in the prompt: other entries may learn of it from
-   this strike only. */
+/* Guards against a verdict that keeps itself up: a crash after it gives
+   strikes to all parts, each with its position in the prompt, not only to the
+   part that is blamed already, which may be the wrong one. */
 static void
-test_position_of_known_cause(void)
+test_strikes_after_verdict(void)
 {
     mg_gateway *gw = new_gateway();
     mg_flow f = {.gw = gw, .fingerprint = SUSPECT};
@@ -147,9 +147,12 @@
         clk.mono += MG_STRIKES_SPAN_MS;
     }
     mg_suspect_of(&f, &after);
-    CU_ASSERT_EQUAL(after.key_count, 1);
-    CU_ASSERT_EQUAL(after.keys[0], before.keys[2]);
-    CU_ASSERT_EQUAL(after.positions[0], 1);
+    CU_ASSERT_TRUE(mg_suspect_refuses(&f));
+    CU_ASSERT_EQUAL_FATAL(after.key_count, 3);
+    for (size_t i = 0; i < after.key_count; i++) {
+        CU_ASSERT_EQUAL(after.keys[i], before.keys[i]);
+        CU_ASSERT_EQUAL(after.positions[i], i > 0 ? i - 1 : 0);
+    }
 }
 
 static void
@@ -194,7 +197,7 @@
         {"the same crashes, reported in turn", test_same_crashes_in_turn},
         {"crashes seen by other entries", test_reported},
         {"an entry that starts", test_entry_that_starts},
-        {"the position of a known cause", test_position_of_known_cause},
+        {"strikes after a verdict", test_strikes_after_verdict},
         {"a target that still listens", test_listening},
         CU_TEST_INFO_NULL,
     };
