What is refused for crashes is tried again

Callers saw: whatever was refused for crashes stayed refused for an hour, also if it was sound: it was sent no more, so nothing could clear it (the parts of review/12, a popular request, parts that three crashes with another cause had in common and that were never served before).

Now a refused request is let through later as a trial, two a key over all entries (one if five targets crashed, and only after five minutes if it is the only part of its requests that was never served, which leaves no doubt). Entries take turns by the key and the time since the last crash, and report each trial. A request that has all parts that are tied is no trial. Of parts with the same crashes the one is blamed first that fewer requests had.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -53,7 +53,14 @@
 rollout|src/policy/rollout.c|a rollout ends at its deadline|s/if (wall >= r->deadline_wall_ms) {/if (false) {/
 base|src/wire/channel.c|a missing last chunk is detected|s/c->body.framing == MG_H1_CLOSE_DELIMITED;/true;/
 crash|src/gateway/flow.c|a target is probed when a reused channel breaks|s/    mg_suspect_connection_lost(f->gw, f->target, &s);/    if (!f->reused_channel) { mg_suspect_connection_lost(f->gw, f->target, \&s); }/
-crash|src/gateway/dispatch.c|strikes are checked before each dispatch|s/if (mg_suspect_refuses(f)) {/if (false) {/
+crash|src/gateway/dispatch.c|strikes are checked before each dispatch|s/bool trial = mg_suspect_refuses(f);/bool trial = false;/
+crash|src/gateway/dispatch.c|a trial is counted|s/mg_suspect_tried(f);/;/
+crash|src/gateway/admit.c|a refused request may be tried|s/ \&\& !mg_suspect_may_try(f)//
+trial|src/gateway/trial.c|entries take turns|s/ahead <= (is_wide ? 1 : 0)/true/
+trial|src/gateway/trial.c|the only part that was never served is tried late|s/is_only ? MG_TRIAL_ONLY_AFTER_MS/false ? MG_TRIAL_ONLY_AFTER_MS/
+trial|src/gateway/trial.c|trials are limited|s/t->trials >= max || //
+verdict|src/gateway/strikes.c|a request that has all tied parts is no trial|s/found >= g->tied;/false;/
+suspects|src/gateway/suspects.c|a crash after a verdict gives strikes to all parts|s/f->event_count <= 1 \&\& i < n/f->event_count <= 1 \&\& !mg_suspect_refuses(f) \&\& i < n/
 crash|src/gateway/suspects.c|parts of prompts get strikes|s/f->event_count <= 1 \&\& i < n/i < 0/
 strikes|src/gateway/strikes.c|a strike stands in several reports|s/r->copies = MG_STRIKE_COPIES;/r->copies = 1;/
 blame|src/gateway/blame.c|the fewest parts that explain the crashes are blamed|s/            explain(&parts\[i\], &found);/if (parts[i].group == count) explain(\&parts[i], \&found);/
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -69,6 +69,7 @@
     X(343, INFO, CRASH_PROBE, "target probed after a broken connection")      \
     X(344, INFO, CRASH_CLEARED, "served after all, no longer refused")        \
     X(345, INFO, ROLLOUT_ORDER, "order of a rollout; what decided it")        \
+    X(346, INFO, CRASH_TRIAL, "refused request let through, as a trial")      \
     X(350, INFO, CONFIG_APPLIED, "entry applied a revision")                  \
     X(351, WARN, CONFIG_BAD, "revision could not be applied")                 \
     X(352, WARN, SERVE_WITHOUT_CONTROL, "serves by majority, control lost")   \
--- a/src/gateway/admit.c
+++ b/src/gateway/admit.c
@@ -128,7 +128,7 @@
         mg_flow_refuse(f, status, -1, "key");
         return;
     }
-    if (mg_suspect_refuses(f)) {
+    if (mg_suspect_refuses(f) && !mg_suspect_may_try(f)) {
         mg_flow_refuse_suspect(f);
         return;
     }
--- a/src/gateway/dispatch.c
+++ b/src/gateway/dispatch.c
@@ -8,17 +8,21 @@
     mg_ticket *ticket;
     while ((ticket = mg_tierq_head(p->waiting)) != NULL) {
         mg_flow *f = list_entry(ticket, mg_flow, ticket);
-        if (mg_suspect_refuses(f)) {
+        bool relayed = mg_relay_wanted(f);
+        bool trial = mg_suspect_refuses(f);
+        if (trial && (relayed || !mg_suspect_may_try(f))) {
             mg_flow_refuse_suspect(f);
             continue;
         }
-        bool relayed = mg_relay_wanted(f);
         mg_gw_target *t = relayed ? NULL : mg_gw_choose_target(gw, f);
         if (t == NULL && !relayed) {
             return;
         }
         mg_tierq_serve(p->waiting, ticket);
         mg_dequeue_rate_count(&p->dequeue_rate, mg_now(gw->opts.clock));
+        if (trial) {
+            mg_suspect_tried(f);
+        }
         if (relayed) {
             mg_relay_start(f);
         }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -129,6 +129,7 @@
         gw->self_index = self;
         gw->gen++;
         mg_versions_set_entries(gw->versions, self, n);
+        mg_strikes_set_entries(gw->strikes, self, n);
     }
 }
 
--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -4,7 +4,9 @@
 
 #include "base/list.h"
 #include "gateway/blame.h"
+#include "gateway/gateway.h"
 #include "gateway/served.h"
+#include "gateway/trial.h"
 
 /* a strike, or a key that was served, which stands in further reports */
 typedef struct strike_report {
@@ -19,11 +21,12 @@
     int64_t gap_ms;
 } strike_report;
 
-/* a part that is refused, alone or in a group; see blame.h */
-typedef struct refused_part {
+/* a part that is blamed, or may be the cause as well; see blame.h */
+typedef struct blamed_part {
     uint64_t key;
-    size_t group; /* 1 + index */
-} refused_part;
+    size_t group;
+    size_t tied;
+} blamed_part;
 
 typedef struct parts {
     const mg_strikes *strikes;
@@ -35,10 +38,16 @@
     mg_clock *clock;
     mg_quarantine *quarantine;
     mg_served *served;
-    refused_part refused[MG_STRIKES_PARTS_MAX];
-    size_t refused_count;
+    blamed_part blamed[MG_STRIKES_PARTS_MAX];
+    size_t blamed_count;
     mg_blame_group groups[MG_STRIKES_PARTS_MAX];
-    bool changed; /* the refused parts must be determined again */
+    size_t group_count;
+    /* of each group: all other parts with strikes for its crashes were served
+       before */
+    bool others_served[MG_STRIKES_PARTS_MAX];
+    bool changed; /* the blamed parts must be determined again */
+    size_t self;  /* this entry, of entry_count */
+    size_t entry_count;
     struct list_head reports;
     size_t report_count;
 };
@@ -231,6 +240,10 @@
 mg_strikes_receive_details(mg_strikes *s, const mg_load_suspect_msg *m)
 {
     mg_quarantine_add_run(s->quarantine, m->key, m->crash, m->run);
+    mg_quarantine_note_trials(s->quarantine, m->key,
+                              m->trials < MG_TRIALS_MAX ? (unsigned)m->trials
+                                                        : MG_TRIALS_MAX,
+                              mg_now(s->clock));
     s->changed = true;
     if (m->served_age_ms > 0) {
         note_served(s, m->key, time_of(s, m->served_age_ms - 1));
@@ -266,20 +279,21 @@
 }
 
 static void
-determine_refused(mg_strikes *s)
+determine_blamed(mg_strikes *s)
 {
     static parts all;
     all.strikes = s;
     all.count = 0;
-    s->refused_count = 0;
+    s->blamed_count = 0;
     s->changed = false;
     mg_quarantine_each(s->quarantine, MG_STRIKES_MAX, mg_now(s->clock),
                        collect_crash, &all);
-    mg_blame(all.part, all.count, s->groups);
+    s->group_count = mg_blame(all.part, all.count, s->groups);
     for (size_t i = 0; i < all.count; i++) {
         const mg_blame_part *p = &all.part[i];
-        if (p->group != 0) {
-            s->refused[s->refused_count++] = (refused_part){p->key, p->group};
+        if (p->tied != 0) {
+            s->blamed[s->blamed_count++] =
+                (blamed_part){p->key, p->group, p->tied};
         }
     }
 }
@@ -291,31 +305,82 @@
 {
     bool apart[MG_STRIKES_PARTS_MAX] = {false};
     size_t kept = 0;
-    for (size_t i = 0; i < s->refused_count; i++) {
-        apart[s->refused[i].group - 1] |= crashed_apart(s, s->refused[i].key);
+    for (size_t i = 0; i < s->blamed_count; i++) {
+        const blamed_part *p = &s->blamed[i];
+        if (p->group != 0) {
+            apart[p->group - 1] |= crashed_apart(s, p->key);
+        }
     }
-    for (size_t i = 0; i < s->refused_count; i++) {
-        if (apart[s->refused[i].group - 1]) {
-            s->refused[kept++] = s->refused[i];
+    for (size_t i = 0; i < s->blamed_count; i++) {
+        if (apart[s->blamed[i].tied - 1]) {
+            s->blamed[kept++] = s->blamed[i];
         }
     }
-    s->refused_count = kept;
+    s->blamed_count = kept;
 }
 
-/* 1 + index of the group of a part that is refused; 0: it isn't */
-static size_t
-group_of(mg_strikes *s, uint64_t key)
+static blamed_part
+search_blamed(const mg_strikes *s, uint64_t key)
 {
-    if (s->changed) {
-        determine_refused(s);
-        acquit_at_one_moment(s);
+    for (size_t i = 0; i < s->blamed_count; i++) {
+        if (s->blamed[i].key == key) {
+            return s->blamed[i];
+        }
+    }
+    return (blamed_part){.key = key};
+}
+
+static bool
+has_crash(const mg_blame_group *g, uint64_t crash)
+{
+    bool found = false;
+    for (size_t i = 0; i < g->crash_count; i++) {
+        found |= g->crashes[i] == crash;
+    }
+    return found;
+}
+
+static void
+note_if_unserved(void *user, const mg_quarantine_crash_row *c)
+{
+    mg_strikes *s = user;
+    if (!(c->fingerprint & MG_STRIKES_PART) ||
+        mg_strikes_was_served(s, c->fingerprint)) {
+        return;
     }
-    for (size_t i = 0; i < s->refused_count; i++) {
-        if (s->refused[i].key == key) {
-            return s->refused[i].group;
+    size_t own = search_blamed(s, c->fingerprint).group;
+    for (size_t i = 0; i < s->group_count; i++) {
+        if (own != i + 1 && has_crash(&s->groups[i], c->crash)) {
+            s->others_served[i] = false;
         }
     }
-    return 0;
+}
+
+static void
+determine_others_served(mg_strikes *s)
+{
+    for (size_t i = 0; i < s->group_count; i++) {
+        s->others_served[i] = true;
+    }
+    mg_quarantine_each(s->quarantine, 1, mg_now(s->clock), note_if_unserved,
+                       s);
+}
+
+static blamed_part
+find_blamed(mg_strikes *s, uint64_t key)
+{
+    if (s->changed) {
+        determine_blamed(s);
+        acquit_at_one_moment(s);
+        determine_others_served(s);
+    }
+    return search_blamed(s, key);
+}
+
+static size_t
+group_of(mg_strikes *s, uint64_t key)
+{
+    return find_blamed(s, key).group;
 }
 
 static bool
@@ -378,6 +443,99 @@
     return group != 0 ? s->groups[group - 1].size : 0;
 }
 
+/* --------------------------------------------------------------- trials */
+
+void
+mg_strikes_set_entries(mg_strikes *s, size_t self, size_t n)
+{
+    s->self = self;
+    s->entry_count = n;
+}
+
+/* what is known of a refused key, and of the group of a part */
+static mg_trial_state
+trial_state(mg_strikes *s, uint64_t key)
+{
+    mg_trial_state t = {
+        .key = key,
+        .crash_count =
+            mg_quarantine_strikes(s->quarantine, key, mg_now(s->clock)),
+        .crashed_ms = mg_quarantine_last_ms(s->quarantine, key),
+        .served = mg_strikes_was_served(s, key),
+    };
+    t.trials = mg_quarantine_trials(s->quarantine, key, &t.tried_ms);
+    if (key & MG_STRIKES_PART) {
+        size_t group = group_of(s, key);
+        t.key = s->groups[group - 1].key;
+        t.others_served = s->others_served[group - 1];
+    }
+    return t;
+}
+
+/* Whether a request with these keys shows no more than what is known, that one
+   of the parts that are tied with the group crashes targets: it has all. */
+static bool
+tells_nothing(mg_strikes *s, const uint64_t *keys, size_t n, size_t group)
+{
+    const mg_blame_group *g = &s->groups[group - 1];
+    size_t found = 0;
+    for (size_t i = 0; i < n; i++) {
+        found += find_blamed(s, keys[i]).tied == group;
+    }
+    return g->tied > g->size && found >= g->tied;
+}
+
+bool
+mg_strikes_may_try(mg_strikes *s, const uint64_t *keys, size_t n)
+{
+    size_t cause[MG_PARTS_MAX];
+    size_t count = mg_strikes_find_cause(s, keys, n, cause);
+    uint64_t turn_key = 0;
+    for (size_t i = count; i > 0; i--) {
+        /* a part's, if there is one: other requests may have it, too */
+        uint64_t key = keys[cause[i - 1]];
+        size_t group = group_of(s, key);
+        if (group != 0 && tells_nothing(s, keys, n, group)) {
+            return false;
+        }
+        mg_trial_state t = trial_state(s, key);
+        turn_key = turn_key != 0 ? turn_key : t.key;
+        t.key = turn_key;
+        if (!mg_trial_is_due(&t, mg_now(s->clock), s->self, s->entry_count)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+keep_last(void *user, const mg_quarantine_crash_row *c)
+{
+    mg_quarantine_crash_row *last = user;
+    if (last->crash == 0 || c->at_ms >= last->at_ms) {
+        *last = *c;
+    }
+}
+
+void
+mg_strikes_tried(mg_strikes *s, const uint64_t *keys, size_t n)
+{
+    size_t cause[MG_PARTS_MAX];
+    size_t count = mg_strikes_find_cause(s, keys, n, cause);
+    for (size_t i = 0; i < count; i++) {
+        int64_t at_ms;
+        mg_quarantine_crash_row last = {0};
+        uint64_t key = keys[cause[i]];
+        unsigned trials = mg_quarantine_trials(s->quarantine, key, &at_ms);
+        mg_quarantine_note_trials(s->quarantine, key, trials + 1,
+                                  mg_now(s->clock));
+        mg_quarantine_each_crash(s->quarantine, key, keep_last, &last);
+        queue_report(s, &last);
+    }
+}
+
+/* -------------------------------------------------------------- reports */
+
 bool
 mg_strikes_is_empty(const mg_strikes *s)
 {
@@ -418,6 +576,9 @@
         int64_t age_ms = now - mg_served_at(s->served, r->key);
         m.u.load_suspect.served_age_ms = (uint64_t)age_ms + 1;
     }
+    int64_t tried_ms;
+    m.u.load_suspect.trials =
+        mg_quarantine_trials(s->quarantine, r->key, &tried_ms);
     mg_msg_encode(&m, loads);
 }
 
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -88,6 +88,17 @@
    this key among them; 1: the key alone, 0: none. */
 size_t
 mg_strikes_blames(mg_strikes *s, uint64_t key);
+/* Sets the entries that take turns in trials, see trial.h: entry self of n. */
+void
+mg_strikes_set_entries(mg_strikes *s, size_t self, size_t n);
+/* Whether a request with these keys, which is refused, may run as a trial here
+   and now. */
+bool
+mg_strikes_may_try(mg_strikes *s, const uint64_t *keys, size_t n);
+/* Such a request is sent to a target now; reports that to the other entries.
+ */
+void
+mg_strikes_tried(mg_strikes *s, const uint64_t *keys, size_t n);
 /* Whether no key has strikes. */
 bool
 mg_strikes_is_empty(const mg_strikes *s);
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -81,6 +81,12 @@
     return n;
 }
 
+static const char *
+kind_of(uint64_t key)
+{
+    return key & MG_STRIKES_PART ? "part" : "request";
+}
+
 bool
 mg_suspect_refuses(mg_flow *f)
 {
@@ -93,6 +99,29 @@
     return mg_strikes_find_cause(f->gw->strikes, keys, n, cause) > 0;
 }
 
+bool
+mg_suspect_may_try(mg_flow *f)
+{
+    uint64_t keys[MG_PARTS_MAX];
+    size_t n = keys_of(f, keys);
+    return mg_strikes_may_try(f->gw->strikes, keys, n);
+}
+
+void
+mg_suspect_tried(mg_flow *f)
+{
+    uint64_t keys[MG_PARTS_MAX];
+    size_t cause[MG_PARTS_MAX];
+    size_t n = keys_of(f, keys);
+    size_t count = mg_strikes_find_cause(f->gw->strikes, keys, n, cause);
+    for (size_t i = 0; i < count; i++) {
+        mg_log(MG_EV_CRASH_TRIAL, "id=%.*s kind=%s key=%016" PRIx64,
+               MG_STR_FMT(f->request.id), kind_of(keys[cause[i]]),
+               keys[cause[i]]);
+    }
+    mg_strikes_tried(f->gw->strikes, keys, n);
+}
+
 static void
 add_key(mg_suspect *s, uint64_t key, size_t position)
 {
@@ -112,12 +141,6 @@
     }
 }
 
-static const char *
-kind_of(uint64_t key)
-{
-    return key & MG_STRIKES_PART ? "part" : "request";
-}
-
 static void
 log_if_cleared(mg_gateway *gw, uint64_t key, bool was_refused)
 {
--- a/src/gateway/suspects.h
+++ b/src/gateway/suspects.h
@@ -36,6 +36,12 @@
    crashed too many targets; to be checked before each dispatch. */
 bool
 mg_suspect_refuses(mg_flow *f);
+/* Whether the request, which is refused, may run here and now as a trial. */
+bool
+mg_suspect_may_try(mg_flow *f);
+/* It is sent to a target now, as a trial. */
+void
+mg_suspect_tried(mg_flow *f);
 /* Sets the keys that get a strike if the request's target has crashed. */
 void
 mg_suspect_of(mg_flow *f, mg_suspect *out);
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -16,6 +16,8 @@
         uint64_t run;
     } crashes[MG_QUARANTINE_CRASHES];
     int64_t cleared_ms; /* crashes up to this don't count */
+    unsigned trials;
+    int64_t tried_ms;
     int64_t until_wall_ms;
 };
 
@@ -154,6 +156,7 @@
     struct strike_record *r = find_or_add(q, c->fingerprint);
     if (r->until_wall_ms != 0 && r->until_wall_ms <= wall_ms) {
         r->strikes = 0;
+        r->trials = 0;
         r->cleared_ms = r->until_wall_ms;
     }
     int known = find_crash(r, c->crash);
@@ -178,6 +181,7 @@
         return;
     }
     r->cleared_ms = at_ms;
+    r->trials = 0;
     r->strikes = 0;
     for (size_t i = 0; i < MG_QUARANTINE_CRASHES; i++) {
         r->strikes += counts(r, i);
@@ -200,6 +204,42 @@
     return first <= last ? last - first : 0;
 }
 
+int64_t
+mg_quarantine_last_ms(const mg_quarantine *q, uint64_t fingerprint)
+{
+    const struct strike_record *r = find(q, fingerprint);
+    int64_t last = INT64_MIN;
+    for (size_t i = 0; r != NULL && i < MG_QUARANTINE_CRASHES; i++) {
+        if (counts(r, i) && r->crashes[i].at_ms > last) {
+            last = r->crashes[i].at_ms;
+        }
+    }
+    return last;
+}
+
+void
+mg_quarantine_note_trials(mg_quarantine *q, uint64_t fingerprint,
+                          unsigned trials, int64_t at_ms)
+{
+    struct strike_record *r = find(q, fingerprint);
+    if (r != NULL && trials > r->trials) {
+        r->trials = trials;
+        r->tried_ms = at_ms;
+    }
+}
+
+unsigned
+mg_quarantine_trials(const mg_quarantine *q, uint64_t fingerprint,
+                     int64_t *at_ms)
+{
+    const struct strike_record *r = find(q, fingerprint);
+    if (r == NULL || r->trials == 0) {
+        return 0;
+    }
+    *at_ms = r->tried_ms;
+    return r->trials;
+}
+
 void
 mg_quarantine_load(mg_quarantine *q, uint64_t fingerprint, unsigned strikes,
                    int64_t until_wall_ms)
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -86,6 +86,22 @@
 int64_t
 mg_quarantine_span_ms(const mg_quarantine *q, uint64_t fingerprint);
 
+/* Time of the last crash that counts; INT64_MIN: there is none. */
+int64_t
+mg_quarantine_last_ms(const mg_quarantine *q, uint64_t fingerprint);
+/*
+ * Requests with the fingerprint that were let through although it has strikes;
+ * kept for the caller, until it is cleared. Notes their number, if it is
+ * higher than the known one, and the time of the last one.
+ */
+void
+mg_quarantine_note_trials(mg_quarantine *q, uint64_t fingerprint,
+                          unsigned trials, int64_t at_ms);
+/* Returns their number; sets *at_ms if it isn't 0. */
+unsigned
+mg_quarantine_trials(const mg_quarantine *q, uint64_t fingerprint,
+                     int64_t *at_ms);
+
 /* Calls f with each remembered crash that counts, of the fingerprints that
    have this many strikes or more. */
 void
--- a/src/wire/msg.h
+++ b/src/wire/msg.h
@@ -244,9 +244,9 @@
 #define MG_FIELDS_LOAD_SERVED(F) F(U64, key) F(U64, age_ms)
 /* More on a strike, sent behind it. run: the request, see gateway/strikes.h;
    served_age_ms: 1 + time since the key was served last, 0: never as far as is
-   known. */
+   known; trials: see gateway/trial.h. */
 #define MG_FIELDS_LOAD_SUSPECT(F) \
-    F(U64, key) F(U64, crash) F(U64, run) F(U64, served_age_ms)
+    F(U64, key) F(U64, crash) F(U64, run) F(U64, served_age_ms) F(U64, trials)
 
 /* number, name, lower-case name */
 #define MG_MSG_LIST(M) \
--- a/tests/unit/blame_test.c
+++ b/tests/unit/blame_test.c
@@ -88,6 +88,17 @@
     }
 }
 
+/* crashes in which several requests had the part, of those that are left */
+static unsigned
+shared_crashes(size_t part, unsigned left)
+{
+    unsigned n = 0;
+    for (size_t c = 0; c < crashes; c++) {
+        n += (left & BIT(c)) && count(runs_with(part, c)) > 1;
+    }
+    return n;
+}
+
 /* the better cause of two, by the rules in blame.h, one after the other */
 static size_t
 better(size_t a, size_t b, unsigned left)
@@ -100,17 +111,29 @@
     if (crashes_a != crashes_b) {
         return crashes_a > crashes_b ? a : b;
     }
+    unsigned shared_a = shared_crashes(a, left);
+    unsigned shared_b = shared_crashes(b, left);
+    if (shared_a != shared_b) {
+        return shared_a < shared_b ? a : b;
+    }
     if (positions[a] != positions[b]) {
         return positions[a] > positions[b] ? a : b;
     }
     return key_of(a) > key_of(b) ? a : b;
 }
 
+static bool
+are_tied(size_t a, size_t b, unsigned left)
+{
+    return served[a] == served[b] &&
+           (crashes_of(a) & left) == (crashes_of(b) & left);
+}
+
 static bool
 in_same_requests(size_t a, size_t b, unsigned left)
 {
     unsigned set = crashes_of(a) & left;
-    if (served[a] != served[b] || set != (crashes_of(b) & left)) {
+    if (!are_tied(a, b, left)) {
         return false;
     }
     for (size_t c = 0; c < crashes; c++) {
@@ -122,12 +145,13 @@
     return true;
 }
 
-/* the naive twin: sets the group of each part */
+/* the naive twin: sets the group of each part, and that it is tied with */
 static void
-blame_naively(size_t group[PARTS])
+blame_naively(size_t group[PARTS], size_t tied[PARTS])
 {
     unsigned left = BIT(crashes) - 1; /* crashes that aren't explained */
     memset(group, 0, PARTS * sizeof(*group));
+    memset(tied, 0, PARTS * sizeof(*tied));
     for (size_t number = 1;; number++) {
         size_t cause = PARTS;
         for (size_t p = 0; p < PARTS; p++) {
@@ -143,6 +167,9 @@
             if (p == cause || in_same_requests(p, cause, left)) {
                 group[p] = number;
             }
+            if (are_tied(p, cause, left)) {
+                tied[p] = number;
+            }
         }
         left &= ~crashes_of(cause);
     }
@@ -190,22 +217,25 @@
     mg_blame_part parts[PARTS];
     mg_blame_group groups[PARTS];
     size_t naive[PARTS];
+    size_t naive_tied[PARTS];
     size_t group[PARTS];
     size_t sizes[PARTS + 1] = {0};
+    size_t ties[PARTS + 1] = {0};
     mg_rng_init(&r, seed);
     draw(&r);
     fill(parts);
-    blame_naively(naive);
+    blame_naively(naive, naive_tied);
     size_t n = mg_blame(parts, PARTS, groups);
     for (size_t p = 0; p < PARTS; p++) {
         group[p] = parts[p].group;
         sizes[group[p]]++;
-        if (group[p] != naive[p]) {
+        ties[parts[p].tied]++;
+        if (group[p] != naive[p] || parts[p].tied != naive_tied[p]) {
             return "another group than the naive twin's";
         }
     }
     for (size_t g = 0; g < n; g++) {
-        if (groups[g].size != sizes[g + 1]) {
+        if (groups[g].size != sizes[g + 1] || groups[g].tied != ties[g + 1]) {
             return "a wrong size of a group";
         }
     }
--- a/tests/unit/crash_test.c
+++ b/tests/unit/crash_test.c
@@ -2,6 +2,7 @@
 #include "flow_world.h"
 
 #include "gateway/suspects.h"
+#include "gateway/trial.h"
 
 /* rounds of a request that crashes its targets, each after a restart */
 #define ROUNDS 6
@@ -36,6 +37,13 @@
     world_crash(c->target);
 }
 
+static void
+serve_all(world_conn *c, mg_str head)
+{
+    (void)head;
+    world_write_ok(c);
+}
+
 static void
 open_crash_world(mg_retry_policy policy, bool stream)
 {
@@ -167,6 +175,44 @@
     world_shut();
 }
 
+/* the gateway's clock goes on by ms, all at once */
+static void
+skip_time(int64_t ms)
+{
+    world.clock.lag_ms -= ms;
+}
+
+/* Guards against a request that is refused for an hour since targets crashed
+   while they ran it, with another cause: it is tried later, and served. */
+static void
+test_tried_again(void)
+{
+    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
+    CU_ASSERT_EQUAL(run_rounds(false), 503);
+    CU_ASSERT_EQUAL(world_get("/crash"), 503);
+    world.serve = serve_all;
+    skip_time(MG_TRIAL_AFTER_MS);
+    CU_ASSERT_EQUAL(world_get("/crash"), 200);
+    CU_ASSERT_EQUAL(world_get("/crash"), 200);
+    world_shut();
+}
+
+/* a request that goes on crashing its targets is tried MG_TRIALS_MAX times */
+static void
+test_trials_are_limited(void)
+{
+    open_crash_world(MG_RETRY_BEFORE_RESPONSE, false);
+    run_rounds(false);
+    unsigned before = crashes;
+    for (int i = 0; i < 10; i++) {
+        skip_time(MG_TRIAL_AFTER_MS);
+        run_rounds(false);
+    }
+    CU_ASSERT_TRUE(crashes > before);
+    CU_ASSERT_TRUE(crashes <= before + MG_TRIALS_MAX);
+    world_shut();
+}
+
 /* --------------------------------------------------- parts of prompts */
 
 /* parts of the prompts below: the first one, the same in all prompts; then one
@@ -243,6 +289,8 @@
         {"crashes that end an unframed answer are counted",
          test_unframed_ends},
         {"no retry after three crashes", test_refused_meanwhile},
+        {"a refused request is tried again", test_tried_again},
+        {"a refused request is tried a few times", test_trials_are_limited},
         {"a prompt part that crashes its targets", test_crashing_part},
         CU_TEST_INFO_NULL,
     };
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -5,6 +5,7 @@
 #include "suite.h"
 
 #include "gateway/strikes.h"
+#include "gateway/trial.h"
 
 #define ENTRIES 4
 /* the keys of request and part number k */
@@ -500,6 +501,54 @@
     close_entries();
 }
 
+/* number of entries that let a prompt through as a trial within the time from
+   start_ms to end_ms after now */
+static int
+trying(const uint64_t *keys, size_t n, int64_t start_ms, int64_t end_ms)
+{
+    int64_t now = world.clk.mono;
+    bool tries[ENTRIES] = {false};
+    int count = 0;
+    for (int64_t t = start_ms; t < end_ms; t += STEP_MS) {
+        world.clk.mono = now + t;
+        for (int i = 0; i < ENTRIES; i++) {
+            tries[i] |= mg_strikes_may_try(world.entries[i], keys, n);
+        }
+    }
+    world.clk.mono = now;
+    for (int i = 0; i < ENTRIES; i++) {
+        count += tries[i];
+    }
+    return count;
+}
+
+/* Guards against trials that only crash further targets: the part that is
+   refused is the only one of its requests that was never served. With another
+   one beside it that was not served either, all entries get a turn soon. */
+static void
+test_only_part(void)
+{
+    static const unsigned deadly[] = {SYSTEM, DEADLY, DOCUMENT};
+    const uint64_t keys[] = {REQUEST(99), PART(DEADLY)};
+    for (int only = 0; only < 2; only++) {
+        open_entries();
+        for (int i = 0; i < ENTRIES; i++) {
+            mg_strikes_set_entries(world.entries[i], (size_t)i, ENTRIES);
+        }
+        mg_strikes_served(world.entries[0], PART(SYSTEM));
+        world.clk.mono += 2000;
+        for (int i = 0; i < MG_STRIKES_MAX; i++) {
+            crash_prompt(i, deadly, only ? 2 : 2 + i % 2);
+        }
+        CU_ASSERT_EQUAL(refusing(DEADLY), ENTRIES);
+        CU_ASSERT_EQUAL(trying(keys, 2, 0, 20000), only ? 0 : ENTRIES);
+        CU_ASSERT_EQUAL(trying(keys, 2, MG_TRIAL_ONLY_AFTER_MS,
+                               MG_TRIAL_ONLY_AFTER_MS + 20000),
+                        ENTRIES);
+        close_entries();
+    }
+}
+
 /* Guards against parts that are refused after three crashes with another
    cause, though they were served before; five are too many. */
 static void
@@ -588,6 +637,7 @@
         {"two parts that are always there together", test_parts_together},
         {"parts of a request beside the crashing one", test_parts_beside},
         {"parts that were served before the crashes", test_served_before},
+        {"the only part that was never served", test_only_part},
         {"crashes without a crashing part", test_crashes_without_cause},
         {"a popular request, and crashes at one moment", test_popular_request},
         {"a crash that is reported late", test_served_meanwhile},
