A report of two requests of one entry on a target names them as several

A target that crashes may have run two requests of one entry with a common part. The report of that strike named the last one only, so that other entries could group parts otherwise than this one until all strikes are reported once more, at the third crash. Not seen to change a verdict: the new test 'requests of one entry on a target' holds without it, too.

--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -119,7 +119,7 @@
     r = r != NULL ? r : new_report(s, c);
     r->at_ms = c->at_ms;
     r->position = c->rank;
-    r->run = c->run;
+    r->run = mg_quarantine_merge_runs(r->run, c->run);
     r->copies = MG_STRIKE_COPIES;
     r->next_ms = mg_now(s->clock);
     r->gap_ms = MG_STRIKE_GAP_MS;
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -96,16 +96,20 @@
     return -1;
 }
 
+uint64_t
+mg_quarantine_merge_runs(uint64_t a, uint64_t b)
+{
+    if (a == MG_QUARANTINE_RUN_UNKNOWN || a == b) {
+        return b;
+    }
+    return b == MG_QUARANTINE_RUN_UNKNOWN ? a : MG_QUARANTINE_RUN_SEVERAL;
+}
+
 static void
 add_run(struct strike_record *r, int crash, uint64_t run)
 {
-    uint64_t *known = &r->crashes[crash].run;
-    if (*known == MG_QUARANTINE_RUN_UNKNOWN) {
-        *known = run;
-    }
-    else if (run != MG_QUARANTINE_RUN_UNKNOWN && run != *known) {
-        *known = MG_QUARANTINE_RUN_SEVERAL;
-    }
+    r->crashes[crash].run =
+        mg_quarantine_merge_runs(r->crashes[crash].run, run);
 }
 
 /* Index in r->crashes where a crash of this time is stored: a free one, else
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -44,6 +44,9 @@
 /* runs of a crash that aren't known, or several */
 #define MG_QUARANTINE_RUN_UNKNOWN UINT64_C(0)
 #define MG_QUARANTINE_RUN_SEVERAL UINT64_MAX
+/* The runs of a crash, if both of these are. */
+uint64_t
+mg_quarantine_merge_runs(uint64_t a, uint64_t b);
 
 mg_quarantine *
 mg_quarantine_new(void);
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -483,6 +483,32 @@
     return n;
 }
 
+/* Guards against entries that blame other parts than the one whose requests
+   ran: two of these, with common parts, were on each target that crashed. */
+static void
+test_runs_of_one_entry(void)
+{
+    static const unsigned deadly[] = {SYSTEM, DEADLY, DOCUMENT};
+    open_entries();
+    for (int i = 0; i < MG_STRIKES_MAX; i++) {
+        mg_strikes *s = world.entries[0];
+        uint64_t c = ++world.next_crash;
+        for (unsigned k = 0; k < 3; k++) {
+            mg_strikes_add(s, PART(deadly[k]), k, c, REQUEST(c));
+        }
+        mg_strikes_add(s, PART(SYSTEM), 0, c, REQUEST(100 + c));
+        mg_strikes_add(s, PART(DOCUMENT), 1, c, REQUEST(100 + c));
+        for (int k = 0; k < CAUSE_MS / STEP_MS; k++) {
+            step(0);
+        }
+    }
+    CU_ASSERT_EQUAL(refusing(DEADLY), ENTRIES);
+    for (int i = 0; i < ENTRIES; i++) {
+        CU_ASSERT_FALSE(refuses_prompt(world.entries[i], SYSTEM, DOCUMENT));
+    }
+    close_entries();
+}
+
 /* Guards against a sound part that is blamed for another one's crashes: only
    one entry has served the sound ones, and it sees none of the crashes. */
 static void
@@ -636,6 +662,7 @@
         {"the part that is the cause", test_cause},
         {"two parts that are always there together", test_parts_together},
         {"parts of a request beside the crashing one", test_parts_beside},
+        {"requests of one entry on a target", test_runs_of_one_entry},
         {"parts that were served before the crashes", test_served_before},
         {"the only part that was never served", test_only_part},
         {"crashes without a crashing part", test_crashes_without_cause},
