A part that a prompt has twice counts once in a group

A prompt with one part of a refused group twice would have counted as one with two parts, and been refused (found in reading; the row in 'two parts that are always there together' fails without the change). The parts of a group are looked for only if there is a group.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,7 +59,7 @@
 trial|src/gateway/trial.c|entries take turns|s/ahead <= (is_wide ? 1 : 0)/true/
 trial|src/gateway/trial.c|the only part that was never served is tried late|s/is_only ? MG_TRIAL_ONLY_AFTER_MS/false ? MG_TRIAL_ONLY_AFTER_MS/
 trial|src/gateway/trial.c|trials are limited|s/t->trials >= max || //
-verdict|src/gateway/strikes.c|a request that has all tied parts is no trial|s/found >= g->tied;/false;/
+verdict|src/gateway/strikes.c|a request that has all tied parts is no trial|s/found == g->tied;/false;/
 suspects|src/gateway/suspects.c|a crash after a verdict gives strikes to all parts|s/f->event_count <= 1 \&\& i < n/f->event_count <= 1 \&\& !mg_suspect_refuses(f) \&\& i < n/
 crash|src/gateway/suspects.c|parts of prompts get strikes|s/f->event_count <= 1 \&\& i < n/i < 0/
 strikes|src/gateway/strikes.c|a strike stands in several reports|s/r->copies = MG_STRIKE_COPIES;/r->copies = 1;/
--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -362,6 +362,9 @@
     for (size_t i = 0; i < s->group_count; i++) {
         s->others_served[i] = true;
     }
+    if (s->group_count == 0) {
+        return;
+    }
     mg_quarantine_each(s->quarantine, 1, mg_now(s->clock), note_if_unserved,
                        s);
 }
@@ -392,15 +395,27 @@
            (!served || crashed_apart(s, key));
 }
 
+/* whether keys[i] is none of those before it: a prompt may have a part twice
+ */
+static bool
+is_first(const uint64_t *keys, size_t i)
+{
+    size_t k = 0;
+    while (keys[k] != keys[i]) {
+        k++;
+    }
+    return k == i;
+}
+
 /* whether the keys have all parts of a group */
 static bool
 have_group(mg_strikes *s, const uint64_t *keys, size_t n, size_t group)
 {
     size_t found = 0;
     for (size_t i = 0; i < n; i++) {
-        found += (keys[i] & MG_STRIKES_PART) && group_of(s, keys[i]) == group;
+        found += is_first(keys, i) && group_of(s, keys[i]) == group;
     }
-    return found >= s->groups[group - 1].size;
+    return found == s->groups[group - 1].size;
 }
 
 static bool
@@ -480,9 +495,9 @@
     const mg_blame_group *g = &s->groups[group - 1];
     size_t found = 0;
     for (size_t i = 0; i < n; i++) {
-        found += find_blamed(s, keys[i]).tied == group;
+        found += is_first(keys, i) && find_blamed(s, keys[i]).tied == group;
     }
-    return g->tied > g->size && found >= g->tied;
+    return g->tied > g->size && found == g->tied;
 }
 
 bool
--- a/tests/unit/strikes_test.c
+++ b/tests/unit/strikes_test.c
@@ -396,6 +396,7 @@
         CU_ASSERT_TRUE(refuses_prompt(s, 0, 1));
         CU_ASSERT_FALSE(refuses_prompt(s, 0, 2));
         CU_ASSERT_FALSE(refuses_prompt(s, 2, 1));
+        CU_ASSERT_FALSE(refuses_prompt(s, 1, 1)); /* the same part twice */
         CU_ASSERT_EQUAL(mg_strikes_blames(s, PART(0)), 2);
         CU_ASSERT_EQUAL(mg_strikes_blames(s, PART(1)), 2);
         if (back_is_sound) {
