--- a/src/gateway/strikes.c
+++ b/src/gateway/strikes.c
@@ -507,13 +507,14 @@
     size_t count = mg_strikes_find_cause(s, keys, n, cause);
     uint64_t turn_key = 0;
     for (size_t i = count; i > 0; i--) {
-        /* a part's, if there is one: other requests may have it, too */
         uint64_t key = keys[cause[i - 1]];
         size_t group = group_of(s, key);
         if (group != 0 && tells_nothing(s, keys, n, group)) {
             return false;
         }
         mg_trial_state t = trial_state(s, key);
+        /* the turns are those of a part, if one is at fault: further requests
+           may have it, too */
         turn_key = turn_key != 0 ? turn_key : t.key;
         t.key = turn_key;
         if (!mg_trial_is_due(&t, mg_now(s->clock), s->self, s->entry_count)) {
--- a/src/gateway/strikes.h
+++ b/src/gateway/strikes.h
@@ -10,7 +10,7 @@
  *
  * A target that crashes gives strikes to all that it ran and to all parts of
  * their prompts. Which parts are refused, alone or only together, is in
- * blame.h.
+ * blame.h; when a refused request is let through nevertheless, in trial.h.
  *
  * Strikes, and whether a key with strikes was served, are sent to the other
  * entries with the load reports. A report may be lost, so each one stands in
@@ -60,8 +60,7 @@
 /* Adds a strike that another entry reports; returns the key's strikes. */
 unsigned
 mg_strikes_receive(mg_strikes *s, const mg_load_strike_msg *m);
-/* Adds what another entry knows of a key with strikes. If this entry knows
-   that the key was served and the other one does not, it reports that. */
+/* Adds what another entry knows of a key with strikes. */
 void
 mg_strikes_receive_details(mg_strikes *s, const mg_load_suspect_msg *m);
 /* A request that has this key, or a part with it, has been served now: takes
